--- /dev/null
+++ b/crates/ids/src/digest.rs
@@ -0,0 +1,131 @@
+//! Caller and operator keys, and the keyed digests by which alone they are stored and compared.
+
+use std::fmt;
+use std::str::FromStr;
+
+use rand::RngExt;
+use rand::distr::Alphanumeric;
+use serde::{Deserialize, Serialize};
+use serde_with::hex::Hex;
+use serde_with::serde_as;
+
+/// What every clear key begins with.
+const SECRET_PREFIX: &str = "bk_";
+/// Random characters after the prefix; 40 of 62 letters and digits hold 238 bits.
+const SECRET_CHARS: usize = 40;
+/// Separates this use of the cluster secret from any other.
+const DIGEST_CONTEXT: &str = "bergamothinge 2026-12 caller key digest";
+
+/// Why a text is not a clear key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SecretError {
+    /// The text does not have the form of a key.
+    Malformed,
+}
+
+impl fmt::Display for SecretError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the key is not {SECRET_PREFIX} and {SECRET_CHARS} letters or digits")
+    }
+}
+
+impl std::error::Error for SecretError {}
+
+/// A clear key. Its `Debug` form hides it.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Makes a new key from the operating system's randomness.
+    pub fn generate() -> Self {
+        let tail = rand::rng().sample_iter(Alphanumeric).take(SECRET_CHARS);
+        Self(SECRET_PREFIX.chars().chain(tail.map(char::from)).collect())
+    }
+
+    /// The clear text; the one place where it is shown is the answer to the key's creator.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+
+    /// Finds the first text of a key's form in `bytes`, as a byte range.
+    pub fn find(bytes: &[u8]) -> Option<std::ops::Range<usize>> {
+        let prefix = SECRET_PREFIX.as_bytes();
+        let len = prefix.len() + SECRET_CHARS;
+        let is_key = |w: &[u8]| {
+            w.starts_with(prefix) && w[prefix.len()..].iter().all(u8::is_ascii_alphanumeric)
+        };
+        let start = bytes.windows(len).position(is_key)?;
+        Some(start..start + len)
+    }
+}
+
+impl FromStr for Secret {
+    type Err = SecretError;
+
+    fn from_str(text: &str) -> Result<Self, SecretError> {
+        match Self::find(text.as_bytes()) {
+            Some(range) if range == (0..text.len()) => Ok(Self(text.to_owned())),
+            _ => Err(SecretError::Malformed),
+        }
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+/// The keyed digest of a clear key.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Digest(#[serde_as(as = "Hex")] pub [u8; 32]);
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+/// Turns clear keys into digests; derived from the cluster secret.
+#[derive(Clone)]
+pub struct DigestKey([u8; 32]);
+
+impl DigestKey {
+    /// Derives the key of the digests from the cluster secret.
+    pub fn derive(cluster_secret: &str) -> Self {
+        Self(blake3::derive_key(DIGEST_CONTEXT, cluster_secret.as_bytes()))
+    }
+
+    /// The digest of a clear key.
+    pub fn digest(&self, secret: &Secret) -> Digest {
+        Digest(*blake3::keyed_hash(&self.0, secret.0.as_bytes()).as_bytes())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn digest(cluster: &str, secret: &Secret) -> Digest {
+        DigestKey::derive(cluster).digest(secret)
+    }
+
+    case::cases! {
+        generated_key_parses: {
+            let secret = Secret::generate();
+            assert_eq!(secret.reveal().parse::<Secret>(), Ok(secret.clone()));
+        };
+        short_key_is_refused: assert_eq!("bk_abc".parse::<Secret>(), Err(SecretError::Malformed));
+        key_is_found_inside_text: {
+            let text = format!("x={}&y", Secret::generate().reveal());
+            assert_eq!(Secret::find(text.as_bytes()), Some(2..45));
+        };
+        digest_depends_on_cluster: {
+            let secret = Secret::generate();
+            assert_ne!(digest("a", &secret), digest("b", &secret));
+        };
+        debug_hides_the_key: assert_eq!(format!("{:?}", Secret::generate()), "Secret(..)");
+    }
+}
--- /dev/null
+++ b/crates/ids/src/lib.rs
@@ -0,0 +1,18 @@
+//! Checked names, units, clock readings and arena keys shared by every crate.
+
+mod digest;
+mod key;
+mod name;
+mod tick;
+mod unit;
+
+pub use digest::{Digest, DigestKey, Secret, SecretError};
+pub use key::{AccountId, AttemptKey, ClassId, EndpointId, GrantId, RequestId, RouteId, ZoneId};
+pub use name::{
+    AccountName, ClassName, ClusterName, EndpointName, GrantName, HostName, ModelName, NameError,
+    OperatorName, ProposalName, RegionName, RouteName, ZoneName,
+};
+pub use tick::{Clock, Monotonic, Tick};
+pub use unit::{
+    AttemptId, Fence, Incarnation, Index, Percent, Revision, Term, Ticket, Tier, Tokens, UnitError,
+};
