--- /dev/null
+++ b/crates/conf/src/config.rs
@@ -0,0 +1,558 @@
+//! The aggregate root: records in arenas, joined by `Copy` keys, changed only by [`Change`]s.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use ids::{
+    AccountId, AccountName, ClassId, ClassName, Digest, EndpointId, EndpointName, GrantId,
+    GrantName, ModelName, RegionName, Revision, RouteId, RouteName, Tier, ZoneId, ZoneName,
+};
+use slotmap::SlotMap;
+
+use crate::change::{Change, ChangeError};
+use crate::record::{
+    Access, AccountSpec, ClassSpec, EndpointSpec, GrantSpec, RouteSpec, Serves, ZoneSpec,
+};
+
+/// A zone.
+#[derive(Clone, Debug)]
+pub struct Zone {
+    /// The record as written.
+    pub spec: ZoneSpec,
+}
+
+/// A client account.
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// The record as written.
+    pub spec: AccountSpec,
+    /// Whether the account still has service.
+    pub open: bool,
+}
+
+/// A request class.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// The record as written.
+    pub spec: ClassSpec,
+}
+
+/// Who may use a route, by arena key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Every account, with its key.
+    Keyed,
+    /// These accounts, with their keys.
+    Only(Vec<AccountId>),
+    /// Anyone; requests without a key run for this account.
+    Open(AccountId),
+}
+
+/// A route.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// The record as written.
+    pub spec: RouteSpec,
+    /// The default class.
+    pub class: ClassId,
+    /// Who may use the route.
+    pub reach: Reach,
+}
+
+/// An endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// The record as written.
+    pub spec: EndpointSpec,
+    /// The zone it lies in.
+    pub zone: ZoneId,
+    /// The routes it serves.
+    pub routes: Vec<RouteId>,
+}
+
+impl Endpoint {
+    /// Where the endpoint's agent listens.
+    pub fn agent(&self) -> SocketAddr {
+        self.spec.agent
+    }
+}
+
+/// The record of one caller key.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    /// The record as written.
+    pub spec: GrantSpec,
+    /// The account the key stands for.
+    pub account: AccountId,
+    /// The class the key gives, if any.
+    pub class: Option<ClassId>,
+    /// Whether the key still works. Never becomes true again.
+    pub live: bool,
+}
+
+/// The whole configuration at one revision.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    pub(crate) revision: Revision,
+    pub(crate) zones: SlotMap<ZoneId, Zone>,
+    pub(crate) accounts: SlotMap<AccountId, Account>,
+    pub(crate) classes: SlotMap<ClassId, Class>,
+    pub(crate) routes: SlotMap<RouteId, Route>,
+    pub(crate) endpoints: SlotMap<EndpointId, Endpoint>,
+    pub(crate) grants: SlotMap<GrantId, Grant>,
+    zone_names: BTreeMap<ZoneName, ZoneId>,
+    account_names: BTreeMap<AccountName, AccountId>,
+    class_names: BTreeMap<ClassName, ClassId>,
+    route_names: BTreeMap<RouteName, RouteId>,
+    endpoint_names: BTreeMap<EndpointName, EndpointId>,
+    grant_names: BTreeMap<GrantName, GrantId>,
+    pub(crate) digests: BTreeMap<Digest, GrantId>,
+    pub(crate) models: BTreeMap<ModelName, RouteId>,
+}
+
+impl Config {
+    /// The revision this configuration has.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Applies the changes of one accepted proposal, all or none, and moves to the next revision.
+    ///
+    /// # Errors
+    ///
+    /// The rule that the first offending change breaks; the configuration is as before.
+    pub fn apply_all(&mut self, changes: &[Change]) -> Result<Revision, ChangeError> {
+        let mut next = self.clone();
+        changes.iter().try_for_each(|change| next.apply(change))?;
+        next.check_reserves()?;
+        next.revision = self.revision.next();
+        *self = next;
+        Ok(self.revision)
+    }
+
+    /// The changes that rebuild this configuration from an empty one, in a fixed order.
+    pub fn export(&self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let zones = self.zone_names.values();
+        changes.extend(zones.map(|id| Change::PutZone(self.zones[*id].spec.clone())));
+        let classes = self.class_names.values();
+        changes.extend(classes.map(|id| Change::PutClass(self.classes[*id].spec.clone())));
+        let accounts = self.account_names.values();
+        changes.extend(accounts.map(|id| Change::PutAccount(self.accounts[*id].spec.clone())));
+        let routes = self.route_names.values();
+        changes.extend(routes.map(|id| Change::PutRoute(self.routes[*id].spec.clone())));
+        let endpoints = self.endpoint_names.values();
+        changes.extend(endpoints.map(|id| Change::PutEndpoint(self.endpoints[*id].spec.clone())));
+        for grant in self.grants() {
+            changes.push(Change::PutGrant(grant.spec.clone()));
+            if !grant.live {
+                changes.push(Change::WithdrawGrant(grant.spec.name.clone()));
+            }
+        }
+        let closed = self.accounts().filter(|account| !account.open);
+        changes.extend(closed.map(|account| Change::CloseAccount(account.spec.name.clone())));
+        changes
+    }
+
+    /// Rebuilds a configuration from an [`export`](Self::export).
+    ///
+    /// # Errors
+    ///
+    /// The rule that the first offending change breaks.
+    pub fn import(revision: Revision, changes: &[Change]) -> Result<Self, ChangeError> {
+        let mut config = Self::default();
+        changes.iter().try_for_each(|change| config.apply(change))?;
+        config.revision = revision;
+        Ok(config)
+    }
+
+    /// The zones, by name.
+    pub fn zones(&self) -> impl Iterator<Item = &Zone> {
+        self.zone_names.values().map(|id| &self.zones[*id])
+    }
+
+    /// The accounts, by name.
+    pub fn accounts(&self) -> impl Iterator<Item = &Account> {
+        self.account_names.values().map(|id| &self.accounts[*id])
+    }
+
+    /// The classes, by name.
+    pub fn classes(&self) -> impl Iterator<Item = (ClassId, &Class)> {
+        self.class_names
+            .values()
+            .map(|id| (*id, &self.classes[*id]))
+    }
+
+    /// The routes, by name.
+    pub fn routes(&self) -> impl Iterator<Item = (RouteId, &Route)> {
+        self.route_names.values().map(|id| (*id, &self.routes[*id]))
+    }
+
+    /// The endpoints, by name.
+    pub fn endpoints(&self) -> impl Iterator<Item = (EndpointId, &Endpoint)> {
+        self.endpoint_names
+            .values()
+            .map(|id| (*id, &self.endpoints[*id]))
+    }
+
+    /// The grants, by name, tombstones included.
+    pub fn grants(&self) -> impl Iterator<Item = &Grant> {
+        self.grant_names.values().map(|id| &self.grants[*id])
+    }
+
+    /// The zone behind a key.
+    pub fn zone(&self, id: ZoneId) -> Option<&Zone> {
+        self.zones.get(id)
+    }
+
+    /// The account behind a key.
+    pub fn account(&self, id: AccountId) -> Option<&Account> {
+        self.accounts.get(id)
+    }
+
+    /// The class behind a key.
+    pub fn class(&self, id: ClassId) -> Option<&Class> {
+        self.classes.get(id)
+    }
+
+    /// The route behind a key.
+    pub fn route(&self, id: RouteId) -> Option<&Route> {
+        self.routes.get(id)
+    }
+
+    /// The endpoint behind a key.
+    pub fn endpoint(&self, id: EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(id)
+    }
+
+    /// The grant behind a key.
+    pub fn grant(&self, id: GrantId) -> Option<&Grant> {
+        self.grants.get(id)
+    }
+
+    /// Finds an account by name.
+    pub fn find_account(&self, name: &AccountName) -> Option<AccountId> {
+        self.account_names.get(name).copied()
+    }
+
+    /// Finds a class by name.
+    pub fn find_class(&self, name: &ClassName) -> Option<ClassId> {
+        self.class_names.get(name).copied()
+    }
+
+    /// Finds a grant by name.
+    pub fn find_grant(&self, name: &GrantName) -> Option<GrantId> {
+        self.grant_names.get(name).copied()
+    }
+
+    /// Finds a route by name.
+    pub fn find_route(&self, name: &RouteName) -> Option<RouteId> {
+        self.route_names.get(name).copied()
+    }
+
+    /// Finds an endpoint by name.
+    pub fn find_endpoint(&self, name: &EndpointName) -> Option<EndpointId> {
+        self.endpoint_names.get(name).copied()
+    }
+
+    /// Finds a zone by name.
+    pub fn find_zone(&self, name: &ZoneName) -> Option<ZoneId> {
+        self.zone_names.get(name).copied()
+    }
+
+    /// The region an endpoint lies in.
+    pub fn region_of(&self, zone: ZoneId) -> Option<&RegionName> {
+        self.zones.get(zone).map(|zone| &zone.spec.region)
+    }
+
+    /// The route that serves a model.
+    pub fn route_for_model(&self, model: &ModelName) -> Option<RouteId> {
+        self.models.get(model).copied()
+    }
+
+    /// The route whose prefix covers `path`; the longest prefix wins.
+    pub fn route_for_path(&self, path: &str) -> Option<RouteId> {
+        let covering = self
+            .routes()
+            .filter_map(|(id, route)| match &route.spec.serves {
+                Serves::Service { prefix, .. } if prefix.covers(path) => Some((prefix.len(), id)),
+                _ => None,
+            });
+        covering.max_by_key(|(len, _)| *len).map(|(_, id)| id)
+    }
+
+    /// Whether an endpoint takes new work as far as the configuration says.
+    pub fn takes_work(&self, id: EndpointId) -> bool {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return false;
+        };
+        let zone_open = self
+            .zones
+            .get(endpoint.zone)
+            .is_some_and(|zone| zone.spec.open);
+        zone_open && !endpoint.spec.leaving
+    }
+
+    /// The tier of a class; the lowest tier for a class that no longer exists.
+    pub fn tier_of(&self, class: ClassId) -> Tier {
+        self.classes
+            .get(class)
+            .map_or(Tier::LOWEST, |class| class.spec.tier)
+    }
+
+    fn apply(&mut self, change: &Change) -> Result<(), ChangeError> {
+        match change {
+            Change::PutZone(spec) => self.put_zone(spec),
+            Change::DropZone(name) => self.drop_zone(name),
+            Change::PutAccount(spec) => self.put_account(spec),
+            Change::CloseAccount(name) => self.close_account(name),
+            Change::PutClass(spec) => self.put_class(spec),
+            Change::DropClass(name) => self.drop_class(name),
+            Change::PutRoute(spec) => self.put_route(spec),
+            Change::DropRoute(name) => self.drop_route(name),
+            Change::PutEndpoint(spec) => self.put_endpoint(spec),
+            Change::DropEndpoint(name) => self.drop_endpoint(name),
+            Change::PutGrant(spec) => self.put_grant(spec),
+            Change::WithdrawGrant(name) => self.withdraw_grant(name),
+        }
+    }
+
+    fn put_zone(&mut self, spec: &ZoneSpec) -> Result<(), ChangeError> {
+        let zone = Zone { spec: spec.clone() };
+        match self.zone_names.get(&spec.name) {
+            Some(id) => self.zones[*id] = zone,
+            None => {
+                let id = self.zones.insert(zone);
+                self.zone_names.insert(spec.name.clone(), id);
+            }
+        }
+        Ok(())
+    }
+
+    fn drop_zone(&mut self, name: &ZoneName) -> Result<(), ChangeError> {
+        let id = self.zone_id(name)?;
+        if let Some(user) = self.endpoints.values().find(|e| e.zone == id) {
+            return Err(ChangeError::in_use("zone", name, &user.spec.name));
+        }
+        self.zones.remove(id);
+        self.zone_names.remove(name);
+        Ok(())
+    }
+
+    fn put_account(&mut self, spec: &AccountSpec) -> Result<(), ChangeError> {
+        if spec.weight == 0 {
+            return Err(ChangeError::zero("account", &spec.name, "weight"));
+        }
+        match self.account_names.get(&spec.name) {
+            Some(id) if !self.accounts[*id].open => {
+                return Err(ChangeError::AccountClosed(spec.name.clone()));
+            }
+            Some(id) => self.accounts[*id].spec = spec.clone(),
+            None => {
+                let account = Account {
+                    spec: spec.clone(),
+                    open: true,
+                };
+                let id = self.accounts.insert(account);
+                self.account_names.insert(spec.name.clone(), id);
+            }
+        }
+        Ok(())
+    }
+
+    fn close_account(&mut self, name: &AccountName) -> Result<(), ChangeError> {
+        let id = self.account_id(name)?;
+        self.accounts[id].open = false;
+        for grant in self.grants.values_mut().filter(|grant| grant.account == id) {
+            grant.live = false;
+        }
+        Ok(())
+    }
+
+    fn put_class(&mut self, spec: &ClassSpec) -> Result<(), ChangeError> {
+        if spec.first.is_zero() {
+            return Err(ChangeError::zero("class", &spec.name, "first_ms"));
+        }
+        if spec.gap.is_zero() {
+            return Err(ChangeError::zero("class", &spec.name, "gap_ms"));
+        }
+        let class = Class { spec: spec.clone() };
+        match self.class_names.get(&spec.name) {
+            Some(id) => self.classes[*id] = class,
+            None => {
+                let id = self.classes.insert(class);
+                self.class_names.insert(spec.name.clone(), id);
+            }
+        }
+        Ok(())
+    }
+
+    fn drop_class(&mut self, name: &ClassName) -> Result<(), ChangeError> {
+        let id = self.class_id(name)?;
+        if let Some(user) = self.routes.values().find(|route| route.class == id) {
+            return Err(ChangeError::in_use("class", name, &user.spec.name));
+        }
+        if let Some(user) = self.grants.values().find(|grant| grant.class == Some(id)) {
+            return Err(ChangeError::in_use("class", name, &user.spec.name));
+        }
+        self.classes.remove(id);
+        self.class_names.remove(name);
+        Ok(())
+    }
+
+    fn put_route(&mut self, spec: &RouteSpec) -> Result<(), ChangeError> {
+        let route = Route {
+            spec: spec.clone(),
+            class: self.class_id(&spec.class)?,
+            reach: self.reach(&spec.access)?,
+        };
+        let rival = self.routes().find(|(_, other)| {
+            other.spec.name != spec.name && same_service(&other.spec.serves, &spec.serves)
+        });
+        if let Some((_, rival)) = rival {
+            let rival = rival.spec.name.clone();
+            return Err(ChangeError::RouteTaken(spec.name.clone(), rival));
+        }
+        let id = match self.route_names.get(&spec.name) {
+            Some(id) => {
+                let id = *id;
+                self.models.retain(|_, route| *route != id);
+                self.routes[id] = route;
+                id
+            }
+            None => {
+                let id = self.routes.insert(route);
+                self.route_names.insert(spec.name.clone(), id);
+                id
+            }
+        };
+        if let Serves::Model(model) = &spec.serves {
+            self.models.insert(model.clone(), id);
+        }
+        Ok(())
+    }
+
+    fn drop_route(&mut self, name: &RouteName) -> Result<(), ChangeError> {
+        let id = self.route_id(name)?;
+        if let Some(user) = self.endpoints.values().find(|e| e.routes.contains(&id)) {
+            return Err(ChangeError::in_use("route", name, &user.spec.name));
+        }
+        self.routes.remove(id);
+        self.route_names.remove(name);
+        self.models.retain(|_, route| *route != id);
+        Ok(())
+    }
+
+    fn put_endpoint(&mut self, spec: &EndpointSpec) -> Result<(), ChangeError> {
+        if spec.slots == 0 {
+            return Err(ChangeError::zero("endpoint", &spec.name, "slots"));
+        }
+        let routes = spec.routes.iter().map(|name| self.route_id(name));
+        let endpoint = Endpoint {
+            spec: spec.clone(),
+            zone: self.zone_id(&spec.zone)?,
+            routes: routes.collect::<Result<_, _>>()?,
+        };
+        match self.endpoint_names.get(&spec.name) {
+            Some(id) => self.endpoints[*id] = endpoint,
+            None => {
+                let id = self.endpoints.insert(endpoint);
+                self.endpoint_names.insert(spec.name.clone(), id);
+            }
+        }
+        Ok(())
+    }
+
+    fn drop_endpoint(&mut self, name: &EndpointName) -> Result<(), ChangeError> {
+        let missing = || ChangeError::missing("endpoint", name);
+        let id = self.endpoint_names.remove(name).ok_or_else(missing)?;
+        self.endpoints.remove(id);
+        Ok(())
+    }
+
+    fn put_grant(&mut self, spec: &GrantSpec) -> Result<(), ChangeError> {
+        if self.grant_names.contains_key(&spec.name) {
+            return Err(ChangeError::GrantExists(spec.name.clone()));
+        }
+        if let Some(id) = self.digests.get(&spec.digest) {
+            return Err(ChangeError::DigestTaken(self.grants[*id].spec.name.clone()));
+        }
+        let account = self.account_id(&spec.account)?;
+        if !self.accounts[account].open {
+            return Err(ChangeError::AccountClosed(spec.account.clone()));
+        }
+        let class = spec
+            .class
+            .as_ref()
+            .map(|name| self.class_id(name))
+            .transpose()?;
+        let id = self.grants.insert(Grant {
+            spec: spec.clone(),
+            account,
+            class,
+            live: true,
+        });
+        self.grant_names.insert(spec.name.clone(), id);
+        self.digests.insert(spec.digest, id);
+        Ok(())
+    }
+
+    fn withdraw_grant(&mut self, name: &GrantName) -> Result<(), ChangeError> {
+        let id = self
+            .find_grant(name)
+            .ok_or_else(|| ChangeError::missing("key", name))?;
+        self.grants[id].live = false;
+        Ok(())
+    }
+
+    fn reach(&self, access: &Access) -> Result<Reach, ChangeError> {
+        match access {
+            Access::Keyed => Ok(Reach::Keyed),
+            Access::Open(name) => self.account_id(name).map(Reach::Open),
+            Access::Only(names) => {
+                let accounts = names.iter().map(|name| self.account_id(name));
+                accounts.collect::<Result<_, _>>().map(Reach::Only)
+            }
+        }
+    }
+
+    fn check_reserves(&self) -> Result<(), ChangeError> {
+        let sum = self
+            .classes
+            .values()
+            .map(|class| u32::from(u8::from(class.spec.reserve)))
+            .sum();
+        if sum > 100 {
+            return Err(ChangeError::ReserveExceeded(sum));
+        }
+        Ok(())
+    }
+
+    fn zone_id(&self, name: &ZoneName) -> Result<ZoneId, ChangeError> {
+        self.find_zone(name)
+            .ok_or_else(|| ChangeError::missing("zone", name))
+    }
+
+    fn account_id(&self, name: &AccountName) -> Result<AccountId, ChangeError> {
+        self.find_account(name)
+            .ok_or_else(|| ChangeError::missing("account", name))
+    }
+
+    fn class_id(&self, name: &ClassName) -> Result<ClassId, ChangeError> {
+        self.find_class(name)
+            .ok_or_else(|| ChangeError::missing("class", name))
+    }
+
+    fn route_id(&self, name: &RouteName) -> Result<RouteId, ChangeError> {
+        self.find_route(name)
+            .ok_or_else(|| ChangeError::missing("route", name))
+    }
+}
+
+fn same_service(a: &Serves, b: &Serves) -> bool {
+    match (a, b) {
+        (Serves::Model(a), Serves::Model(b)) => a == b,
+        (Serves::Service { prefix: a, .. }, Serves::Service { prefix: b, .. }) => a == b,
+        _ => false,
+    }
+}
--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -152,7 +152,8 @@
 
     fn from_str(code: &str) -> Result<Self, UnknownCode> {
         let row = TABLE.iter().find(|row| row.code == code);
-        row.map(|row| row.kind).ok_or_else(|| UnknownCode(code.to_owned()))
+        row.map(|row| row.kind)
+            .ok_or_else(|| UnknownCode(code.to_owned()))
     }
 }
 
--- a/crates/ids/src/digest.rs
+++ b/crates/ids/src/digest.rs
@@ -25,7 +25,10 @@
 
 impl fmt::Display for SecretError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the key is not {SECRET_PREFIX} and {SECRET_CHARS} letters or digits")
+        write!(
+            f,
+            "the key is not {SECRET_PREFIX} and {SECRET_CHARS} letters or digits"
+        )
     }
 }
 
@@ -78,8 +81,7 @@
 
 /// The keyed digest of a clear key.
 #[serde_as]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Digest(#[serde_as(as = "Hex")] pub [u8; 32]);
 
 impl fmt::Display for Digest {
@@ -95,7 +97,10 @@
 impl DigestKey {
     /// Derives the key of the digests from the cluster secret.
     pub fn derive(cluster_secret: &str) -> Self {
-        Self(blake3::derive_key(DIGEST_CONTEXT, cluster_secret.as_bytes()))
+        Self(blake3::derive_key(
+            DIGEST_CONTEXT,
+            cluster_secret.as_bytes(),
+        ))
     }
 
     /// The digest of a clear key.
--- a/crates/ids/src/name.rs
+++ b/crates/ids/src/name.rs
@@ -42,7 +42,9 @@
         return Err(NameError::Empty);
     }
     if text.len() > MAX_NAME_BYTES {
-        return Err(NameError::TooLong(text.chars().take(MAX_NAME_BYTES).collect()));
+        return Err(NameError::TooLong(
+            text.chars().take(MAX_NAME_BYTES).collect(),
+        ));
     }
     let good = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_./".contains(c);
     match text.chars().find(|c| !good(*c)) {
--- a/crates/step/src/runner.rs
+++ b/crates/step/src/runner.rs
@@ -53,7 +53,9 @@
     ///
     /// [`Closed`] if the control thread has ended.
     pub fn call(&self, attachment: A, input: I) -> Result<(), Closed> {
-        self.0.send(Message::Call(attachment, input)).map_err(|_| Closed)
+        self.0
+            .send(Message::Call(attachment, input))
+            .map_err(|_| Closed)
     }
 }
 
@@ -192,7 +194,10 @@
             left,
             next: Tick::default(),
         };
-        (Control::start("echo", core, Forward(tx), Monotonic::start()).unwrap(), rx)
+        (
+            Control::start("echo", core, Forward(tx), Monotonic::start()).unwrap(),
+            rx,
+        )
     }
 
     case::cases! {
