--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -1,1 +1,33 @@
-//! x
+//! Agreement within the control group: a replicated log with one leader at a time.
+//!
+//! A [`Node`] is a sans-I/O core in the manner of Raft: election with a preliminary vote, commit
+//! by a majority that has synced, a leader lease on monotonic clocks, log compaction with
+//! snapshots sent in bounded pieces, and membership changed one member at a time.
+//!
+//! # Lease
+//!
+//! A follower that heard from a leader does not vote for another within [`Timing::election`] of
+//! its own clock, nor within that time of its start. A leader holds its lease for
+//! [`Timing::lease`] of its own clock, counted from the moment it *sent* the heartbeat that a
+//! majority answered. With clocks whose rates differ by at most [`MAX_DRIFT_PERCENT`] the lease
+//! ends before any majority can elect another leader.
+
+mod election;
+mod lease;
+mod log;
+mod member;
+mod message;
+mod node;
+mod record;
+mod replicate;
+mod snapshot;
+
+pub use lease::Authority;
+pub use log::{Body, Entry};
+pub use member::{Member, MemberChange, MemberError, MemberId, Stage};
+pub use message::Message;
+pub use node::{Node, NotLeader, Output, Seed, Standing, Timing};
+pub use record::{Record, Saved, SnapshotMeta};
+
+/// Largest difference between the rates of two hosts' clocks, and of one to true time.
+pub const MAX_DRIFT_PERCENT: u32 = 5;
