Make the history checker give up a disk only after its removal is committed

One of 4,000 histories ended without a leader. Cause: the harness took another entry at the same index for the committed removal and wiped a voter that the group still counted on, so two of three disks were lost.

--- a/crates/agree/tests/world/mod.rs
+++ b/crates/agree/tests/world/mod.rs
@@ -324,16 +324,19 @@
         let Some(leader) = self.leader().filter(|id| *id != old) else {
             return;
         };
-        let mut removed = false;
+        let mut removed = None;
         self.with_node(leader, |node, _, now, out| {
             let all_vote = node.group().iter().all(|m| m.stage == Stage::Voter);
             let remove = MemberChange::Remove(old);
-            removed = all_vote && node.change_group(now, &remove, out).is_ok();
+            removed = node.change_group(now, &remove, out).ok().filter(|_| all_vote);
         });
-        if !removed {
+        self.run_until(self.now + 2_000_000);
+        // A disk is given up only once the group no longer counts on it.
+        let committed = removed.and_then(|index| self.committed.get(&index));
+        let gone = |group: &[Member]| group.iter().all(|m| m.id != old);
+        if !matches!(committed, Some((_, Body::Members(group))) if gone(group)) {
             return;
         }
-        self.run_until(self.now + 2_000_000);
         self.crash(old);
         self.hosts.remove(&old);
         self.order.retain(|id| *id != old);
@@ -518,7 +521,9 @@
         self.propose();
         self.run_until(self.now + 3_000_000);
         let Some(leader) = self.leader() else {
-            self.faults.push("no leader after everything healed".to_owned());
+            let stand = |id| self.hosts[id].node.as_ref().map(|n| (n.id(), n.standing(), n.group().to_vec()));
+            let hosts: Vec<_> = self.order.iter().map(stand).collect();
+            self.faults.push(format!("no leader after everything healed: {hosts:?}"));
             return;
         };
         let commit = self.hosts[&leader].commit;
