--- /dev/null
+++ b/crates/admit/src/agent.rs
@@ -0,0 +1,548 @@
+//! The agent's core: checks, queues, starts and bounces requests for one endpoint.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use conf::{AccessError, Config, Permit, Update};
+use fault::Kind;
+use ids::{
+    AccountId, AccountName, ClassId, ClassName, EndpointName, GrantName, Incarnation, Revision,
+    RouteName, Tick, Ticket, Tier, Tokens,
+};
+use slotmap::{SlotMap, new_key_type};
+use step::{Core, Outbox};
+
+use crate::queue::{Queueing, Waiting};
+use crate::window::Window;
+
+/// Requests that may wait, as a multiple of the slots.
+const QUEUE_FACTOR: u32 = 4;
+/// Tokens an answer is taken to have until the class's answers have been seen.
+const FIRST_GUESS: u64 = 128;
+/// Weight of the newest value in a moving average, as a divisor.
+const SMOOTHING: u32 = 8;
+/// Of the slots, how many may be overdrawn by higher tiers whose start makes the engine pause
+/// lower ones, as a divisor.
+const OVERDRAFT_DIVISOR: u32 = 2;
+/// Turns of a slot that an arrival must be able to spare, so that a reserve can be granted in
+/// between without making it late.
+const SPARE_TURNS: u32 = 2;
+
+new_key_type! {
+    struct RunKey;
+}
+
+/// A request as an entry sent it.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Pairs the answer with this arrival.
+    pub ticket: Ticket,
+    /// The endpoint it is meant for.
+    pub endpoint: EndpointName,
+    /// The account billed.
+    pub account: AccountName,
+    /// The grant behind the caller's key, if one came.
+    pub grant: Option<GrantName>,
+    /// The route.
+    pub route: RouteName,
+    /// The class.
+    pub class: ClassName,
+    /// How long it may wait for its start.
+    pub slack: Duration,
+    /// Estimate of the tokens to be read.
+    pub input: Tokens,
+}
+
+/// How a request ended at the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// With a whole answer.
+    Served,
+    /// The engine failed.
+    Failed,
+    /// The caller went away.
+    Cancelled,
+}
+
+/// What the engine says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Engine {
+    /// The engine's run.
+    pub run: Incarnation,
+    /// How often its caches were lost without a restart.
+    pub flushes: u64,
+}
+
+/// What the core is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A newer view of the configuration, good until a moment.
+    View(Update, Tick),
+    /// A request.
+    Arrive(Arrival),
+    /// The first token of a running request came.
+    First(Ticket),
+    /// More tokens came, this long after the one before.
+    Gap(Ticket, Duration),
+    /// A running request ended, with the tokens it took.
+    Done(Ticket, Outcome, Tokens),
+    /// The caller of a waiting request went away.
+    Gone(Ticket),
+    /// The engine reported.
+    Engine(Engine),
+    /// No new work; say when the last request has ended.
+    Drain,
+}
+
+/// What an agent says of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests at the engine.
+    pub running: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Requests the engine may have at once.
+    pub limit: u32,
+}
+
+/// What is worth counting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trace {
+    /// A request had to wait.
+    Queued,
+    /// A request started from its class's reserve.
+    Reserved,
+    /// A request started beyond the limit, so that the engine pauses a lower one.
+    Overdrawn,
+    /// The engine turned cold.
+    Cooled,
+}
+
+/// What the core asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Hand the request to the engine with this priority; lower numbers first.
+    Start(Ticket, Tier),
+    /// Answer that the request did not run.
+    Bounce(Ticket, Kind, Load),
+    /// A running request has ended; the load without it.
+    Ended(Ticket, Load),
+    /// The last request has ended after [`Input::Drain`].
+    Drained,
+    /// The revision held after [`Input::View`].
+    Viewed(Revision),
+    /// Count something.
+    Trace(Trace),
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    tier: Tier,
+    class: ClassId,
+    account: AccountId,
+    weight: u32,
+    cost: Tokens,
+    reserved: bool,
+    began: Tick,
+    first: Duration,
+    gap: Duration,
+}
+
+/// A request that waits, with what must be checked again at its start.
+#[derive(Clone, Debug)]
+struct Claimant {
+    grant: Option<GrantName>,
+    account: AccountName,
+    route: RouteName,
+}
+
+/// The agent of one endpoint.
+#[derive(Clone, Debug)]
+pub struct Agent<Q> {
+    endpoint: EndpointName,
+    config: Config,
+    fresh: Tick,
+    window: Window,
+    queue: Q,
+    claimants: BTreeMap<Ticket, Claimant>,
+    running: SlotMap<RunKey, Running>,
+    tickets: BTreeMap<Ticket, RunKey>,
+    engine: Option<Engine>,
+    outputs: BTreeMap<(ClassId, AccountId), u64>,
+    turnover: Duration,
+    freed: Option<Tick>,
+    draining: bool,
+}
+
+impl<Q: Queueing> Agent<Q> {
+    /// The agent of an endpoint whose engine is taken to be cold.
+    pub fn new(endpoint: EndpointName, queue: Q) -> Self {
+        Self {
+            endpoint,
+            config: Config::default(),
+            fresh: Tick::default(),
+            window: Window::cold(1),
+            queue,
+            claimants: BTreeMap::new(),
+            running: SlotMap::with_key(),
+            tickets: BTreeMap::new(),
+            engine: None,
+            outputs: BTreeMap::new(),
+            turnover: Duration::ZERO,
+            freed: None,
+            draining: false,
+        }
+    }
+
+    /// The load now.
+    pub fn load(&self) -> Load {
+        Load {
+            running: count(self.running.len()),
+            queued: count(self.queue.len()),
+            limit: self.window.limit(),
+        }
+    }
+
+    /// The view of the configuration.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    fn view(&mut self, update: &Update, fresh: Tick) {
+        if self.config.follow(update).is_err() {
+            return;
+        }
+        self.fresh = self.fresh.max(fresh);
+        let spec = self.config.find_endpoint(&self.endpoint);
+        if let Some(endpoint) = spec.and_then(|id| self.config.endpoint(id)) {
+            self.window.resize(endpoint.spec.slots);
+        }
+    }
+
+    fn arrive(&mut self, now: Tick, arrival: &Arrival, out: &mut Outbox<Output>) {
+        let item = match self.examine(now, arrival) {
+            Ok(item) => item,
+            Err(kind) => return self.bounce(arrival.ticket, kind, out),
+        };
+        if self.queue.ahead_of(item.tier) == 0 && self.has_slot(item.tier) {
+            return self.start(now, item, false, out);
+        }
+        if self.wait_for(item.tier) + self.turnover * SPARE_TURNS > arrival.slack {
+            return self.bounce(arrival.ticket, Kind::Overloaded, out);
+        }
+        if !self.make_room(item.tier, out) {
+            return self.bounce(arrival.ticket, Kind::Overloaded, out);
+        }
+        let claimant = Claimant {
+            grant: arrival.grant.clone(),
+            account: arrival.account.clone(),
+            route: arrival.route.clone(),
+        };
+        self.claimants.insert(arrival.ticket, claimant);
+        self.queue.push(item);
+        out.push(Output::Trace(Trace::Queued));
+        self.dispatch(now, out);
+    }
+
+    fn examine(&self, now: Tick, arrival: &Arrival) -> Result<Waiting, Kind> {
+        if self.draining {
+            return Err(Kind::Draining);
+        }
+        if arrival.endpoint != self.endpoint {
+            return Err(Kind::EndpointMissing);
+        }
+        let permit = self.permit(
+            now,
+            arrival.grant.as_ref(),
+            &arrival.account,
+            &arrival.route,
+        )?;
+        let class = self
+            .config
+            .find_class(&arrival.class)
+            .unwrap_or(permit.class);
+        // An entry may lower a class and never raise it.
+        let class = self.config.class(class).map_or(permit.class, |wish| {
+            self.config.lower_class(permit.class, &wish.spec.name)
+        });
+        let reserve = self
+            .config
+            .class(class)
+            .map_or(0, |class| class.spec.reserve.into());
+        let account = self.config.account(permit.account);
+        let output = self
+            .outputs
+            .get(&(class, permit.account))
+            .copied()
+            .unwrap_or(FIRST_GUESS);
+        Ok(Waiting {
+            ticket: arrival.ticket,
+            tier: self.config.tier_of(class),
+            class,
+            account: permit.account,
+            weight: account.map_or(1, |account| account.spec.weight),
+            reserve,
+            cost: Tokens(arrival.input.0 + output),
+            since: now,
+            due: now + arrival.slack,
+        })
+    }
+
+    /// Repeats the entry's decision on this agent's own view.
+    fn permit(
+        &self,
+        now: Tick,
+        grant: Option<&GrantName>,
+        account: &AccountName,
+        route: &RouteName,
+    ) -> Result<Permit, Kind> {
+        if now >= self.fresh {
+            return Err(Kind::ViewStale);
+        }
+        let missing = Err(Kind::EndpointMissing);
+        let Some(id) = self.config.find_endpoint(&self.endpoint) else {
+            return missing;
+        };
+        if !self.config.takes_work(id) {
+            return Err(Kind::ZoneClosed);
+        }
+        let route = self.config.find_route(route);
+        let endpoint = self.config.endpoint(id);
+        let Some(route) = route.filter(|r| endpoint.is_some_and(|e| e.routes.contains(r))) else {
+            return missing;
+        };
+        self.config
+            .recheck(grant, account, route)
+            .map_err(|fault| match fault {
+                AccessError::KeyMissing => Kind::KeyMissing,
+                AccessError::KeyInvalid => Kind::KeyInvalid,
+                AccessError::Forbidden => Kind::AccountForbidden,
+                AccessError::RouteMissing => Kind::RouteUnknown,
+            })
+    }
+
+    /// Whether a request of this tier may start now. A warm engine may be overdrawn by a tier
+    /// that outranks running work: the engine honours priorities and pauses the lower one.
+    fn has_slot(&self, tier: Tier) -> bool {
+        let running = count(self.running.len());
+        let limit = self.window.limit();
+        if running < limit {
+            return true;
+        }
+        let pausable = |run: &&Running| tier.outranks(run.tier) && !run.reserved;
+        let lower = count(self.running.values().filter(pausable).count());
+        let overdrawn = running - limit;
+        self.window.is_warm() && overdrawn < lower.min(limit / OVERDRAFT_DIVISOR)
+    }
+
+    /// How long an arrival of this tier is likely to wait.
+    fn wait_for(&self, tier: Tier) -> Duration {
+        let ahead = count(self.queue.ahead_of(tier));
+        self.turnover * (ahead + 1)
+    }
+
+    /// Makes room in the queue, by sending away a lower tier if it is full.
+    fn make_room(&mut self, tier: Tier, out: &mut Outbox<Output>) -> bool {
+        let spec = self
+            .config
+            .find_endpoint(&self.endpoint)
+            .and_then(|id| self.config.endpoint(id));
+        let slots = spec.map_or(1, |endpoint| endpoint.spec.slots);
+        if count(self.queue.len()) < slots.saturating_mul(QUEUE_FACTOR) {
+            return true;
+        }
+        match self.queue.give_way(tier) {
+            Some(item) => {
+                self.claimants.remove(&item.ticket);
+                self.bounce(item.ticket, Kind::Shed, out);
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn dispatch(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        while let Some(tier) = self.next_tier() {
+            if !self.has_slot(tier) {
+                return;
+            }
+            // An overdraft is for the tier that it was granted to, never for a reserve.
+            let free = count(self.running.len()) < self.window.limit();
+            let turnover = if free { self.turnover } else { Duration::MAX };
+            let Some((item, reserved)) = self.queue.pop(now, turnover) else {
+                return;
+            };
+            let Some(claimant) = self.claimants.remove(&item.ticket) else {
+                continue;
+            };
+            let Claimant {
+                grant,
+                account,
+                route,
+            } = claimant;
+            match self.permit(now, grant.as_ref(), &account, &route) {
+                Ok(_) => self.start(now, item, reserved, out),
+                Err(kind) => self.bounce(item.ticket, kind, out),
+            }
+        }
+    }
+
+    /// The highest tier that waits.
+    fn next_tier(&self) -> Option<Tier> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let tiers = (0..Tier::COUNT).filter_map(|n| Tier::try_from(n as u8).ok());
+        tiers
+            .into_iter()
+            .find(|tier| self.queue.ahead_of(*tier) > 0)
+    }
+
+    fn start(&mut self, now: Tick, item: Waiting, reserved: bool, out: &mut Outbox<Output>) {
+        if count(self.running.len()) >= self.window.limit() {
+            out.push(Output::Trace(Trace::Overdrawn));
+        }
+        if reserved {
+            out.push(Output::Trace(Trace::Reserved));
+        }
+        let target = |f: fn(&conf::Class) -> Duration| {
+            self.config.class(item.class).map_or(Duration::MAX, f)
+        };
+        let run = self.running.insert(Running {
+            tier: item.tier,
+            class: item.class,
+            account: item.account,
+            weight: item.weight,
+            cost: item.cost,
+            reserved,
+            began: now,
+            first: target(|class| class.spec.first),
+            gap: target(|class| class.spec.gap),
+        });
+        self.tickets.insert(item.ticket, run);
+        out.push(Output::Start(item.ticket, item.tier));
+    }
+
+    fn first(&mut self, now: Tick, ticket: Ticket, out: &mut Outbox<Output>) {
+        let Some(run) = self
+            .tickets
+            .get(&ticket)
+            .and_then(|key| self.running.get(*key))
+        else {
+            return;
+        };
+        if self
+            .window
+            .first_token(now, now.since(run.began), run.first)
+        {
+            out.push(Output::Trace(Trace::Cooled));
+        }
+        self.dispatch(now, out);
+    }
+
+    fn done(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        outcome: Outcome,
+        tokens: Tokens,
+        out: &mut Outbox<Output>,
+    ) {
+        let Some(run) = self
+            .tickets
+            .remove(&ticket)
+            .and_then(|key| self.running.remove(key))
+        else {
+            return;
+        };
+        self.queue
+            .settle(run.class, run.account, run.weight, run.cost, tokens);
+        if outcome == Outcome::Served {
+            let learnt = self
+                .outputs
+                .entry((run.class, run.account))
+                .or_insert(tokens.0);
+            *learnt = (*learnt * u64::from(SMOOTHING - 1) + tokens.0) / u64::from(SMOOTHING);
+        }
+        if let Some(freed) = self.freed.replace(now).filter(|_| !self.queue.is_empty()) {
+            self.turnover = (self.turnover * (SMOOTHING - 1) + now.since(freed)) / SMOOTHING;
+        }
+        self.dispatch(now, out);
+        out.push(Output::Ended(ticket, self.load()));
+        if self.draining && self.running.is_empty() {
+            out.push(Output::Drained);
+        }
+    }
+
+    fn engine(&mut self, engine: Engine, out: &mut Outbox<Output>) {
+        let before = self.engine.replace(engine);
+        if before.is_some_and(|before| before != engine) {
+            self.window.cool();
+            out.push(Output::Trace(Trace::Cooled));
+        }
+    }
+
+    fn drain(&mut self, out: &mut Outbox<Output>) {
+        self.draining = true;
+        for item in self.queue.clear() {
+            self.claimants.remove(&item.ticket);
+            self.bounce(item.ticket, Kind::Draining, out);
+        }
+        if self.running.is_empty() {
+            out.push(Output::Drained);
+        }
+    }
+
+    fn bounce(&self, ticket: Ticket, kind: Kind, out: &mut Outbox<Output>) {
+        out.push(Output::Bounce(ticket, kind, self.load()));
+    }
+}
+
+impl<Q: Queueing> Core for Agent<Q> {
+    type Input = Input;
+    type Output = Output;
+
+    fn step(&mut self, now: Tick, input: Input, out: &mut Outbox<Output>) {
+        match input {
+            Input::View(update, fresh) => {
+                self.view(&update, fresh);
+                out.push(Output::Viewed(self.config.revision()));
+                self.dispatch(now, out);
+            }
+            Input::Arrive(arrival) => self.arrive(now, &arrival, out),
+            Input::First(ticket) => self.first(now, ticket, out),
+            Input::Gap(ticket, gap) => {
+                let run = self
+                    .tickets
+                    .get(&ticket)
+                    .and_then(|key| self.running.get(*key));
+                if let Some(target) = run.map(|run| run.gap) {
+                    self.window.token_gap(now, gap, target);
+                }
+            }
+            Input::Done(ticket, outcome, tokens) => self.done(now, ticket, outcome, tokens, out),
+            Input::Gone(ticket) => {
+                self.claimants.remove(&ticket);
+                self.queue.remove(ticket);
+            }
+            Input::Engine(engine) => self.engine(engine, out),
+            Input::Drain => self.drain(out),
+        }
+    }
+
+    fn wake(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        for item in self.queue.expire(now) {
+            self.claimants.remove(&item.ticket);
+            self.bounce(item.ticket, Kind::DeadlinePassed, out);
+        }
+        self.dispatch(now, out);
+    }
+
+    fn deadline(&self) -> Option<Tick> {
+        self.queue.next_due()
+    }
+}
+
+fn count(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/admit/src/fcfs.rs
@@ -0,0 +1,55 @@
+//! First come, first served: the baseline that knows neither tiers nor accounts.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use ids::{AccountId, ClassId, Tick, Ticket, Tier, Tokens};
+
+use crate::queue::{Queueing, Waiting};
+
+/// The baseline queue.
+#[derive(Clone, Debug, Default)]
+pub struct Fcfs(VecDeque<Waiting>);
+
+impl Queueing for Fcfs {
+    fn push(&mut self, item: Waiting) {
+        self.0.push_back(item);
+    }
+
+    fn pop(&mut self, _: Tick, _: Duration) -> Option<(Waiting, bool)> {
+        self.0.pop_front().map(|item| (item, false))
+    }
+
+    fn give_way(&mut self, _: Tier) -> Option<Waiting> {
+        None
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let at = self.0.iter().position(|item| item.ticket == ticket)?;
+        self.0.remove(at)
+    }
+
+    fn expire(&mut self, now: Tick) -> Vec<Waiting> {
+        let (late, rest): (Vec<_>, Vec<_>) = self.0.drain(..).partition(|item| item.due <= now);
+        self.0 = rest.into();
+        late
+    }
+
+    fn clear(&mut self) -> Vec<Waiting> {
+        self.0.drain(..).collect()
+    }
+
+    fn next_due(&self) -> Option<Tick> {
+        self.0.iter().map(|item| item.due).min()
+    }
+
+    fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    fn ahead_of(&self, _: Tier) -> usize {
+        self.0.len()
+    }
+
+    fn settle(&mut self, _: ClassId, _: AccountId, _: u32, _: Tokens, _: Tokens) {}
+}
--- /dev/null
+++ b/crates/admit/src/queue.rs
@@ -0,0 +1,74 @@
+//! What waits at an endpoint, and the interface of the policies that order it.
+
+use std::time::Duration;
+
+use ids::{AccountId, ClassId, Tick, Ticket, Tier, Tokens};
+
+/// A request that waits for its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// The request.
+    pub ticket: Ticket,
+    /// Its tier.
+    pub tier: Tier,
+    /// Its class.
+    pub class: ClassId,
+    /// The account it runs for.
+    pub account: AccountId,
+    /// The account's weight.
+    pub weight: u32,
+    /// The class's reserve, in percent of all starts.
+    pub reserve: u8,
+    /// Estimate of the tokens it will take.
+    pub cost: Tokens,
+    /// When it came.
+    pub since: Tick,
+    /// When its start is too late.
+    pub due: Tick,
+}
+
+/// The order in which waiting requests start, and who gives way.
+pub trait Queueing {
+    /// Adds a request.
+    fn push(&mut self, item: Waiting);
+
+    /// Takes the request that starts next. `turnover` is the usual time until another slot is
+    /// free. Returns whether it starts from its class's reserve.
+    fn pop(&mut self, now: Tick, turnover: Duration) -> Option<(Waiting, bool)>;
+
+    /// Takes the request that gives way to an arrival of this tier, if one ranks below it.
+    fn give_way(&mut self, tier: Tier) -> Option<Waiting>;
+
+    /// Takes a request out.
+    fn remove(&mut self, ticket: Ticket) -> Option<Waiting>;
+
+    /// Takes out the requests whose start is too late.
+    fn expire(&mut self, now: Tick) -> Vec<Waiting>;
+
+    /// Takes everything out.
+    fn clear(&mut self) -> Vec<Waiting>;
+
+    /// The next moment at which a request expires.
+    fn next_due(&self) -> Option<Tick>;
+
+    /// How many requests wait.
+    fn len(&self) -> usize;
+
+    /// Whether none waits.
+    fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// How many requests would start before an arrival of this tier.
+    fn ahead_of(&self, tier: Tier) -> usize;
+
+    /// Corrects the tokens an account was charged for a finished request.
+    fn settle(
+        &mut self,
+        class: ClassId,
+        account: AccountId,
+        weight: u32,
+        charged: Tokens,
+        real: Tokens,
+    );
+}
--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -169,7 +169,9 @@
             pre,
             handover,
         };
-        let voters: Vec<_> = member::voters(&self.group).filter(|id| *id != self.id).collect();
+        let voters: Vec<_> = member::voters(&self.group)
+            .filter(|id| *id != self.id)
+            .collect();
         for voter in voters {
             self.send_synced(voter, message.clone(), out);
         }
@@ -185,7 +187,9 @@
             return;
         };
         let (pre, handover) = (*pre, *handover);
-        let count = member::voters(&self.group).filter(|id| votes.contains(id)).count();
+        let count = member::voters(&self.group)
+            .filter(|id| votes.contains(id))
+            .count();
         if count < member::quorum(&self.group) {
             return;
         }
--- a/crates/agree/src/lease.rs
+++ b/crates/agree/src/lease.rs
@@ -66,6 +66,9 @@
             })
             .collect();
         acked.sort_unstable_by(|a, b| b.cmp(a));
-        acked.get(member::quorum(&self.group) - 1).copied().flatten()
+        acked
+            .get(member::quorum(&self.group) - 1)
+            .copied()
+            .flatten()
     }
 }
--- a/crates/agree/src/log.rs
+++ b/crates/agree/src/log.rs
@@ -6,8 +6,7 @@
 use crate::member::Member;
 
 /// What an entry holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     /// Nothing; opens a leader's term.
     Barrier,
@@ -18,8 +17,7 @@
 }
 
 /// One entry of the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its position.
     pub index: Index,
@@ -69,7 +67,9 @@
     }
 
     pub(crate) fn last_term(&self) -> Term {
-        self.entries.back().map_or(self.base_term, |entry| entry.term)
+        self.entries
+            .back()
+            .map_or(self.base_term, |entry| entry.term)
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -103,13 +103,19 @@
             size += entry.size();
             first || size <= bytes
         };
-        self.entries.iter().skip(skip).take_while(fits).cloned().collect()
+        self.entries
+            .iter()
+            .skip(skip)
+            .take_while(fits)
+            .cloned()
+            .collect()
     }
 
     /// Drops entries from `from` on.
     pub(crate) fn truncate(&mut self, from: Index) {
         let keep = from.0.saturating_sub(self.base.0 + 1);
-        self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        self.entries
+            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
     }
 
     /// Drops entries up to and including `to`.
@@ -125,10 +131,13 @@
 
     /// The newest group in the log, with its index.
     pub(crate) fn newest_group(&self) -> Option<(Index, &[Member])> {
-        self.entries.iter().rev().find_map(|entry| match &entry.body {
-            Body::Members(members) => Some((entry.index, members.as_slice())),
-            _ => None,
-        })
+        self.entries
+            .iter()
+            .rev()
+            .find_map(|entry| match &entry.body {
+                Body::Members(members) => Some((entry.index, members.as_slice())),
+                _ => None,
+            })
     }
 
     /// All entries held.
--- a/crates/agree/src/member.rs
+++ b/crates/agree/src/member.rs
@@ -7,8 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The identity of a member, bound to its disk. A wiped disk gets a new one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct MemberId(pub u64);
 
@@ -19,8 +18,7 @@
 }
 
 /// How far a member takes part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Stage {
     /// Receives the log and has no vote yet.
@@ -30,8 +28,7 @@
 }
 
 /// A member of the group.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// The member's identity.
     pub id: MemberId,
@@ -44,8 +41,7 @@
 }
 
 /// A change of the group, one member at a time.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberChange {
     /// Adds a learner; it becomes a voter by itself once it has caught up.
     Add(Member),
@@ -112,7 +108,10 @@
 
 /// The voters of a group.
 pub(crate) fn voters(group: &[Member]) -> impl Iterator<Item = MemberId> + '_ {
-    group.iter().filter(|m| m.stage == Stage::Voter).map(|m| m.id)
+    group
+        .iter()
+        .filter(|m| m.stage == Stage::Voter)
+        .map(|m| m.id)
 }
 
 /// How many voters make a majority.
--- a/crates/agree/src/message.rs
+++ b/crates/agree/src/message.rs
@@ -7,8 +7,7 @@
 use crate::record::SnapshotMeta;
 
 /// A message from one member to another.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Asks for a vote, or whether one would be given.
     Vote {
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -397,7 +397,9 @@
 
     /// Draws the next moment to stand for election.
     pub(crate) fn reset_stand(&mut self, now: Tick) {
-        let spread = u64::try_from(self.timing.election.as_micros()).unwrap_or(u64::MAX).max(1);
+        let spread = u64::try_from(self.timing.election.as_micros())
+            .unwrap_or(u64::MAX)
+            .max(1);
         let jitter = Duration::from_micros(self.rng.random_range(0..spread));
         self.stand = now + self.timing.election + jitter;
     }
@@ -454,7 +456,12 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let others: Vec<_> = self.group.iter().map(|m| m.id).filter(|id| *id != me).collect();
+        let others: Vec<_> = self
+            .group
+            .iter()
+            .map(|m| m.id)
+            .filter(|id| *id != me)
+            .collect();
         leader.peers.retain(|id, _| others.contains(id));
         let next = self.log.last().next();
         for id in others {
--- a/crates/agree/src/record.rs
+++ b/crates/agree/src/record.rs
@@ -7,8 +7,7 @@
 use crate::member::{Member, MemberId};
 
 /// What a snapshot covers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotMeta {
     /// The last entry covered.
     pub index: Index,
@@ -19,8 +18,7 @@
 }
 
 /// One durable step. The fields apply in order: vote, truncation, entries.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// The term and the vote given in it.
     pub vote: Option<(Term, Option<MemberId>)>,
@@ -65,6 +63,11 @@
             self.entries.retain(|entry| entry.index < from);
         }
         let covered = self.meta.index;
-        self.entries.extend(record.entries.into_iter().filter(|entry| entry.index > covered));
+        self.entries.extend(
+            record
+                .entries
+                .into_iter()
+                .filter(|entry| entry.index > covered),
+        );
     }
 }
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -147,7 +147,12 @@
         let Role::Leader(leader) = &self.role else {
             return;
         };
-        let matched = |id| leader.peers.get(&id).map_or(self.durable, |peer| peer.matched);
+        let matched = |id| {
+            leader
+                .peers
+                .get(&id)
+                .map_or(self.durable, |peer| peer.matched)
+        };
         let mut ends: Vec<_> = member::voters(&self.group).map(matched).collect();
         ends.sort_unstable_by(|a, b| b.cmp(a));
         let Some(end) = ends.get(member::quorum(&self.group) - 1).copied() else {
--- a/crates/agree/src/snapshot.rs
+++ b/crates/agree/src/snapshot.rs
@@ -36,7 +36,8 @@
             members: self.group_as_of(index),
         };
         self.state = state;
-        self.log.compact(Index(index.0.saturating_sub(KEPT_ENTRIES)).max(self.log.base()));
+        self.log
+            .compact(Index(index.0.saturating_sub(KEPT_ENTRIES)).max(self.log.base()));
         self.rotate(out);
     }
 
@@ -47,7 +48,9 @@
         let Some(peer) = leader.peers.get(&to) else {
             return;
         };
-        let start = usize::try_from(peer.offset).unwrap_or(usize::MAX).min(self.state.len());
+        let start = usize::try_from(peer.offset)
+            .unwrap_or(usize::MAX)
+            .min(self.state.len());
         let end = (start + CHUNK_BYTES).min(self.state.len());
         let message = Message::Chunk {
             term: self.term,
@@ -169,7 +172,12 @@
         };
         self.seq += 1;
         self.marks.push_back((self.seq, self.log.last()));
-        out.push(Output::Rotate(self.seq, self.meta.clone(), self.state.clone(), record));
+        out.push(Output::Rotate(
+            self.seq,
+            self.meta.clone(),
+            self.state.clone(),
+            record,
+        ));
     }
 
     /// The group in force at a committed index.
--- a/crates/agree/tests/histories.rs
+++ b/crates/agree/tests/histories.rs
@@ -12,7 +12,9 @@
 const DEFAULT_HISTORIES: u32 = 300;
 
 fn histories() -> u32 {
-    let set = std::env::var("BERG_HISTORIES").ok().and_then(|n| n.parse().ok());
+    let set = std::env::var("BERG_HISTORIES")
+        .ok()
+        .and_then(|n| n.parse().ok());
     set.unwrap_or(DEFAULT_HISTORIES)
 }
 
@@ -34,7 +36,10 @@
 }
 
 fn history() -> impl Strategy<Value = (u64, Vec<(u64, Act)>)> {
-    (any::<u64>(), prop::collection::vec((1u64..900, act()), 10..60))
+    (
+        any::<u64>(),
+        prop::collection::vec((1u64..900, act()), 10..60),
+    )
 }
 
 fn play(size: u64, sabotage: Sabotage, seed: u64, acts: &[(u64, Act)]) -> Vec<String> {
@@ -75,7 +80,10 @@
 }
 
 fn is_caught(sabotage: Sabotage) {
-    assert!(matches!(run(3, sabotage), Err(TestError::Fail(..))), "{sabotage:?} was not noticed");
+    assert!(
+        matches!(run(3, sabotage), Err(TestError::Fail(..))),
+        "{sabotage:?} was not noticed"
+    );
 }
 
 /// Adds a host, loses another at once, restarts all.
--- a/crates/agree/tests/world/mod.rs
+++ b/crates/agree/tests/world/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! The checker compares what all nodes ever committed and who ever held a lease at one true time.
 
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 
 use agree::{
@@ -174,7 +174,10 @@
         }
         let host = self.hosts.get_mut(&id).unwrap();
         let mut saved = Saved::new(host.disk.meta.clone(), host.disk.state.clone());
-        host.disk.records.iter().for_each(|record| saved.replay(record.clone()));
+        host.disk
+            .records
+            .iter()
+            .for_each(|record| saved.replay(record.clone()));
         host.commit = saved.meta.index;
         host.applied = saved.state.clone();
         host.run += 1;
@@ -201,7 +204,10 @@
         // A crash may leave a prefix of what was written; never more than that.
         let pending = std::mem::take(&mut host.disk.pending);
         if self.sabotage != Sabotage::SkipSync {
-            pending.into_iter().take(keep_torn).for_each(|(_, output)| host.disk.write(output));
+            pending
+                .into_iter()
+                .take(keep_torn)
+                .for_each(|(_, output)| host.disk.write(output));
         }
     }
 
@@ -238,7 +244,9 @@
             }),
             Act::Compact(n) => {
                 let id = self.pick(*n);
-                self.with_node(id, |node, applied, _, out| node.compact(applied.to_vec(), out));
+                self.with_node(id, |node, applied, _, out| {
+                    node.compact(applied.to_vec(), out)
+                });
             }
             Act::Replace(n) => self.replace(*n),
         }
@@ -247,7 +255,11 @@
     fn leader(&self) -> Option<MemberId> {
         let leads = |id: &&MemberId| {
             let host = &self.hosts[*id];
-            !host.paused && host.node.as_ref().is_some_and(|n| n.authority(self.clock(**id)).is_some())
+            !host.paused
+                && host
+                    .node
+                    .as_ref()
+                    .is_some_and(|n| n.authority(self.clock(**id)).is_some())
         };
         self.order.iter().find(leads).copied()
     }
@@ -291,7 +303,10 @@
         let mut at = None;
         self.with_node(id, |node, _, now, out| {
             let term = node.standing().term;
-            at = node.propose(now, data.clone(), out).ok().map(|index| (term, index));
+            at = node
+                .propose(now, data.clone(), out)
+                .ok()
+                .map(|index| (term, index));
         });
         if let Some(at) = at {
             self.proposed.insert(at, data);
@@ -303,7 +318,9 @@
         let id = self.pick(n);
         if self.sabotage == Sabotage::ReuseIdentity {
             let meta = SnapshotMeta {
-                members: (1..=self.order.len() as u64).map(|id| member(id, Stage::Voter)).collect(),
+                members: (1..=self.order.len() as u64)
+                    .map(|id| member(id, Stage::Voter))
+                    .collect(),
                 ..SnapshotMeta::default()
             };
             self.crash(id);
@@ -328,7 +345,10 @@
         self.with_node(leader, |node, _, now, out| {
             let all_vote = node.group().iter().all(|m| m.stage == Stage::Voter);
             let remove = MemberChange::Remove(old);
-            removed = node.change_group(now, &remove, out).ok().filter(|_| all_vote);
+            removed = node
+                .change_group(now, &remove, out)
+                .ok()
+                .filter(|_| all_vote);
         });
         self.run_until(self.now + 2_000_000);
         // A disk is given up only once the group no longer counts on it.
@@ -359,8 +379,17 @@
             Output::Persist(seq, _) | Output::Rotate(seq, ..) => {
                 let delay = self.rng.random_range(100..4_000);
                 let run = self.hosts[&id].run;
-                self.hosts.get_mut(&id).unwrap().disk.pending.push((seq, output));
-                let delay = if self.sabotage == Sabotage::SkipSync { 0 } else { delay };
+                self.hosts
+                    .get_mut(&id)
+                    .unwrap()
+                    .disk
+                    .pending
+                    .push((seq, output));
+                let delay = if self.sabotage == Sabotage::SkipSync {
+                    0
+                } else {
+                    delay
+                };
                 self.post(self.now + delay, Event::Synced(id, run, seq));
             }
             Output::Send(to, message) => self.send(id, to, message),
@@ -375,7 +404,8 @@
                 if let Some(acked) = host.asked.remove(&token) {
                     let newest = self.acked[..acked].iter().map(|(index, _)| *index).max();
                     if newest > Some(index) {
-                        self.faults.push(format!("{id} got a confirmation behind {newest:?}"));
+                        self.faults
+                            .push(format!("{id} got a confirmation behind {newest:?}"));
                     }
                 }
             }
@@ -386,7 +416,11 @@
         if self.cut.contains(&(from, to)) || self.rng.random_range(0..100) < 2 {
             return;
         }
-        let copies = if self.rng.random_range(0..100) < 2 { 2 } else { 1 };
+        let copies = if self.rng.random_range(0..100) < 2 {
+            2
+        } else {
+            1
+        };
         for _ in 0..copies {
             let slow = self.rng.random_range(0..100) < 3;
             let delay = self.rng.random_range(200..2_000) + if slow { 400_000 } else { 0 };
@@ -397,19 +431,30 @@
     fn commit(&mut self, id: MemberId, entry: Entry) {
         let host = self.hosts.get_mut(&id).unwrap();
         if entry.index != host.commit.next() {
-            self.faults.push(format!("{id} committed {} after {}", entry.index, host.commit));
+            self.faults.push(format!(
+                "{id} committed {} after {}",
+                entry.index, host.commit
+            ));
         }
         host.commit = entry.index;
         if let Body::Data(data) = &entry.body {
             host.applied.extend_from_slice(data);
         }
         let mine = (entry.term, entry.body.clone());
-        let first = self.committed.entry(entry.index).or_insert_with(|| mine.clone());
+        let first = self
+            .committed
+            .entry(entry.index)
+            .or_insert_with(|| mine.clone());
         if *first != mine {
-            self.faults.push(format!("{id} committed another entry at {}", entry.index));
+            self.faults
+                .push(format!("{id} committed another entry at {}", entry.index));
         }
         let leads = self.hosts[&id].node.as_ref().is_none_or(Node::leads);
-        if let Some(data) = self.proposed.get(&(entry.term, entry.index)).filter(|_| leads) {
+        if let Some(data) = self
+            .proposed
+            .get(&(entry.term, entry.index))
+            .filter(|_| leads)
+        {
             let acked = (entry.index, data.clone());
             if !self.acked.contains(&acked) {
                 self.acked.push(acked);
@@ -427,7 +472,8 @@
             })
             .collect();
         if holders.len() > 1 {
-            self.faults.push(format!("two leases at {} us: {holders:?}", self.now));
+            self.faults
+                .push(format!("two leases at {} us: {holders:?}", self.now));
         }
     }
 
@@ -447,7 +493,10 @@
 
     fn handle(&mut self, event: Event) {
         let id = match &event {
-            Event::Deliver(_, id, _) | Event::Synced(id, ..) | Event::Wake(id) | Event::Resume(id) => *id,
+            Event::Deliver(_, id, _)
+            | Event::Synced(id, ..)
+            | Event::Wake(id)
+            | Event::Resume(id) => *id,
         };
         let Some(host) = self.hosts.get_mut(&id) else {
             return;
@@ -465,7 +514,9 @@
         }
         match event {
             Event::Deliver(from, _, message) => {
-                self.with_node(id, |node, _, now, out| node.receive(now, from, message, out));
+                self.with_node(id, |node, _, now, out| {
+                    node.receive(now, from, message, out)
+                });
             }
             Event::Synced(_, run, seq) if run == host.run && host.node.is_some() => {
                 while let Some(at) = host.disk.pending.iter().position(|(s, _)| *s <= seq) {
@@ -506,7 +557,9 @@
         token.get_or_insert(asked);
         host.asked.insert(asked, acked);
         let outputs: Vec<_> = out.drain().collect();
-        outputs.into_iter().for_each(|output| self.perform(id, output));
+        outputs
+            .into_iter()
+            .for_each(|output| self.perform(id, output));
     }
 
     /// Heals everything, restarts everyone and checks that nothing acknowledged is missing.
@@ -521,17 +574,27 @@
         self.propose();
         self.run_until(self.now + 3_000_000);
         let Some(leader) = self.leader() else {
-            let stand = |id| self.hosts[id].node.as_ref().map(|n| (n.id(), n.standing(), n.group().to_vec()));
+            let stand = |id| {
+                self.hosts[id]
+                    .node
+                    .as_ref()
+                    .map(|n| (n.id(), n.standing(), n.group().to_vec()))
+            };
             let hosts: Vec<_> = self.order.iter().map(stand).collect();
-            self.faults.push(format!("no leader after everything healed: {hosts:?}"));
+            self.faults
+                .push(format!("no leader after everything healed: {hosts:?}"));
             return;
         };
         let commit = self.hosts[&leader].commit;
         for (index, data) in &self.acked {
             let kept = matches!(self.committed.get(index), Some((_, Body::Data(d))) if d == data);
-            let applied = self.hosts[&leader].applied.chunks(8).any(|chunk| chunk == data);
+            let applied = self.hosts[&leader]
+                .applied
+                .chunks(8)
+                .any(|chunk| chunk == data);
             if !kept || *index > commit || !applied {
-                self.faults.push(format!("acknowledged entry {index} is lost"));
+                self.faults
+                    .push(format!("acknowledged entry {index} is lost"));
             }
         }
     }
--- /dev/null
+++ b/crates/edge/src/body.rs
@@ -0,0 +1,133 @@
+//! Answer bodies: whole, or streamed piece by piece from a traffic thread.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use http_body::{Frame, SizeHint};
+use hyper::body::Bytes;
+use smol::channel::{Receiver, Sender};
+use smol::future::FutureExt;
+
+/// Pieces that may wait for a slow caller.
+pub(crate) const PIECES_WAITING: usize = 64;
+
+/// The caller went away, or was too slow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gone;
+
+impl fmt::Display for Gone {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the caller went away")
+    }
+}
+
+impl std::error::Error for Gone {}
+
+/// The sender broke off; the connection is closed without a regular end of the body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Aborted;
+
+impl fmt::Display for Aborted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer broke off")
+    }
+}
+
+impl std::error::Error for Aborted {}
+
+#[derive(Debug)]
+pub(crate) enum Piece {
+    Data(Bytes),
+    End,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum Body {
+    Whole(Option<Bytes>),
+    Pieces(Pin<Box<Receiver<Piece>>>),
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Aborted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        use smol::stream::Stream as _;
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Pieces(pieces) => match ready!(pieces.as_mut().poll_next(cx)) {
+                Some(Piece::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(Piece::End) => Poll::Ready(None),
+                None => Poll::Ready(Some(Err(Aborted))),
+            },
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Self::Pieces(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer being streamed. Dropping it without [`Stream::close`] breaks the answer off, so that
+/// it never looks complete.
+#[derive(Debug)]
+pub struct Stream {
+    pieces: Sender<Piece>,
+    patience: Duration,
+}
+
+impl Stream {
+    pub(crate) fn new(pieces: Sender<Piece>, patience: Duration) -> Self {
+        Self { pieces, patience }
+    }
+
+    /// Sends a piece. It leaves at once if the caller keeps up.
+    ///
+    /// # Errors
+    ///
+    /// [`Gone`] if the caller hung up or did not take a piece in time.
+    pub fn write(&mut self, bytes: Vec<u8>) -> Result<(), Gone> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        self.send(Piece::Data(bytes.into()))
+    }
+
+    /// Ends the answer regularly.
+    ///
+    /// # Errors
+    ///
+    /// [`Gone`] if the caller hung up before.
+    pub fn close(mut self) -> Result<(), Gone> {
+        self.send(Piece::End)
+    }
+
+    fn send(&mut self, piece: Piece) -> Result<(), Gone> {
+        let piece = match self.pieces.try_send(piece) {
+            Ok(()) => return Ok(()),
+            Err(smol::channel::TrySendError::Full(piece)) => piece,
+            Err(smol::channel::TrySendError::Closed(_)) => return Err(Gone),
+        };
+        let send = async { self.pieces.send(piece).await.map_err(|_| Gone) };
+        let late = async {
+            smol::Timer::after(self.patience).await;
+            Err(Gone)
+        };
+        smol::block_on(send.or(late))
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,14 @@
-//! x
+//! The entry: the callers' HTTP front over the [`route`] core.
+
+mod answer;
+mod api;
+mod attempt;
+mod claim;
+mod control;
+mod credential;
+mod role;
+mod serve;
+mod settings;
+
+pub use role::{Handle, RunError, run};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/role.rs
@@ -0,0 +1,158 @@
+//! Starts and stops an entry.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use crossbeam::channel::{Sender, bounded};
+use edge::{EdgeError, Exchange, Handler, Pool, Server};
+use fault::Kind;
+use ids::{DigestKey, Incarnation, Monotonic, Revision};
+use obs::{Counters, Logger, event};
+use peer::{Control, Follower, Identity, Viewed};
+use route::{Entry, Input, Seed, Weighted};
+use wire::{Sealer, Side};
+
+use crate::attempt::Attempter;
+use crate::control::{Attachment, EntryEffects, EntryInbox};
+use crate::serve::Service;
+use crate::settings::Settings;
+
+/// Why an entry cannot run.
+#[derive(Debug)]
+pub enum RunError {
+    /// The callers' edge cannot start.
+    Edge(EdgeError),
+    /// A thread cannot be started.
+    Thread(std::io::Error),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Edge(fault) => fault.fmt(f),
+            Self::Thread(fault) => write!(f, "cannot start a thread: {fault}"),
+        }
+    }
+}
+
+impl std::error::Error for RunError {}
+
+/// A running entry.
+pub struct Handle {
+    server: Server,
+    pool: Pool<Exchange>,
+    follower: Follower,
+    control: step::Control<Input, Attachment>,
+    linger: Duration,
+    log: Logger,
+}
+
+struct Front {
+    jobs: Sender<Exchange>,
+    service: Arc<Service>,
+}
+
+impl Handler for Front {
+    fn handle(&self, exchange: Exchange) {
+        if let Err(full) = self.jobs.try_send(exchange) {
+            self.service.refuse(full.into_inner(), Kind::Overloaded);
+        }
+    }
+
+    fn refuse(&self, exchange: Exchange, kind: Kind) {
+        self.service.refuse(exchange, kind);
+    }
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// [`RunError`]; nothing keeps running then.
+pub fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, RunError> {
+    let common = &settings.common;
+    let run = Incarnation(rand::random());
+    let seed = Seed {
+        run,
+        zone: settings.zone.clone(),
+        random: run.0,
+    };
+    let clock = Monotonic::start();
+    let core = Entry::new(seed, Weighted);
+    let effects = EntryEffects::new(counters.clone());
+    let control = step::Control::start("entry-control", core, effects, clock);
+    let control = control.map_err(RunError::Thread)?;
+    let sealer = Sealer::new(common.cluster.clone(), &common.secret);
+    let peers = Control::new(sealer.clone(), settings.control.clone());
+    let service = Arc::new(Service {
+        inbox: control.inbox(),
+        control: peers.clone(),
+        digests: DigestKey::derive(&common.secret),
+        attempter: Attempter {
+            sealer,
+            counters: counters.clone(),
+        },
+        counters: counters.clone(),
+        log: log.clone(),
+        tickets: Arc::new(AtomicU64::new(0)),
+    });
+    let worker = Arc::clone(&service);
+    // As many requests as threads may wait for one; more are refused at once.
+    let (jobs, waiting) = bounded(settings.threads);
+    let pool = Pool::fed("entry-traffic", settings.threads, waiting, || {
+        let service = Arc::clone(&worker);
+        move |exchange| service.serve(exchange)
+    });
+    let pool = pool.map_err(RunError::Thread)?;
+    let identity = Identity {
+        host: common.host.clone(),
+        side: Side::Entry,
+        run,
+    };
+    let inbox = control.inbox();
+    let deliver = move |viewed| deliver(&inbox, viewed);
+    let follower = Follower::start(identity, peers, clock, log.clone(), counters, deliver);
+    let follower = follower.map_err(RunError::Thread)?;
+    let front = Front { jobs, service };
+    let server = Server::start("entry-edge", common.listen, common.limits, front);
+    let server = server.map_err(RunError::Edge)?;
+    event!(log, Started, "listen" => server.address().to_string());
+    Ok(Handle {
+        server,
+        pool,
+        follower,
+        control,
+        linger: settings.linger,
+        log,
+    })
+}
+
+fn deliver(inbox: &EntryInbox, viewed: Viewed) -> Option<Revision> {
+    let (tx, rx) = bounded(1);
+    let input = Input::View(viewed.update, viewed.fresh);
+    inbox.call(Attachment::View(tx), input).ok()?;
+    rx.recv().ok()
+}
+
+impl Handle {
+    /// Where the entry listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops gracefully: says that it is not ready, serves on for the time that the balancer
+    /// needs to notice, answers everything that came, and ends.
+    pub fn close(self) {
+        event!(self.log, Stopping);
+        let _ = self.control.inbox().send(Input::Drain);
+        std::thread::sleep(self.linger);
+        self.server.close();
+        self.pool.close();
+        self.follower.close();
+        let _ = self.control.close();
+        event!(self.log, Stopped);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,89 @@
+//! The entry's settings.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use ids::ZoneName;
+use serde::Deserialize;
+use setting::{Check, Common, RawCommon, RawLimits, RawLog, SettingsError};
+
+/// Traffic threads unless the settings say otherwise; each carries one request at a time.
+const DEFAULT_THREADS: u64 = 256;
+/// How long a stopping entry serves on unless the settings say otherwise, in milliseconds.
+const DEFAULT_LINGER_MS: u64 = 3000;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    host: String,
+    zone: String,
+    cluster: String,
+    secret_file: String,
+    listen: String,
+    #[serde(default)]
+    public: bool,
+    control: Vec<String>,
+    #[serde(default = "default_threads")]
+    threads: u64,
+    #[serde(default = "default_linger")]
+    linger_ms: u64,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    log: RawLog,
+}
+
+fn default_threads() -> u64 {
+    DEFAULT_THREADS
+}
+
+fn default_linger() -> u64 {
+    DEFAULT_LINGER_MS
+}
+
+/// The entry's checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What all roles have.
+    pub common: Common,
+    /// The zone the entry runs in.
+    pub zone: ZoneName,
+    /// The control hosts.
+    pub control: Vec<SocketAddr>,
+    /// Requests carried at once.
+    pub threads: usize,
+    /// How long a stopping entry serves on, so that the balancer notices.
+    pub linger: Duration,
+}
+
+impl TryFrom<&Path> for Settings {
+    type Error = SettingsError;
+
+    fn try_from(path: &Path) -> Result<Self, SettingsError> {
+        let raw: Raw = setting::read(path)?;
+        let mut check = Check::new(path);
+        let zone = check.parse("zone", &raw.zone);
+        let control = check.addresses("control", &raw.control);
+        let threads = check.within("threads", raw.threads, 1, 65_536);
+        let linger = check.within("linger_ms", raw.linger_ms, 0, 600_000);
+        let common = RawCommon {
+            host: raw.host,
+            cluster: raw.cluster,
+            secret_file: raw.secret_file,
+            listen: raw.listen,
+            public: raw.public,
+            limits: raw.limits,
+            log: raw.log,
+        };
+        let common = Common::check(&common, &mut check);
+        let settings = common.zip(zone).map(|(common, zone)| Self {
+            common,
+            zone,
+            control,
+            threads: usize::try_from(threads).unwrap_or(usize::MAX),
+            linger: Duration::from_millis(linger),
+        });
+        check.close(settings)
+    }
+}
--- /dev/null
+++ b/crates/govern/src/command.rs
@@ -0,0 +1,94 @@
+//! The commands of the replicated state machine.
+
+use conf::{Proposal, Verdict};
+use ids::{AccountName, AttemptId};
+use ledger::{Claimed, Fingerprint, RequestKey, Settlement};
+use serde::{Deserialize, Serialize};
+use usage::Report;
+
+use crate::machine::MachineState;
+
+/// One command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Changes the configuration.
+    Propose(Proposal),
+    /// Claims a request.
+    Claim {
+        /// The account and its request key.
+        key: (AccountName, RequestKey),
+        /// A digest of the request.
+        fingerprint: Fingerprint,
+        /// The one attempt that may run.
+        attempt: AttemptId,
+        /// The leader's time, in milliseconds of Unix time.
+        now: u64,
+    },
+    /// Notes what became of a claimed request.
+    Settle {
+        /// The account and its request key.
+        key: (AccountName, RequestKey),
+        /// The attempt.
+        attempt: AttemptId,
+        /// What became of it.
+        settlement: Settlement,
+    },
+    /// Merges a usage report.
+    Usage(Report),
+    /// Seals the open usage window.
+    Seal {
+        /// The window's number.
+        number: u64,
+        /// Its end, in seconds of Unix time.
+        end: u64,
+    },
+    /// Notes that a sealed window was accepted by the billing interface.
+    Accept(u64),
+}
+
+/// What a command did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The verdict on a proposal.
+    Verdict(Verdict),
+    /// The answer to a claim.
+    Claimed(Claimed),
+    /// Whether a settlement was taken.
+    Settled(bool),
+    /// Nothing to say.
+    Noted,
+}
+
+/// Turns commands and snapshots into bytes and back.
+pub trait Codec {
+    /// Why bytes do not decode.
+    type Fault: std::fmt::Display;
+
+    /// Encodes a command.
+    ///
+    /// # Errors
+    ///
+    /// For a command that the format cannot hold.
+    fn command(&self, command: &Command) -> Result<Vec<u8>, Self::Fault>;
+
+    /// Decodes a command.
+    ///
+    /// # Errors
+    ///
+    /// For bytes that are no command.
+    fn read_command(&self, bytes: &[u8]) -> Result<Command, Self::Fault>;
+
+    /// Encodes a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// For a state that the format cannot hold.
+    fn state(&self, state: &MachineState) -> Result<Vec<u8>, Self::Fault>;
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// For bytes that are no snapshot.
+    fn read_state(&self, bytes: &[u8]) -> Result<MachineState, Self::Fault>;
+}
--- /dev/null
+++ b/crates/govern/src/govern.rs
@@ -0,0 +1,612 @@
+//! The core itself: questions in, commands through the log, answers out.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agree::{
+    Authority, Body, Entry, Member, MemberChange, MemberError, MemberId, Message, Node, Record,
+    Saved, SnapshotMeta, Standing,
+};
+use conf::{Proposal, Update};
+use ids::{Index, Revision, Term, Tick, Ticket};
+use step::{Core, Outbox};
+use usage::Window;
+
+use crate::command::{Codec, Command, Outcome};
+use crate::machine::Machine;
+use crate::viewers::{FRESH, Viewer, ViewerId, Viewers};
+
+/// Log entries in memory after which a snapshot is made.
+const COMPACT_ENTRIES: usize = 8192;
+/// How long the delivery of a window waits after it was refused.
+const DELIVER_AGAIN: Duration = Duration::from_secs(2);
+
+/// What makes a control host.
+#[derive(Clone, Copy, Debug)]
+pub struct Seed {
+    /// The agreement's seed.
+    pub node: agree::Seed,
+    /// Unix time at the core's start, in milliseconds.
+    pub wall: u64,
+    /// Length of a usage window.
+    pub window: Duration,
+}
+
+/// A question from outside.
+#[derive(Clone, Debug)]
+pub enum Question {
+    /// Change the configuration.
+    Propose(Proposal),
+    /// Run a command of another kind.
+    Run(Command),
+    /// Tell about a newer configuration: who asks, what it holds, how long it waits.
+    View(ViewerId, Revision, Duration),
+    /// Tell the whole configuration, confirmed.
+    Config,
+    /// Change the control group.
+    Member(MemberChange),
+    /// Tell where this host stands.
+    Status,
+}
+
+/// What the core is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Messages from another member, meant for this identity.
+    Mail(MemberId, MemberId, Vec<Message>),
+    /// The record with this number is synced.
+    Synced(u64),
+    /// A question, to be answered under the ticket.
+    Ask(Ticket, Question),
+    /// The billing interface accepted a window, or did not.
+    Delivered(u64, bool),
+    /// Give the leadership away if it is held.
+    HandOver,
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// What a command did.
+    Outcome(Outcome),
+    /// What brings a follower up to date.
+    View(Update),
+    /// The configuration: its revision and the changes that build it.
+    Config(Revision, Vec<conf::Change>),
+    /// The group was changed, or not.
+    Member(Result<(), MemberError>),
+    /// Where this host stands.
+    Status(Box<Status>),
+    /// The leader must be asked, if one is known.
+    Elsewhere(Option<SocketAddr>),
+    /// Nobody can say now; a command may yet be carried out.
+    Unavailable,
+}
+
+/// Where a control host stands.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// The agreement's standing.
+    pub standing: Standing,
+    /// The revision in force here.
+    pub revision: Revision,
+    /// Log entries in memory.
+    pub log: usize,
+    /// Claims kept.
+    pub claims: usize,
+    /// The control group.
+    pub members: Vec<Member>,
+    /// The followers that asked here.
+    pub viewers: Vec<Viewer>,
+    /// The usage book.
+    pub book: usage::Book,
+}
+
+/// What is worth logging or counting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Trace {
+    /// This host leads from now on.
+    Elected(Term),
+    /// This host no longer leads.
+    Deposed(Term),
+    /// A command was committed.
+    Committed,
+    /// A proposal was decided: accepted revision, or none.
+    Decided(Option<Revision>),
+    /// A claim was granted.
+    Claimed,
+    /// A snapshot was made.
+    Compacted(Index),
+    /// The group changed.
+    Regrouped(usize),
+    /// A usage window was sealed.
+    Sealed(u64),
+    /// A committed entry or a snapshot does not decode; the host must stop.
+    Broken(String),
+}
+
+/// What the core asks for.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Append to the journal and sync, then say so.
+    Persist(u64, Record),
+    /// Replace snapshot and journal in one step, then say so.
+    Rotate(u64, SnapshotMeta, Vec<u8>, Record),
+    /// Send a message to a member at an address.
+    Send(MemberId, SocketAddr, Message),
+    /// Answer a question.
+    Reply(Ticket, Reply),
+    /// Report a window to the billing interface, before the authority ends.
+    Deliver(Window, Authority),
+    /// Log or count something.
+    Trace(Trace),
+}
+
+/// A question for the whole configuration that waits for a leader's confirmation.
+#[derive(Debug)]
+struct Read {
+    token: u64,
+    ticket: Ticket,
+    until: Tick,
+    confirmed: Option<Index>,
+}
+
+/// A control host.
+pub struct Govern<K> {
+    seed: Seed,
+    codec: K,
+    node: Node,
+    machine: Machine,
+    applied: Index,
+    /// Commands on their way through the log, with the term they were proposed in.
+    pending: BTreeMap<Index, (Term, Ticket)>,
+    group_pending: BTreeMap<Index, Ticket>,
+    viewers: Viewers,
+    reads: Vec<Read>,
+    led: Option<Term>,
+    began: Tick,
+    sealing: bool,
+    delivering: bool,
+    deliver_at: Tick,
+    broken: bool,
+}
+
+impl<K: Codec> Govern<K> {
+    /// Starts a control host from its durable state.
+    ///
+    /// # Errors
+    ///
+    /// A sentence, if the snapshot does not decode.
+    pub fn new(now: Tick, seed: Seed, codec: K, saved: Saved) -> Result<Self, String> {
+        let machine = read_machine(&codec, &saved.state)?;
+        let applied = saved.meta.index;
+        Ok(Self {
+            seed,
+            codec,
+            node: Node::new(now, seed.node, saved),
+            machine,
+            applied,
+            pending: BTreeMap::new(),
+            group_pending: BTreeMap::new(),
+            viewers: Viewers::default(),
+            reads: Vec::new(),
+            led: None,
+            began: now,
+            sealing: false,
+            delivering: false,
+            deliver_at: now,
+            broken: false,
+        })
+    }
+
+    /// The replicated state as applied here.
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// The right to act as the one leader, if held.
+    pub fn authority(&self, now: Tick) -> Option<Authority> {
+        self.node.authority(now)
+    }
+
+    /// Unix time, in milliseconds.
+    fn wall(&self, now: Tick) -> u64 {
+        let passed = u64::try_from(now.since(self.began).as_millis()).unwrap_or(u64::MAX);
+        self.seed.wall.saturating_add(passed)
+    }
+
+    fn ask(&mut self, now: Tick, ticket: Ticket, question: Question, out: &mut Outbox<Output>) {
+        match question {
+            Question::Propose(proposal) => {
+                self.propose(now, Some(ticket), &Command::Propose(proposal), out);
+            }
+            Question::Run(mut command) => {
+                if let Command::Claim { now: stamp, .. } = &mut command {
+                    *stamp = self.wall(now);
+                }
+                self.propose(now, Some(ticket), &command, out);
+            }
+            Question::View(id, revision, wait) => {
+                self.viewers.ask(now, ticket, id, revision, wait);
+            }
+            Question::Config => self.read(now, ticket, out),
+            Question::Member(change) => self.change_group(now, ticket, &change, out),
+            Question::Status => {
+                let status = Box::new(self.status());
+                out.push(Output::Reply(ticket, Reply::Status(status)));
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        Status {
+            standing: self.node.standing(),
+            revision: self.machine.registry.config().revision(),
+            log: self.node.log_len(),
+            claims: self.machine.ledger.len(),
+            members: self.node.group().to_vec(),
+            viewers: self.viewers.known().collect(),
+            book: self.machine.book.clone(),
+        }
+    }
+
+    fn propose(
+        &mut self,
+        now: Tick,
+        ticket: Option<Ticket>,
+        command: &Command,
+        out: &mut Outbox<Output>,
+    ) {
+        let refuse = |reply, out: &mut Outbox<Output>| {
+            if let Some(ticket) = ticket {
+                out.push(Output::Reply(ticket, reply));
+            }
+        };
+        let data = match self.codec.command(command) {
+            Ok(data) => data,
+            Err(_) => return refuse(Reply::Unavailable, out),
+        };
+        // A leader without a valid lease may already have a successor.
+        if self.node.leads() && self.node.authority(now).is_none() {
+            return refuse(Reply::Unavailable, out);
+        }
+        let mut inner = Outbox::default();
+        match self.node.propose(now, data, &mut inner) {
+            Err(fault) => refuse(Reply::Elsewhere(self.address(fault.leader)), out),
+            Ok(index) => {
+                if let Some(ticket) = ticket {
+                    let term = self.node.standing().term;
+                    self.pending.insert(index, (term, ticket));
+                }
+                self.carry(now, inner, out);
+            }
+        }
+    }
+
+    fn change_group(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        change: &MemberChange,
+        out: &mut Outbox<Output>,
+    ) {
+        let mut inner = Outbox::default();
+        match self.node.change_group(now, change, &mut inner) {
+            Ok(index) => {
+                self.group_pending.insert(index, ticket);
+                self.carry(now, inner, out);
+            }
+            Err(MemberError::NotLeader) => {
+                let leader = self.address(self.node.standing().leader);
+                out.push(Output::Reply(ticket, Reply::Elsewhere(leader)));
+            }
+            Err(fault) => out.push(Output::Reply(ticket, Reply::Member(Err(fault)))),
+        }
+    }
+
+    /// Answers a question for the whole configuration once a leader has confirmed it.
+    fn read(&mut self, now: Tick, ticket: Ticket, out: &mut Outbox<Output>) {
+        let mut inner = Outbox::default();
+        let token = self.node.ask(now, &mut inner);
+        self.reads.push(Read {
+            token,
+            ticket,
+            until: now + FRESH,
+            confirmed: None,
+        });
+        self.carry(now, inner, out);
+    }
+
+    fn address(&self, id: Option<MemberId>) -> Option<SocketAddr> {
+        let member = self
+            .node
+            .group()
+            .iter()
+            .find(|member| Some(member.id) == id)?;
+        Some(member.address)
+    }
+
+    /// Carries out what the node asks for.
+    fn carry(&mut self, now: Tick, mut inner: Outbox<agree::Output>, out: &mut Outbox<Output>) {
+        for output in inner.drain() {
+            match output {
+                agree::Output::Persist(seq, record) => out.push(Output::Persist(seq, record)),
+                agree::Output::Rotate(seq, meta, state, record) => {
+                    out.push(Output::Rotate(seq, meta, state, record));
+                }
+                agree::Output::Send(to, message) => {
+                    if let Some(address) = self.address(Some(to)) {
+                        out.push(Output::Send(to, address, message));
+                    }
+                }
+                agree::Output::Commit(entry) => self.commit(entry, out),
+                agree::Output::Restore(meta, state) => self.restore(&meta, &state, out),
+                agree::Output::Confirmed(token, index) => self.confirmed(token, index),
+            }
+        }
+        self.after(now, out);
+    }
+
+    fn commit(&mut self, entry: Entry, out: &mut Outbox<Output>) {
+        self.applied = entry.index;
+        let waiting = self.pending.remove(&entry.index);
+        let group_waiting = self.group_pending.remove(&entry.index);
+        match entry.body {
+            Body::Barrier => {}
+            Body::Members(group) => {
+                out.push(Output::Trace(Trace::Regrouped(group.len())));
+                if let Some(ticket) = group_waiting {
+                    out.push(Output::Reply(ticket, Reply::Member(Ok(()))));
+                }
+            }
+            Body::Data(data) => match self.codec.read_command(&data) {
+                Err(fault) => self.break_down(fault.to_string(), out),
+                Ok(command) => {
+                    let outcome = self.apply(command, out);
+                    if let Some((term, ticket)) = waiting {
+                        let reply = if term == entry.term {
+                            Reply::Outcome(outcome)
+                        } else {
+                            Reply::Unavailable
+                        };
+                        out.push(Output::Reply(ticket, reply));
+                    }
+                    return;
+                }
+            },
+        }
+        if let Some((_, ticket)) = waiting {
+            out.push(Output::Reply(ticket, Reply::Unavailable));
+        }
+    }
+
+    fn apply(&mut self, command: Command, out: &mut Outbox<Output>) -> Outcome {
+        out.push(Output::Trace(Trace::Committed));
+        if let Command::Seal { number, .. } = &command {
+            self.sealing = false;
+            out.push(Output::Trace(Trace::Sealed(*number)));
+        }
+        let outcome = self.machine.apply(command);
+        match &outcome {
+            Outcome::Verdict(conf::Verdict::Accepted(revision)) => {
+                out.push(Output::Trace(Trace::Decided(Some(*revision))));
+            }
+            Outcome::Verdict(_) => out.push(Output::Trace(Trace::Decided(None))),
+            Outcome::Claimed(ledger::Claimed::Granted) => out.push(Output::Trace(Trace::Claimed)),
+            _ => {}
+        }
+        outcome
+    }
+
+    fn restore(&mut self, meta: &SnapshotMeta, state: &[u8], out: &mut Outbox<Output>) {
+        match read_machine(&self.codec, state) {
+            Ok(machine) => {
+                self.machine = machine;
+                self.applied = meta.index;
+            }
+            Err(fault) => self.break_down(fault, out),
+        }
+    }
+
+    fn break_down(&mut self, fault: String, out: &mut Outbox<Output>) {
+        self.broken = true;
+        out.push(Output::Trace(Trace::Broken(fault)));
+    }
+
+    fn confirmed(&mut self, token: u64, index: Index) {
+        self.viewers.confirm(token, index);
+        for read in self.reads.iter_mut().filter(|read| read.token == token) {
+            read.confirmed = Some(index);
+        }
+    }
+
+    fn answer_reads(&mut self, out: &mut Outbox<Output>) {
+        let applied = self.applied;
+        let config = self.machine.registry.config();
+        self.reads.retain(|read| {
+            let ready = read.confirmed.is_some_and(|index| index <= applied);
+            if ready {
+                let reply = Reply::Config(config.revision(), config.export());
+                out.push(Output::Reply(read.ticket, reply));
+            }
+            !ready
+        });
+    }
+
+    /// What may have become possible after any step.
+    fn after(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        self.note_lead(out);
+        self.answer_reads(out);
+        self.answer_views(now, out);
+        if self.node.log_len() > COMPACT_ENTRIES && !self.broken {
+            self.compact(now, out);
+        }
+    }
+
+    fn note_lead(&mut self, out: &mut Outbox<Output>) {
+        let term = self.node.standing().term;
+        let leads = self.node.leads().then_some(term);
+        if leads == self.led {
+            return;
+        }
+        if let Some(old) = self.led {
+            out.push(Output::Trace(Trace::Deposed(old)));
+            for (_, (_, ticket)) in std::mem::take(&mut self.pending) {
+                out.push(Output::Reply(ticket, Reply::Unavailable));
+            }
+            for (_, ticket) in std::mem::take(&mut self.group_pending) {
+                out.push(Output::Reply(ticket, Reply::Unavailable));
+            }
+            self.sealing = false;
+            self.delivering = false;
+        }
+        if let Some(new) = leads {
+            out.push(Output::Trace(Trace::Elected(new)));
+        }
+        self.led = leads;
+    }
+
+    fn answer_views(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        if self.viewers.wants_round(now) {
+            let mut inner = Outbox::default();
+            let token = self.node.ask(now, &mut inner);
+            self.viewers.begin_round(now, token);
+            for output in inner.drain() {
+                match output {
+                    agree::Output::Confirmed(token, index) => {
+                        self.viewers.confirm(token, index);
+                    }
+                    agree::Output::Send(to, message) => {
+                        if let Some(address) = self.address(Some(to)) {
+                            out.push(Output::Send(to, address, message));
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let registry = &self.machine.registry;
+        let revision = registry.config().revision();
+        for (ticket, held) in self.viewers.take_ready(now, self.applied, revision) {
+            let update = registry.update_since(held);
+            out.push(Output::Reply(ticket, Reply::View(update)));
+        }
+        for (ticket, _) in self.viewers.take_late(now) {
+            out.push(Output::Reply(ticket, Reply::Unavailable));
+        }
+    }
+
+    fn compact(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        match self.codec.state(&self.machine.export()) {
+            Err(fault) => self.break_down(fault.to_string(), out),
+            Ok(state) => {
+                out.push(Output::Trace(Trace::Compacted(self.applied)));
+                let mut inner = Outbox::default();
+                self.node.compact(state, &mut inner);
+                self.carry(now, inner, out);
+            }
+        }
+    }
+
+    /// Seals and delivers usage windows, as leader under a valid lease. A leader wakes for every
+    /// heartbeat, so this needs no timer of its own.
+    fn govern_usage(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        let Some(authority) = self.node.authority(now) else {
+            return;
+        };
+        let window = u64::try_from(self.seed.window.as_millis())
+            .unwrap_or(u64::MAX)
+            .max(1);
+        let end = self.wall(now) / window * window / 1000;
+        let last = self
+            .machine
+            .book
+            .windows()
+            .last()
+            .map_or(0, |window| window.end);
+        if !self.sealing && end > last {
+            self.sealing = true;
+            let number = self.machine.book.open_number();
+            self.propose(now, None, &Command::Seal { number, end }, out);
+        }
+        let ready = !self.delivering && now >= self.deliver_at;
+        if let Some(window) = self.machine.book.pending().filter(|_| ready) {
+            self.delivering = true;
+            out.push(Output::Deliver(window.clone(), authority));
+        }
+    }
+
+    fn delivered(&mut self, now: Tick, number: u64, accepted: bool, out: &mut Outbox<Output>) {
+        self.delivering = false;
+        if accepted {
+            self.propose(now, None, &Command::Accept(number), out);
+        } else {
+            self.deliver_at = now + DELIVER_AGAIN;
+        }
+    }
+}
+
+impl<K: Codec> Core for Govern<K> {
+    type Input = Input;
+    type Output = Output;
+
+    fn step(&mut self, now: Tick, input: Input, out: &mut Outbox<Output>) {
+        if self.broken {
+            return;
+        }
+        let mut inner = Outbox::default();
+        match input {
+            Input::Mail(from, to, messages) if to == self.node.id() => {
+                for message in messages {
+                    self.node.receive(now, from, message, &mut inner);
+                }
+            }
+            Input::Mail(..) => {}
+            Input::Synced(seq) => self.node.synced(now, seq, &mut inner),
+            Input::Ask(ticket, question) => self.ask(now, ticket, question, out),
+            Input::Delivered(number, accepted) => self.delivered(now, number, accepted, out),
+            Input::HandOver => {
+                self.node.hand_over(now, &mut inner);
+            }
+        }
+        self.carry(now, inner, out);
+        self.govern_usage(now, out);
+    }
+
+    fn wake(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        if self.broken {
+            return;
+        }
+        let mut inner = Outbox::default();
+        self.node.wake(now, &mut inner);
+        self.carry(now, inner, out);
+        self.govern_usage(now, out);
+        self.reads.retain(|read| {
+            let late = read.until <= now;
+            if late {
+                out.push(Output::Reply(read.ticket, Reply::Unavailable));
+            }
+            !late
+        });
+    }
+
+    fn deadline(&self) -> Option<Tick> {
+        let reads = self.reads.iter().map(|read| read.until).min();
+        let node = self.node.deadline();
+        [node, self.viewers.deadline(), reads]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+}
+
+fn read_machine<K: Codec>(codec: &K, state: &[u8]) -> Result<Machine, String> {
+    if state.is_empty() {
+        return Ok(Machine::default());
+    }
+    let state = codec.read_state(state).map_err(|fault| fault.to_string())?;
+    state
+        .try_into()
+        .map_err(|fault: conf::ChangeError| fault.to_string())
+}
--- /dev/null
+++ b/crates/govern/src/lib.rs
@@ -0,0 +1,15 @@
+//! The control host's decision core: the replicated state machine and who may act on it.
+//!
+//! [`Govern`] joins the agreement [`agree::Node`] with the aggregates it replicates: the
+//! configuration registry, the ledger of claims and the book of usage. How commands and snapshots
+//! are encoded is the business of a [`Codec`].
+
+mod command;
+mod govern;
+mod machine;
+mod viewers;
+
+pub use command::{Codec, Command, Outcome};
+pub use govern::{Govern, Input, Output, Question, Reply, Seed, Status, Trace};
+pub use machine::{Machine, MachineState};
+pub use viewers::{FRESH, Viewer, ViewerId, ViewerSide};
--- /dev/null
+++ b/crates/govern/src/machine.rs
@@ -0,0 +1,80 @@
+//! The replicated state machine: the same commands in the same order give the same state.
+
+use conf::{ChangeError, Registry, RegistryState};
+use ledger::Ledger;
+use serde::{Deserialize, Serialize};
+use usage::Book;
+
+use crate::command::{Command, Outcome};
+
+/// Everything the control group keeps.
+#[derive(Clone, Debug, Default)]
+pub struct Machine {
+    /// The configuration.
+    pub registry: Registry,
+    /// The claims.
+    pub ledger: Ledger,
+    /// The usage windows.
+    pub book: Book,
+}
+
+/// A [`Machine`] as a snapshot holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineState {
+    registry: RegistryState,
+    ledger: Ledger,
+    book: Book,
+}
+
+impl Machine {
+    /// Applies a command.
+    pub fn apply(&mut self, command: Command) -> Outcome {
+        match command {
+            Command::Propose(proposal) => Outcome::Verdict(self.registry.decide(&proposal)),
+            Command::Claim {
+                key,
+                fingerprint,
+                attempt,
+                now,
+            } => Outcome::Claimed(self.ledger.claim(key, fingerprint, attempt, now)),
+            Command::Settle {
+                key,
+                attempt,
+                settlement,
+            } => Outcome::Settled(self.ledger.settle(&key, attempt, settlement)),
+            Command::Usage(report) => {
+                self.book.merge(&report);
+                Outcome::Noted
+            }
+            Command::Seal { number, end } => {
+                self.book.seal(number, end);
+                Outcome::Noted
+            }
+            Command::Accept(number) => {
+                self.book.accept(number);
+                Outcome::Noted
+            }
+        }
+    }
+
+    /// The state as a snapshot holds it.
+    pub fn export(&self) -> MachineState {
+        MachineState {
+            registry: self.registry.export(),
+            ledger: self.ledger.clone(),
+            book: self.book.clone(),
+        }
+    }
+}
+
+impl TryFrom<MachineState> for Machine {
+    type Error = ChangeError;
+
+    fn try_from(state: MachineState) -> Result<Self, ChangeError> {
+        Ok(Self {
+            registry: state.registry.try_into()?,
+            ledger: state.ledger,
+            book: state.book,
+        })
+    }
+}
--- /dev/null
+++ b/crates/govern/src/viewers.rs
@@ -0,0 +1,166 @@
+//! The processes that follow the configuration, and the questions they have open.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use ids::{HostName, Incarnation, Index, Revision, Tick, Ticket};
+
+/// How long a follower may go by a view, counted from the moment it asked. With clocks that drift
+/// by 5 percent, a withdrawn key is refused everywhere within 2.7 s.
+pub const FRESH: Duration = Duration::from_millis(2500);
+/// Longest time that a question stays open.
+const MAX_WAIT: Duration = Duration::from_millis(1500);
+/// A question that no leader confirmed in this time is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// A follower that has not asked for this long is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// What a follower is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ViewerSide {
+    /// An entry.
+    Entry,
+    /// An agent.
+    Agent,
+}
+
+/// Who follows.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ViewerId {
+    /// The follower's host.
+    pub host: HostName,
+    /// What it is.
+    pub side: ViewerSide,
+    /// Its run.
+    pub run: Incarnation,
+}
+
+/// What is known of a follower.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Viewer {
+    /// Who follows.
+    pub id: ViewerId,
+    /// The revision it said it holds.
+    pub revision: Revision,
+    /// When it stops going by that revision.
+    pub until: Tick,
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    revision: Revision,
+    deadline: Tick,
+    /// The commit index confirmed after the question came; none until then.
+    confirmed: Option<Index>,
+}
+
+/// All open questions, and the round in which a leader is asked to confirm them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Viewers {
+    open: BTreeMap<Ticket, Open>,
+    known: BTreeMap<ViewerId, (Revision, Tick)>,
+    /// Questions that the confirmation under way covers.
+    round: BTreeSet<Ticket>,
+    /// Questions that came later.
+    next: BTreeSet<Ticket>,
+    token: Option<(u64, Tick)>,
+}
+
+impl Viewers {
+    pub(crate) fn ask(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        id: ViewerId,
+        revision: Revision,
+        wait: Duration,
+    ) {
+        self.known
+            .retain(|_, (_, asked)| now.since(*asked) < FORGET_AFTER);
+        self.known.insert(id, (revision, now));
+        let open = Open {
+            revision,
+            deadline: now + wait.min(MAX_WAIT),
+            confirmed: None,
+        };
+        self.open.insert(ticket, open);
+        self.next.insert(ticket);
+    }
+
+    /// Whether a new confirmation should be asked for.
+    pub(crate) fn wants_round(&self, now: Tick) -> bool {
+        match self.token {
+            None => !self.next.is_empty(),
+            Some((_, asked)) => now.since(asked) >= ASK_AGAIN,
+        }
+    }
+
+    /// Begins a round: the confirmation with this token covers all questions so far.
+    pub(crate) fn begin_round(&mut self, now: Tick, token: u64) {
+        self.round.append(&mut self.next);
+        self.token = Some((token, now));
+    }
+
+    /// Notes a confirmation. Returns whether it belongs to the round.
+    pub(crate) fn confirm(&mut self, token: u64, index: Index) -> bool {
+        if self.token.is_none_or(|(expected, _)| expected != token) {
+            return false;
+        }
+        self.token = None;
+        for ticket in std::mem::take(&mut self.round) {
+            if let Some(open) = self.open.get_mut(&ticket) {
+                open.confirmed = Some(index);
+            }
+        }
+        true
+    }
+
+    /// Takes the questions that can be answered: confirmed, and with news or out of time.
+    pub(crate) fn take_ready(
+        &mut self,
+        now: Tick,
+        applied: Index,
+        revision: Revision,
+    ) -> Vec<(Ticket, Revision)> {
+        let ready = |open: &Open| {
+            let confirmed = open.confirmed.is_some_and(|index| index <= applied);
+            confirmed && (open.revision != revision || open.deadline <= now)
+        };
+        self.take(ready)
+    }
+
+    /// Takes the questions that are out of time and unconfirmed.
+    pub(crate) fn take_late(&mut self, now: Tick) -> Vec<(Ticket, Revision)> {
+        self.take(|open| open.deadline <= now)
+    }
+
+    pub(crate) fn deadline(&self) -> Option<Tick> {
+        let ask = self.token.map(|(_, asked)| asked + ASK_AGAIN);
+        self.open
+            .values()
+            .map(|open| open.deadline)
+            .chain(ask)
+            .min()
+    }
+
+    pub(crate) fn known(&self) -> impl Iterator<Item = Viewer> + '_ {
+        self.known.iter().map(|(id, (revision, asked))| Viewer {
+            id: id.clone(),
+            revision: *revision,
+            until: *asked + FRESH,
+        })
+    }
+
+    fn take(&mut self, wanted: impl Fn(&Open) -> bool) -> Vec<(Ticket, Revision)> {
+        let tickets = self.open.iter().filter(|(_, open)| wanted(open));
+        let tickets: Vec<_> = tickets
+            .map(|(ticket, open)| (*ticket, open.revision))
+            .collect();
+        for (ticket, _) in &tickets {
+            self.open.remove(ticket);
+            self.round.remove(ticket);
+            self.next.remove(ticket);
+        }
+        tickets
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/key.rs
@@ -0,0 +1,60 @@
+//! What names a request that may not be repeated.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use serde_with::hex::Hex;
+use serde_with::{DeserializeFromStr, SerializeDisplay, serde_as};
+
+/// Longest request key accepted, in bytes.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Why a text is not a request key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKeyError {
+    /// It is empty or has more than 128 bytes.
+    Length,
+    /// It holds something else than visible ASCII.
+    Invisible,
+}
+
+impl fmt::Display for RequestKeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Length => write!(f, "a request key has 1 to {MAX_KEY_BYTES} bytes"),
+            Self::Invisible => f.write_str("a request key holds visible ASCII only"),
+        }
+    }
+}
+
+impl std::error::Error for RequestKeyError {}
+
+/// The caller's name for a request, from the `idempotency-key` header.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr)]
+pub struct RequestKey(String);
+
+impl FromStr for RequestKey {
+    type Err = RequestKeyError;
+
+    fn from_str(text: &str) -> Result<Self, RequestKeyError> {
+        if text.is_empty() || text.len() > MAX_KEY_BYTES {
+            return Err(RequestKeyError::Length);
+        }
+        if !text.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(RequestKeyError::Invisible);
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A digest of a request's method, target and body.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprint(#[serde_as(as = "Hex")] pub [u8; 32]);
--- /dev/null
+++ b/crates/obs/src/logger.rs
@@ -0,0 +1,75 @@
+//! Log output: for people at a terminal, or JSON lines for programs.
+
+use std::io;
+
+use serde::{Deserialize, Serialize};
+use slog::{Drain, Logger, OwnedKV, SendSyncRefUnwindSafeKV, error, info, o, warn};
+
+use crate::event::{Event, Severity};
+
+/// Log lines that may wait for the output; more are dropped and counted.
+const QUEUE_LINES: usize = 4096;
+
+/// How log lines look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Terminal,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Starts a logger that writes to standard error from a thread of its own.
+pub fn logger(format: LogFormat, role: &'static str) -> Logger {
+    let fields = o!("role" => role);
+    match format {
+        LogFormat::Terminal => {
+            let plain = slog_term::PlainSyncDecorator::new(io::stderr());
+            let drain = slog_term::FullFormat::new(plain).build().fuse();
+            Logger::root(spool(drain), fields)
+        }
+        LogFormat::Json => {
+            let drain = slog_json::Json::default(io::stderr()).fuse();
+            Logger::root(spool(std::sync::Mutex::new(drain).map(slog::Fuse)), fields)
+        }
+    }
+}
+
+/// A logger that drops everything.
+pub fn discard() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
+
+fn spool<D>(drain: D) -> slog::Fuse<slog_async::Async>
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    slog_async::Async::new(drain)
+        .chan_size(QUEUE_LINES)
+        .build()
+        .fuse()
+}
+
+/// Logs an event with its fields. Use [`event!`](crate::event!) instead.
+pub fn emit<T>(log: &Logger, event: Event, fields: OwnedKV<T>)
+where
+    T: SendSyncRefUnwindSafeKV + 'static,
+{
+    let row = event.row();
+    let log = log.new(fields);
+    match row.severity {
+        Severity::Info => info!(log, "{}", row.text; "event" => row.number),
+        Severity::Warning => warn!(log, "{}", row.text; "event" => row.number),
+        Severity::Error => error!(log, "{}", row.text; "event" => row.number),
+    }
+}
+
+/// Logs a numbered event: `event!(log, Started, "listen" => address.to_string())`.
+#[macro_export]
+macro_rules! event {
+    ($log:expr, $event:ident $(, $key:literal => $value:expr)* $(,)?) => {
+        $crate::emit(&$log, $crate::Event::$event, ::slog::o!($($key => $value),*))
+    };
+}
--- /dev/null
+++ b/crates/peer/src/follow.rs
@@ -0,0 +1,170 @@
+//! Follows the configuration by long poll, on a thread of its own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle, Thread};
+use std::time::Duration;
+
+use conf::Update;
+use ids::{Clock, HostName, Incarnation, Revision, Tick};
+use obs::{Counter, Counters, Logger, event};
+use wire::{Answer, Side, ViewAnswer, ViewAsk, paths};
+
+use crate::call::{Control, PeerError};
+
+/// How long a question may stay open at the control host.
+const POLL_WAIT: Duration = Duration::from_millis(800);
+/// How long the whole call may take.
+const POLL_PATIENCE: Duration = Duration::from_millis(1600);
+/// Pause after a control host that did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Who follows.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The host.
+    pub host: HostName,
+    /// What it is.
+    pub side: Side,
+    /// Its run.
+    pub run: Incarnation,
+}
+
+/// An update to be taken, and until when it is good.
+#[derive(Clone, Debug)]
+pub struct Viewed {
+    /// The update.
+    pub update: Update,
+    /// Until when the process may go by it.
+    pub fresh: Tick,
+}
+
+/// A running follower.
+pub struct Follower {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Follower {
+    /// Starts to follow. `deliver` hands an update to the core and returns the revision that the
+    /// core holds then, or none once the core has ended.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's, if no thread can be started.
+    pub fn start<K, F>(
+        identity: Identity,
+        control: Control,
+        clock: K,
+        log: Logger,
+        counters: Counters,
+        deliver: F,
+    ) -> io::Result<Self>
+    where
+        K: Clock + Send + 'static,
+        F: FnMut(Viewed) -> Option<Revision> + Send + 'static,
+    {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&stop);
+        let name = format!("{}-follow", identity.host);
+        let mut follow = Follow {
+            identity,
+            control,
+            clock,
+            log,
+            counters,
+            deliver,
+            revision: Revision::default(),
+            reached: true,
+        };
+        let thread = thread::Builder::new().name(name).spawn(move || {
+            while !stopped.load(Ordering::Acquire) {
+                if follow.turn().is_none() {
+                    return;
+                }
+            }
+        })?;
+        Ok(Self { stop, thread })
+    }
+
+    /// Stops following. Takes as long as an open question at most.
+    pub fn close(self) {
+        self.stop.store(true, Ordering::Release);
+        Thread::unpark(self.thread.thread());
+        let _ = self.thread.join();
+    }
+}
+
+struct Follow<K, F> {
+    identity: Identity,
+    control: Control,
+    clock: K,
+    log: Logger,
+    counters: Counters,
+    deliver: F,
+    revision: Revision,
+    reached: bool,
+}
+
+impl<K: Clock, F: FnMut(Viewed) -> Option<Revision>> Follow<K, F> {
+    /// Asks one control host after the other until one answers. None once the core has ended.
+    fn turn(&mut self) -> Option<()> {
+        for host in self.control.order(None) {
+            let asked = self.clock.now();
+            match self.ask(host) {
+                Ok(answer) => return self.take(asked, answer),
+                Err(fault) => self.miss(host, &fault),
+            }
+        }
+        thread::park_timeout(RETRY_PAUSE);
+        Some(())
+    }
+
+    fn ask(&mut self, host: SocketAddr) -> Result<ViewAnswer, PeerError> {
+        self.counters.count(Counter::ViewAsked);
+        let ask = ViewAsk {
+            host: self.identity.host.clone(),
+            side: self.identity.side,
+            run: self.identity.run,
+            revision: self.revision,
+            wait: POLL_WAIT,
+        };
+        let body = self.control.seal(paths::VIEW, &ask)?;
+        match self
+            .control
+            .call_one(host, paths::VIEW, body, POLL_PATIENCE)?
+        {
+            Answer::Done(answer) => Ok(answer),
+            Answer::Elsewhere(_) | Answer::Unavailable => Err(PeerError::Unavailable),
+        }
+    }
+
+    fn take(&mut self, asked: Tick, answer: ViewAnswer) -> Option<()> {
+        self.reached = true;
+        self.control.learn(answer.hosts);
+        let viewed = Viewed {
+            update: answer.update,
+            fresh: asked + answer.fresh,
+        };
+        let offered = viewed.update.revision;
+        let held = (self.deliver)(viewed)?;
+        if held > self.revision {
+            self.counters.count(Counter::ViewAdvanced);
+            event!(self.log, ViewAdvanced, "revision" => held.0);
+        }
+        if held < offered {
+            event!(self.log, ViewRefused, "offered" => offered.0, "held" => held.0);
+        }
+        self.revision = held;
+        Some(())
+    }
+
+    fn miss(&mut self, host: SocketAddr, fault: &PeerError) {
+        if std::mem::replace(&mut self.reached, false) {
+            event!(self.log, ControlUnreachable,
+                "host" => host.to_string(), "fault" => fault.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,8 @@
+//! How entries and agents talk to the control group: calls that find the leader, and the follower
+//! of the configuration.
+
+mod call;
+mod follow;
+
+pub use call::{Control, PeerError};
+pub use follow::{Follower, Identity, Viewed};
--- /dev/null
+++ b/crates/route/src/entry.rs
@@ -0,0 +1,551 @@
+//! The entry's core.
+
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use conf::{AccessError, Config, Method, Permit, Serves, Update};
+use fault::Kind;
+use ids::{
+    AttemptId, Digest, EndpointId, Incarnation, ModelName, RequestId, Revision, RouteId, Tick,
+    Ticket, Tokens, ZoneName,
+};
+use ledger::{Fingerprint, RequestKey};
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use slotmap::{SecondaryMap, SlotMap};
+use step::{Core, Outbox};
+
+use crate::budget::Budgets;
+use crate::health::Health;
+use crate::place::{Candidate, Nearness, Placement};
+use crate::request::{Arrival, Asked, Claim, ClaimResult, Ended, Plan, Verdict};
+
+/// A request may wait for its start this many times its class's first-token target; later it is
+/// refused as not run.
+const SLACK_FACTOR: u32 = 2;
+/// After its start, the first token may take this many times its target before the endpoint
+/// counts as failed.
+const PATIENCE_FACTOR: u32 = 20;
+/// Within an answer, a pause of this many times the target between tokens counts as a failure.
+const STALL_FACTOR: u32 = 50;
+/// No shorter pause within an answer counts as a failure.
+const MIN_STALL: Duration = Duration::from_secs(3);
+/// Attempts at one request, over all endpoints.
+const MAX_ATTEMPTS: usize = 6;
+
+/// What makes an entry.
+#[derive(Clone, Debug)]
+pub struct Seed {
+    /// This run of the entry.
+    pub run: Incarnation,
+    /// The zone the entry runs in.
+    pub zone: ZoneName,
+    /// Seeds the random choices.
+    pub random: u64,
+}
+
+/// What the core is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A newer view of the configuration, good until a moment.
+    View(Update, Tick),
+    /// A request.
+    Arrive(Arrival),
+    /// What the control group said to a claim.
+    Claimed(RequestId, ClaimResult),
+    /// The first byte of an attempt's answer came.
+    First(RequestId),
+    /// An attempt ended.
+    Ended(RequestId, Ended),
+    /// A question for the models that a key may use.
+    Models(Ticket, Option<Digest>),
+    /// A question whether this entry serves; [`Verdict::Close`] says that it does.
+    Ready(Ticket),
+    /// Say from now on that this entry does not serve. Requests that still come are served.
+    Drain,
+}
+
+/// What is worth counting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trace {
+    /// Another attempt follows a bounce.
+    RetriedBounced,
+    /// Another attempt follows one that was never sent.
+    RetriedUnreached,
+    /// Another attempt follows a failure before the answer began.
+    RetriedFailed,
+    /// The account's retry budget is spent.
+    BudgetSpent,
+    /// An endpoint is left out for a while.
+    Ejected,
+}
+
+/// What the core asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Tells the traffic thread of a request what to do next.
+    Verdict(Ticket, Verdict),
+    /// The revision held after [`Input::View`].
+    Viewed(Revision),
+    /// Count something.
+    Trace(Trace),
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    ticket: Ticket,
+    permit: Permit,
+    key: Option<Digest>,
+    class: ids::ClassId,
+    route: RouteId,
+    input: Tokens,
+    prefix: Option<u64>,
+    once: bool,
+    claim: RequestKey,
+    fingerprint: Fingerprint,
+    attempt: AttemptId,
+    came: Tick,
+    sent: Tick,
+    at: Option<EndpointId>,
+    tried: Vec<EndpointId>,
+    bounce: Kind,
+    /// Why an earlier attempt may have run without an answer, if one may have.
+    lost: Option<Kind>,
+}
+
+/// The entry.
+#[derive(Clone, Debug)]
+pub struct Entry<P> {
+    seed: Seed,
+    config: Config,
+    fresh: Tick,
+    place: P,
+    rng: Pcg32,
+    health: SecondaryMap<EndpointId, Health>,
+    requests: SlotMap<RequestId, Request>,
+    budgets: Budgets,
+    serial: u64,
+    draining: bool,
+}
+
+impl<P: Placement> Entry<P> {
+    /// An entry without a configuration; it refuses everything until the first view comes.
+    pub fn new(seed: Seed, place: P) -> Self {
+        Self {
+            rng: Pcg32::seed_from_u64(seed.random),
+            seed,
+            config: Config::default(),
+            fresh: Tick::default(),
+            place,
+            health: SecondaryMap::new(),
+            requests: SlotMap::with_key(),
+            budgets: Budgets::default(),
+            serial: 0,
+            draining: false,
+        }
+    }
+
+    /// The view of the configuration.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Requests not answered yet.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn arrive(&mut self, now: Tick, arrival: Arrival, out: &mut Outbox<Output>) {
+        let ticket = arrival.ticket;
+        match self.examine(now, arrival) {
+            Err(kind) => out.push(Output::Verdict(ticket, Verdict::Refuse(kind))),
+            Ok(request) => {
+                self.budgets.earn(request.permit.account);
+                let once = request.once;
+                let id = self.requests.insert(request);
+                if once {
+                    self.claim(id, out);
+                } else {
+                    self.attempt(now, id, out);
+                }
+            }
+        }
+    }
+
+    fn examine(&mut self, now: Tick, arrival: Arrival) -> Result<Request, Kind> {
+        if now >= self.fresh {
+            return Err(Kind::ViewStale);
+        }
+        let route = match &arrival.asked {
+            Asked::Model(model) => self.config.route_for_model(model),
+            Asked::Path(_, path) => self.config.route_for_path(path),
+        };
+        let route = route.ok_or(Kind::RouteUnknown)?;
+        let permit = self.config.authorize(arrival.key, route).map_err(kind_of)?;
+        let wish = arrival.class.as_ref();
+        let class = wish.map_or(permit.class, |wish| {
+            self.config.lower_class(permit.class, wish)
+        });
+        self.serial += 1;
+        let attempt = AttemptId {
+            entry: self.seed.run,
+            serial: self.serial,
+        };
+        let receipt = format!("receipt/{}/{}", attempt.entry, attempt.serial);
+        let receipt = receipt.parse().map_err(|_| Kind::Internal)?;
+        Ok(Request {
+            ticket: arrival.ticket,
+            permit,
+            key: arrival.key,
+            class,
+            route,
+            input: arrival.input,
+            prefix: arrival.prefix,
+            once: self.runs_once(route, &arrival.asked),
+            claim: arrival.request.unwrap_or(receipt),
+            fingerprint: arrival.fingerprint,
+            attempt,
+            came: now,
+            sent: now,
+            at: None,
+            tried: Vec::new(),
+            bounce: Kind::EndpointMissing,
+            lost: None,
+        })
+    }
+
+    fn models(&self, now: Tick, key: Option<Digest>) -> Result<Vec<ModelName>, Kind> {
+        if now >= self.fresh {
+            return Err(Kind::ViewStale);
+        }
+        if let Some(key) = key {
+            self.config.live_grant(key).map_err(kind_of)?;
+        }
+        let usable = self
+            .config
+            .routes()
+            .filter(|(id, _)| self.config.authorize(key, *id).is_ok());
+        let models = usable.filter_map(|(_, route)| match &route.spec.serves {
+            Serves::Model(model) => Some(model.clone()),
+            Serves::Service { .. } => None,
+        });
+        Ok(models.collect())
+    }
+
+    fn runs_once(&self, route: RouteId, asked: &Asked) -> bool {
+        let spec = self.config.route(route).map(|route| &route.spec.serves);
+        match (spec, asked) {
+            (Some(Serves::Service { idempotent, .. }), Asked::Path(method, _)) => {
+                !idempotent.contains(method)
+            }
+            (_, Asked::Path(method, _)) => *method != Method::Get,
+            (_, Asked::Model(_)) => false,
+        }
+    }
+
+    fn claim(&mut self, id: RequestId, out: &mut Outbox<Output>) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let Some(account) = self.config.account(request.permit.account) else {
+            return self.refuse(id, Kind::AccountForbidden, out);
+        };
+        let claim = Claim {
+            id,
+            account: account.spec.name.clone(),
+            key: request.claim.clone(),
+            fingerprint: request.fingerprint,
+            attempt: request.attempt,
+        };
+        out.push(Output::Verdict(request.ticket, Verdict::Claim(claim)));
+    }
+
+    fn claimed(&mut self, now: Tick, id: RequestId, result: ClaimResult, out: &mut Outbox<Output>) {
+        match result {
+            ClaimResult::Granted => self.attempt(now, id, out),
+            ClaimResult::Refused(kind) => self.refuse(id, kind, out),
+            ClaimResult::Answered(answer) => self.finish(id, Verdict::Replay(answer), out),
+        }
+    }
+
+    /// Makes the next attempt, or gives the request up as not run.
+    fn attempt(&mut self, now: Tick, id: RequestId, out: &mut Outbox<Output>) {
+        let plan = match self.plan(now, id) {
+            Ok(plan) => plan,
+            Err(kind) => return self.refuse(id, kind, out),
+        };
+        let ticket = self.requests[id].ticket;
+        out.push(Output::Verdict(ticket, Verdict::Attempt(plan)));
+    }
+
+    fn plan(&mut self, now: Tick, id: RequestId) -> Result<Plan, Kind> {
+        if now >= self.fresh {
+            return Err(Kind::ViewStale);
+        }
+        let request = self.requests.get(id).ok_or(Kind::Internal)?;
+        // The key may have been withdrawn since the request came.
+        let permit = self
+            .config
+            .authorize(request.key, request.route)
+            .map_err(kind_of)?;
+        let missing = Kind::EndpointMissing;
+        let class = self.config.class(request.class).ok_or(missing)?;
+        let waited = now.since(request.came);
+        let slack = (class.spec.first * SLACK_FACTOR).saturating_sub(waited);
+        if slack.is_zero() {
+            return Err(Kind::DeadlinePassed);
+        }
+        if request.tried.len() >= MAX_ATTEMPTS {
+            return Err(request.bounce);
+        }
+        let candidates = self.candidates(now, request);
+        let bounce = request.bounce;
+        let chosen = self
+            .place
+            .choose(&candidates, &mut self.rng)
+            .ok_or(bounce)?;
+        self.health
+            .entry(chosen)
+            .ok_or(missing)?
+            .or_default()
+            .sent();
+        let request = self.requests.get_mut(id).ok_or(Kind::Internal)?;
+        request.at = Some(chosen);
+        request.tried.push(chosen);
+        request.sent = now;
+        let request = &self.requests[id];
+        let endpoint = self.config.endpoint(chosen).ok_or(missing)?;
+        let account = self
+            .config
+            .account(permit.account)
+            .ok_or(Kind::AccountForbidden)?;
+        let route = self.config.route(request.route).ok_or(Kind::RouteUnknown)?;
+        let class = self.config.class(request.class).ok_or(missing)?;
+        let grant = permit.grant.and_then(|id| self.config.grant(id));
+        Ok(Plan {
+            id,
+            attempt: AttemptId {
+                // Attempts at one request differ, so that their answers cannot be mixed up.
+                serial: request.attempt.serial * MAX_ATTEMPTS as u64 + request.tried.len() as u64,
+                ..request.attempt
+            },
+            endpoint: endpoint.spec.name.clone(),
+            agent: endpoint.agent(),
+            account: account.spec.name.clone(),
+            grant: grant.map(|grant| grant.spec.name.clone()),
+            route: route.spec.name.clone(),
+            class: class.spec.name.clone(),
+            revision: self.config.revision(),
+            slack,
+            patience: class.spec.first * PATIENCE_FACTOR,
+            stall: (class.spec.gap * STALL_FACTOR).max(MIN_STALL),
+            input: request.input,
+            once: request.once,
+        })
+    }
+
+    fn candidates(&self, now: Tick, request: &Request) -> Vec<Candidate> {
+        let serves = self.config.endpoints().filter(|(id, endpoint)| {
+            endpoint.routes.contains(&request.route) && self.config.takes_work(*id)
+        });
+        let untried = serves.filter(|(id, _)| !request.tried.contains(id));
+        let all: Vec<_> = untried.map(|(id, e)| self.candidate(now, id, e)).collect();
+        let out = |c: &Candidate| self.health.get(c.id).is_some_and(|h| h.is_out(now));
+        let good: Vec<_> = all.iter().filter(|c| !out(c)).copied().collect();
+        // With every endpoint left out, one that may fail is better than none.
+        let mut chosen = if good.is_empty() { all } else { good };
+        if let Some(prefix) = request.prefix {
+            let rank = |id: &EndpointId| {
+                self.config
+                    .endpoint(*id)
+                    .map(|e| affinity(prefix, e.spec.name.as_ref()))
+            };
+            let home = chosen.iter().map(|c| c.id).max_by_key(rank);
+            chosen.iter_mut().for_each(|c| c.home = Some(c.id) == home);
+        }
+        chosen
+    }
+
+    fn candidate(&self, now: Tick, id: EndpointId, endpoint: &conf::Endpoint) -> Candidate {
+        let health = self.health.get(id);
+        let mine = self.config.find_zone(&self.seed.zone);
+        let region = |zone| self.config.region_of(zone);
+        let near = if Some(endpoint.zone) == mine {
+            Nearness::Zone
+        } else if mine.is_some_and(|mine| region(mine) == region(endpoint.zone)) {
+            Nearness::Region
+        } else {
+            Nearness::Far
+        };
+        Candidate {
+            id,
+            load: health.map_or(0, |health| health.load(now)),
+            near,
+            first: health.map_or(Duration::ZERO, Health::usual_first),
+            home: false,
+        }
+    }
+
+    fn first(&mut self, now: Tick, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let took = now.since(request.sent);
+        if let Some(health) = request.at.and_then(|at| self.health.get_mut(at)) {
+            health.first_token(took);
+        }
+    }
+
+    fn ended(&mut self, now: Tick, id: RequestId, ended: Ended, out: &mut Outbox<Output>) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        let at = request.at.take();
+        let once = request.once;
+        if let Some(health) = at.and_then(|at| self.health.get_mut(at)) {
+            health.ended();
+            if note(now, health, ended) {
+                out.push(Output::Trace(Trace::Ejected));
+            }
+        }
+        match ended {
+            Ended::Served(_) => self.finish(id, Verdict::Close, out),
+            Ended::Gone => self.finish(id, Verdict::Refuse(Kind::CallerGone), out),
+            Ended::Broken => self.finish(id, Verdict::Refuse(Kind::StreamBroken), out),
+            Ended::Unreached => self.retry(now, id, Trace::RetriedUnreached, out),
+            Ended::Bounced(kind, _) if final_here(kind) => self.refuse(id, kind, out),
+            Ended::Bounced(kind, _) => {
+                if let Some(request) = self.requests.get_mut(id) {
+                    request.bounce = kind;
+                }
+                self.retry(now, id, Trace::RetriedBounced, out);
+            }
+            Ended::Lost(kind) if once => self.finish(id, Verdict::Refuse(kind), out),
+            Ended::Lost(kind) => self.retry_lost(now, id, kind, out),
+        }
+    }
+
+    /// Repeats an idempotent request whose attempt may have run.
+    fn retry_lost(&mut self, now: Tick, id: RequestId, kind: Kind, out: &mut Outbox<Output>) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        request.lost = Some(kind);
+        if !self.budgets.spend(request.permit.account) {
+            out.push(Output::Trace(Trace::BudgetSpent));
+            return self.refuse(id, kind, out);
+        }
+        self.retry(now, id, Trace::RetriedFailed, out);
+    }
+
+    fn retry(&mut self, now: Tick, id: RequestId, trace: Trace, out: &mut Outbox<Output>) {
+        let before = self.requests[id].tried.len();
+        self.attempt(now, id, out);
+        if self
+            .requests
+            .get(id)
+            .is_some_and(|request| request.tried.len() > before)
+        {
+            out.push(Output::Trace(trace));
+        }
+    }
+
+    /// Gives a request up. If an attempt may have run, the refusal does not say otherwise.
+    fn refuse(&mut self, id: RequestId, kind: Kind, out: &mut Outbox<Output>) {
+        let lost = self.requests.get(id).and_then(|request| request.lost);
+        let kind = lost.filter(|_| kind.not_run()).unwrap_or(kind);
+        self.finish(id, Verdict::Refuse(kind), out);
+    }
+
+    fn finish(&mut self, id: RequestId, verdict: Verdict, out: &mut Outbox<Output>) {
+        if let Some(request) = self.requests.remove(id) {
+            out.push(Output::Verdict(request.ticket, verdict));
+        }
+    }
+}
+
+impl<P: Placement> Core for Entry<P> {
+    type Input = Input;
+    type Output = Output;
+
+    fn step(&mut self, now: Tick, input: Input, out: &mut Outbox<Output>) {
+        match input {
+            Input::View(update, fresh) => {
+                if self.config.follow(&update).is_ok() {
+                    self.fresh = self.fresh.max(fresh);
+                }
+                out.push(Output::Viewed(self.config.revision()));
+            }
+            Input::Arrive(arrival) => self.arrive(now, arrival, out),
+            Input::Claimed(id, result) => self.claimed(now, id, result, out),
+            Input::First(id) => self.first(now, id),
+            Input::Ended(id, ended) => self.ended(now, id, ended, out),
+            Input::Models(ticket, key) => {
+                let verdict = self
+                    .models(now, key)
+                    .map_or_else(Verdict::Refuse, Verdict::Models);
+                out.push(Output::Verdict(ticket, verdict));
+            }
+            Input::Ready(ticket) => {
+                let verdict = if self.draining {
+                    Verdict::Refuse(Kind::Draining)
+                } else if now >= self.fresh {
+                    Verdict::Refuse(Kind::ViewStale)
+                } else {
+                    Verdict::Close
+                };
+                out.push(Output::Verdict(ticket, verdict));
+            }
+            Input::Drain => self.draining = true,
+        }
+    }
+
+    fn wake(&mut self, _: Tick, _: &mut Outbox<Output>) {}
+
+    fn deadline(&self) -> Option<Tick> {
+        None
+    }
+}
+
+/// Updates an endpoint's health. Returns whether it is left out from now on.
+fn note(now: Tick, health: &mut Health, ended: Ended) -> bool {
+    match ended {
+        Ended::Served(advert) => {
+            health.heard(now, advert);
+            health.good();
+            false
+        }
+        Ended::Bounced(_, advert) => {
+            health.heard(now, advert);
+            health.bounced(now);
+            false
+        }
+        Ended::Unreached | Ended::Lost(_) | Ended::Broken => health.failed(now),
+        Ended::Gone => false,
+    }
+}
+
+/// Whether a bounce means that no other endpoint may run the request either.
+fn final_here(kind: Kind) -> bool {
+    matches!(
+        kind,
+        Kind::KeyInvalid | Kind::KeyMissing | Kind::AccountForbidden
+    )
+}
+
+fn kind_of(fault: AccessError) -> Kind {
+    match fault {
+        AccessError::KeyMissing => Kind::KeyMissing,
+        AccessError::KeyInvalid => Kind::KeyInvalid,
+        AccessError::Forbidden => Kind::AccountForbidden,
+        AccessError::RouteMissing => Kind::RouteUnknown,
+    }
+}
+
+/// Rendezvous hashing: every entry finds the same home for a prefix.
+fn affinity(prefix: u64, endpoint: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (prefix, endpoint).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,15 @@
-//! x
+//! Routing: the entry's decision core.
+//!
+//! It binds a request to the client account of its key, chooses an endpoint, and decides after
+//! each attempt whether another may follow. It knows nothing of HTTP.
+
+mod budget;
+mod entry;
+mod health;
+mod place;
+mod request;
+
+pub use entry::{Entry, Input, Output, Seed, Trace};
+pub use health::Advert;
+pub use place::{Candidate, LeastOutstanding, Nearness, Placement, RoundRobin, Weighted};
+pub use request::{Arrival, Asked, Claim, ClaimResult, Ended, Plan, Verdict};
--- /dev/null
+++ b/crates/setting/src/common.rs
@@ -0,0 +1,135 @@
+//! The part that the settings of all roles share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use edge::Limits;
+use ids::{ClusterName, HostName};
+use obs::LogFormat;
+use serde::Deserialize;
+
+use crate::check::Check;
+
+/// Shortest cluster secret accepted, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Bounds on what callers may send, as written.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawLimits {
+    /// Most bytes before a body.
+    pub head_bytes: u64,
+    /// Most bytes of a body.
+    pub body_bytes: u64,
+    /// Most connections at once.
+    pub connections: u64,
+    /// Seconds that a request's head may take.
+    pub idle_s: u64,
+    /// Seconds that a request's body may take.
+    pub upload_s: u64,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        let limits = Limits::default();
+        Self {
+            head_bytes: limits.head as u64,
+            body_bytes: limits.body as u64,
+            connections: limits.connections as u64,
+            idle_s: limits.idle.as_secs(),
+            upload_s: limits.upload.as_secs(),
+        }
+    }
+}
+
+/// Log and counter output, as written.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawLog {
+    /// How log lines look.
+    pub format: LogFormat,
+    /// Where counters are sent.
+    pub statsd: Option<String>,
+}
+
+/// The shared part as written. Each role's file has these fields beside its own.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RawCommon {
+    /// The host's name.
+    pub host: String,
+    /// The cluster's name.
+    pub cluster: String,
+    /// The file that holds the cluster secret.
+    pub secret_file: String,
+    /// Where the process listens.
+    pub listen: String,
+    /// Whether it may listen on an address other than loopback.
+    #[serde(default)]
+    pub public: bool,
+    /// Bounds on what callers may send.
+    #[serde(default)]
+    pub limits: RawLimits,
+    /// Log and counter output.
+    #[serde(default)]
+    pub log: RawLog,
+}
+
+/// The shared part, checked.
+#[derive(Clone, Debug)]
+pub struct Common {
+    /// The host's name.
+    pub host: HostName,
+    /// The cluster's name.
+    pub cluster: ClusterName,
+    /// The cluster secret.
+    pub secret: String,
+    /// Where the process listens.
+    pub listen: SocketAddr,
+    /// Bounds on what callers may send.
+    pub limits: Limits,
+    /// How log lines look.
+    pub format: LogFormat,
+    /// Where counters are sent.
+    pub statsd: Option<SocketAddr>,
+}
+
+impl Common {
+    /// Checks the shared part; faults are noted in `check`.
+    pub fn check(raw: &RawCommon, check: &mut Check) -> Option<Self> {
+        let host = check.parse("host", &raw.host);
+        let cluster = check.parse("cluster", &raw.cluster);
+        let secret = check.file("secret_file", &raw.secret_file);
+        if secret
+            .as_ref()
+            .is_some_and(|secret| secret.len() < MIN_SECRET_BYTES)
+        {
+            let reason = format!("holds a secret of less than {MIN_SECRET_BYTES} bytes");
+            check.fault("secret_file", &raw.secret_file, reason);
+        }
+        let listen = check.listen("listen", &raw.listen, raw.public);
+        let statsd = raw.log.statsd.as_ref();
+        let statsd = statsd.map(|text| check.address("log.statsd", text));
+        let limits = limits(&raw.limits, check);
+        Some(Self {
+            host: host?,
+            cluster: cluster?,
+            secret: secret?,
+            listen: listen?,
+            limits,
+            format: raw.log.format,
+            statsd: statsd.flatten(),
+        })
+    }
+}
+
+fn limits(raw: &RawLimits, check: &mut Check) -> Limits {
+    const GIB: u64 = 1 << 30;
+    let size = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
+    Limits {
+        head: size(check.within("limits.head_bytes", raw.head_bytes, 8192, GIB)),
+        body: size(check.within("limits.body_bytes", raw.body_bytes, 1024, GIB)),
+        connections: size(check.within("limits.connections", raw.connections, 1, 1_000_000)),
+        idle: Duration::from_secs(check.within("limits.idle_s", raw.idle_s, 1, 3600)),
+        upload: Duration::from_secs(check.within("limits.upload_s", raw.upload_s, 1, 3600)),
+    }
+}
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -43,8 +43,13 @@
 
 /// Whether an intact frame begins anywhere in `bytes`.
 pub(crate) fn any(bytes: &[u8]) -> bool {
-    let magic = bytes.windows(MAGIC.len()).enumerate().filter(|(_, w)| *w == MAGIC);
-    magic.into_iter().any(|(at, _)| look(&bytes[at..]) != Found::Bad)
+    let magic = bytes
+        .windows(MAGIC.len())
+        .enumerate()
+        .filter(|(_, w)| *w == MAGIC);
+    magic
+        .into_iter()
+        .any(|(at, _)| look(&bytes[at..]) != Found::Bad)
 }
 
 fn word(bytes: &[u8], at: usize) -> u32 {
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -86,7 +86,9 @@
     pub fn append(&mut self, record: &[u8]) -> Result<(), StoreError> {
         let mut buf = Vec::with_capacity(HEAD_BYTES + record.len());
         frame::put(&mut buf, record);
-        self.file.write_all(&buf).map_err(StoreError::io(&self.path))?;
+        self.file
+            .write_all(&buf)
+            .map_err(StoreError::io(&self.path))?;
         self.file.sync_data().map_err(StoreError::io(&self.path))
     }
 
--- a/crates/store/src/vault.rs
+++ b/crates/store/src/vault.rs
@@ -125,7 +125,10 @@
 
     /// Removes files of other generations. Failing is harmless: the next call tries again.
     fn sweep(&self) {
-        let keep = [journal_name(self.generation), snapshot_name(self.generation)];
+        let keep = [
+            journal_name(self.generation),
+            snapshot_name(self.generation),
+        ];
         let Ok(entries) = fs::read_dir(&self.dir) else {
             return;
         };
@@ -170,7 +173,9 @@
 
 fn read_number(path: &Path) -> Result<u64, StoreError> {
     let text = fs::read_to_string(path).map_err(StoreError::io(path))?;
-    text.trim().parse().map_err(|_| StoreError::Malformed(path.to_owned()))
+    text.trim()
+        .parse()
+        .map_err(|_| StoreError::Malformed(path.to_owned()))
 }
 
 fn unframe(path: &Path, bytes: Vec<u8>) -> Result<Vec<u8>, StoreError> {
--- a/crates/store/tests/vault.rs
+++ b/crates/store/tests/vault.rs
@@ -16,7 +16,9 @@
 
 fn append(dir: &Path, records: &[&[u8]]) {
     let (mut vault, _) = Vault::open(dir).unwrap();
-    records.iter().for_each(|record| vault.append(record).unwrap());
+    records
+        .iter()
+        .for_each(|record| vault.append(record).unwrap());
     vault.close();
 }
 
--- /dev/null
+++ b/crates/wire/src/attempt.rs
@@ -0,0 +1,113 @@
+//! An attempt sent from an entry to an agent, and the frames that come back.
+
+use std::time::Duration;
+
+use conf::Method;
+use fault::Kind;
+use ids::{
+    AccountName, AttemptId, ClassName, EndpointName, GrantName, Incarnation, Revision, RouteName,
+    Tokens,
+};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// What an agent decides by.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptHead {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The endpoint it is meant for.
+    pub endpoint: EndpointName,
+    /// The account billed.
+    pub account: AccountName,
+    /// The grant behind the caller's key, if one came.
+    pub grant: Option<GrantName>,
+    /// The route.
+    pub route: RouteName,
+    /// The class.
+    pub class: ClassName,
+    /// The revision that the entry decided by.
+    pub revision: Revision,
+    /// How long the request may still wait for its start.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub slack: Duration,
+    /// Estimate of the tokens to be read.
+    pub input: Tokens,
+    /// Whether the request must not run a second time.
+    pub once: bool,
+}
+
+/// The request as the endpoint gets it; no caller key is in it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// The header fields.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// One attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Attempt {
+    /// What the agent decides by.
+    pub head: AttemptHead,
+    /// The request.
+    pub call: Call,
+}
+
+/// What an agent says of its load with every answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Advert {
+    /// The run of the agent.
+    pub run: Incarnation,
+    /// Requests at the engine.
+    pub running: u32,
+    /// Requests waiting in the agent.
+    pub queued: u32,
+    /// Requests the engine may have at once now.
+    pub limit: u32,
+}
+
+/// What an attempt consumed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Served {
+    /// Tokens read.
+    pub input: Tokens,
+    /// Tokens generated.
+    pub output: Tokens,
+}
+
+/// A frame of the answer to an attempt. An answer without [`Frame::Ended`] or
+/// [`Frame::Failed`] broke off.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The attempt did not run.
+    Bounced(Kind, Advert),
+    /// The endpoint began its answer.
+    Started {
+        /// The attempt answered.
+        attempt: AttemptId,
+        /// The endpoint's status.
+        status: u16,
+        /// The endpoint's header fields.
+        headers: Vec<(String, String)>,
+    },
+    /// A piece of the body.
+    Data {
+        /// Where the piece begins.
+        offset: u64,
+        /// The piece.
+        #[serde(with = "serde_bytes")]
+        bytes: Vec<u8>,
+    },
+    /// The body is complete.
+    Ended(Served, Advert),
+    /// The endpoint failed.
+    Failed(Kind, Advert),
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,16 @@
-//! x
+//! Messages between the system's own processes, and the operators' interface, with their codecs.
+//!
+//! Decision cores do not depend on this crate; front ends convert between the two.
+
+mod admin;
+mod attempt;
+mod codec;
+mod peer;
+
+pub use admin::{
+    ConfigAnswer, ErrorAnswer, MemberRow, NewMember, Operator, Propose, ProposeAnswer, SealedRow,
+    StatusAnswer, UsageAnswer, UsageRow, ViewerRow,
+};
+pub use attempt::{Advert, Attempt, AttemptHead, Call, Frame, Served};
+pub use codec::{FrameError, Sealer, WireError, decode, encode, read_frame};
+pub use peer::{Answer, ClaimAsk, Mail, SettleAsk, Side, ViewAnswer, ViewAsk, paths};
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,119 @@
+//! Messages to and between control hosts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agree::{MemberId, Message};
+use conf::Update;
+use ids::{AccountName, AttemptId, HostName, Incarnation, Revision};
+use ledger::{Fingerprint, RequestKey, Settlement};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// Paths of the messages.
+pub mod paths {
+    /// Between control hosts.
+    pub const MAIL: &str = "/peer/mail";
+    /// Who a control host is.
+    pub const IDENTITY: &str = "/peer/identity";
+    /// A question for a newer configuration.
+    pub const VIEW: &str = "/peer/view";
+    /// A claim.
+    pub const CLAIM: &str = "/peer/claim";
+    /// The outcome of a claimed request.
+    pub const SETTLE: &str = "/peer/settle";
+    /// A usage report.
+    pub const USAGE: &str = "/peer/usage";
+    /// An attempt, to an agent.
+    pub const ATTEMPT: &str = "/peer/attempt";
+    /// Distinguishes the seal of an answer from that of its question.
+    pub const ANSWER: &str = "/peer/answer";
+}
+
+/// Messages from one control host to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mail {
+    /// The sender.
+    pub from: MemberId,
+    /// The receiver; a host with another identity drops the mail.
+    pub to: MemberId,
+    /// The messages, oldest first.
+    pub messages: Vec<Message>,
+}
+
+/// The part of the system a follower of the configuration plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Side {
+    /// An entry.
+    Entry,
+    /// An agent.
+    Agent,
+}
+
+/// Asks for a configuration newer than the one held.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewAsk {
+    /// The host that asks.
+    pub host: HostName,
+    /// What it is.
+    pub side: Side,
+    /// Its run.
+    pub run: Incarnation,
+    /// The revision it holds.
+    pub revision: Revision,
+    /// How long the answer may wait for a newer one.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub wait: Duration,
+}
+
+/// What brings a follower up to date.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewAnswer {
+    /// The changes.
+    pub update: Update,
+    /// How long the follower may go by it, counted from the moment it asked.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub fresh: Duration,
+    /// The control hosts.
+    pub hosts: Vec<SocketAddr>,
+}
+
+/// Claims a request that may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimAsk {
+    /// The account.
+    pub account: AccountName,
+    /// The request key.
+    pub key: RequestKey,
+    /// A digest of the request.
+    pub fingerprint: Fingerprint,
+    /// The one attempt that may run.
+    pub attempt: AttemptId,
+}
+
+/// Notes what became of a claimed request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettleAsk {
+    /// The account.
+    pub account: AccountName,
+    /// The request key.
+    pub key: RequestKey,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What became of it.
+    pub settlement: Settlement,
+}
+
+/// The answer of a control host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer<T> {
+    /// Done.
+    Done(T),
+    /// Ask the leader instead, if its address is known.
+    Elsewhere(Option<SocketAddr>),
+    /// Not done now, and it may be unknown whether it will be.
+    Unavailable,
+}
