--- a/cmd/berg-local/src/main.rs
+++ b/cmd/berg-local/src/main.rs
@@ -1,2 +1,73 @@
-//! x
-fn main() {}
+//! Runs the whole system with stand-ins on loopback.
+
+mod flags;
+
+use std::process::ExitCode;
+
+use local::{Check, Local, LocalError, Options};
+use obs::{LogFormat, Logger};
+
+/// Exit code for faults on the command line.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = flags::parse();
+    let log = if flags.verbose {
+        obs::logger(LogFormat::Terminal, "local")
+    } else {
+        obs::discard()
+    };
+    if flags.demo {
+        return demo(&flags.options, &log);
+    }
+    match serve(&flags.options, &log) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => fail(&fault),
+    }
+}
+
+fn fail(fault: &LocalError) -> ExitCode {
+    eprintln!("berg-local: {fault}");
+    match fault {
+        LocalError::NotLoopback(..) => ExitCode::from(USAGE),
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn demo(options: &Options, log: &Logger) -> ExitCode {
+    let checks = match local::demo(options, log) {
+        Ok(checks) => checks,
+        Err(fault) => return fail(&fault),
+    };
+    let row = |check: &Check| {
+        let verdict = if check.good { "ok" } else { "WRONG" };
+        println!("{:<24} {:<44} {verdict}", check.name, check.got);
+    };
+    checks.iter().for_each(row);
+    if checks.iter().all(|check| check.good) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn serve(options: &Options, log: &Logger) -> Result<(), LocalError> {
+    let local = Local::start(options, log)?;
+    let (_, key) = local.new_key("norte")?;
+    println!("entry http://{}", local.entry());
+    for control in local.controls() {
+        println!("control http://{control}");
+    }
+    println!("operator {}", local.operator_key().reveal());
+    println!("key norte {}", key.reveal());
+    println!(
+        "curl -N http://{}/v1/chat/completions -H 'authorization: Bearer {}' -d \
+         '{{\"model\":\"crew-assistant\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\
+         \"content\":\"pipe history of main 7\"}}]}}'",
+        local.entry(),
+        key.reveal()
+    );
+    let stopped = obs::wait_for_stop();
+    local.close();
+    stopped.map_err(|fault| LocalError::Part("signals", fault.to_string()))
+}
--- /dev/null
+++ b/crates/control/src/effects.rs
@@ -0,0 +1,109 @@
+//! The control thread: hands the core's outputs to disk, links and waiting exchanges.
+
+use std::collections::BTreeMap;
+
+use agree::Authority;
+use crossbeam::channel::Sender;
+use edge::Exchange;
+use govern::{Input, Output, Reply, Trace};
+use ids::Ticket;
+use obs::{Counter, Counters, Logger, event};
+use step::{Effects, Inbox};
+use usage::Window;
+
+use crate::admin;
+use crate::disk::Job;
+use crate::front::{self, Form};
+use crate::post::Post;
+
+/// An exchange that waits for its answer, and the form the answer takes.
+pub(crate) struct Waiting {
+    pub(crate) ticket: Ticket,
+    pub(crate) exchange: Exchange,
+    pub(crate) form: Form,
+}
+
+/// Sends inputs to the control host's core.
+pub(crate) type ControlInbox = Inbox<Input, Waiting>;
+
+pub(crate) struct ControlEffects {
+    pub(crate) disk: Sender<Job>,
+    pub(crate) deliver: Sender<(Window, Authority)>,
+    pub(crate) post: Post,
+    pub(crate) replies: front::Replies,
+    pub(crate) waiting: BTreeMap<Ticket, (Exchange, Form)>,
+    pub(crate) counters: Counters,
+    pub(crate) log: Logger,
+    pub(crate) failed: Sender<String>,
+}
+
+impl ControlEffects {
+    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        let Some((exchange, form)) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        match form {
+            Form::Peer(kind) => self.replies.peer(exchange, kind, reply),
+            Form::Admin(kind) => admin::reply(exchange, kind, reply, &self.replies),
+        }
+    }
+
+    fn trace(&self, trace: Trace) {
+        match trace {
+            Trace::Elected(term) => {
+                self.counters.count(Counter::Elected);
+                event!(self.log, Elected, "term" => term.0);
+            }
+            Trace::Deposed(term) => event!(self.log, Deposed, "term" => term.0),
+            Trace::Committed => self.counters.count(Counter::Committed),
+            Trace::Decided(Some(revision)) => {
+                self.counters.count(Counter::Proposed);
+                event!(self.log, ProposalAccepted, "revision" => revision.0);
+            }
+            Trace::Decided(None) => {
+                self.counters.count(Counter::Proposed);
+                event!(self.log, ProposalRefused);
+            }
+            Trace::Claimed => self.counters.count(Counter::Claimed),
+            Trace::Compacted(index) => {
+                self.counters.count(Counter::Compacted);
+                event!(self.log, Compacted, "index" => index.0);
+            }
+            Trace::Regrouped(size) => event!(self.log, GroupChanged, "members" => size),
+            Trace::Sealed(number) => {
+                self.counters.count(Counter::UsageSealed);
+                event!(self.log, WindowSealed, "window" => number);
+            }
+            Trace::Broken(fault) => {
+                event!(self.log, DiskFailed, "fault" => fault.clone());
+                let _ = self.failed.send(fault);
+            }
+        }
+    }
+}
+
+impl Effects<Output> for ControlEffects {
+    type Attachment = Waiting;
+
+    fn attach(&mut self, waiting: Waiting) {
+        self.waiting
+            .insert(waiting.ticket, (waiting.exchange, waiting.form));
+    }
+
+    fn perform(&mut self, output: Output) {
+        match output {
+            Output::Persist(seq, record) => {
+                let _ = self.disk.send(Job::Append(seq, record));
+            }
+            Output::Rotate(seq, meta, state, record) => {
+                let _ = self.disk.send(Job::Rotate(seq, meta, state, record));
+            }
+            Output::Send(to, address, message) => self.post.send(to, address, message),
+            Output::Reply(ticket, reply) => self.reply(ticket, reply),
+            Output::Deliver(window, authority) => {
+                let _ = self.deliver.try_send((window, authority));
+            }
+            Output::Trace(trace) => self.trace(trace),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/front.rs
@@ -0,0 +1,227 @@
+//! The HTTP fronts: messages from the system's own processes, and the operators' interface.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use agree::MemberId;
+use edge::{Exchange, Handler};
+use fault::Kind;
+use govern::{Command, FRESH, Input, Outcome, Question, Reply, ViewerId, ViewerSide};
+use ids::{HostName, Ticket};
+use ledger::Claimed;
+use obs::{Counter, Counters, Logger, event};
+use oxhttp::model::HeaderMap;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use usage::Report;
+use wire::{Answer, ClaimAsk, Mail, Sealer, SettleAsk, Side, ViewAnswer, ViewAsk, paths};
+
+use crate::admin::{self, AdminKind, Operators};
+use crate::effects::{ControlInbox, Waiting};
+
+/// What an answer to one of the system's own processes holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerKind {
+    View,
+    Claim,
+    Settle,
+    Usage,
+}
+
+/// The form an answer takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Form {
+    /// Sealed, for a process of the system.
+    Peer(PeerKind),
+    /// JSON, for an operator.
+    Admin(AdminKind),
+}
+
+/// Takes requests on the event loop.
+pub(crate) struct Front {
+    pub(crate) id: MemberId,
+    pub(crate) host: HostName,
+    pub(crate) sealer: Sealer,
+    pub(crate) operators: Operators,
+    pub(crate) inbox: ControlInbox,
+    pub(crate) tickets: AtomicU64,
+    pub(crate) counters: Counters,
+    pub(crate) log: Logger,
+}
+
+impl Handler for Front {
+    fn handle(&self, exchange: Exchange) {
+        let path = exchange.head.uri.path().to_owned();
+        match path.as_str() {
+            paths::MAIL => self.mail(exchange),
+            paths::IDENTITY => self.identity(exchange),
+            paths::VIEW => self.peer(exchange, paths::VIEW, PeerKind::View, view),
+            paths::CLAIM => self.peer(exchange, paths::CLAIM, PeerKind::Claim, claim),
+            paths::SETTLE => self.peer(exchange, paths::SETTLE, PeerKind::Settle, settle),
+            paths::USAGE => {
+                self.counters.count(Counter::UsageMerged);
+                let usage = |report: Report| Question::Run(Command::Usage(report));
+                self.peer(exchange, paths::USAGE, PeerKind::Usage, usage);
+            }
+            "/counters" => admin::counters(exchange, &self.counters),
+            _ => self.admin(exchange),
+        }
+    }
+
+    fn refuse(&self, exchange: Exchange, kind: Kind) {
+        self.counters.refuse(kind);
+        admin::refuse(exchange, kind.answer().status, kind.answer().text, None);
+    }
+}
+
+impl Front {
+    fn mail(&self, exchange: Exchange) {
+        let Some(mail) = self.open::<Mail>(paths::MAIL, &exchange) else {
+            return self.refuse(exchange, Kind::PeerInvalid);
+        };
+        let _ = self
+            .inbox
+            .send(Input::Mail(mail.from, mail.to, mail.messages));
+        exchange.reply(200, HeaderMap::new(), Vec::new());
+    }
+
+    fn identity(&self, exchange: Exchange) {
+        if self.open::<()>(paths::IDENTITY, &exchange).is_none() {
+            return self.refuse(exchange, Kind::PeerInvalid);
+        }
+        let answer = Answer::Done((self.id, self.host.clone()));
+        match self.sealer.seal(paths::ANSWER, &answer) {
+            Ok(bytes) => exchange.reply(200, HeaderMap::new(), bytes),
+            Err(_) => self.refuse(exchange, Kind::Internal),
+        }
+    }
+
+    fn peer<T: DeserializeOwned>(
+        &self,
+        exchange: Exchange,
+        path: &str,
+        kind: PeerKind,
+        question: impl FnOnce(T) -> Question,
+    ) {
+        let Some(ask) = self.open::<T>(path, &exchange) else {
+            return self.refuse(exchange, Kind::PeerInvalid);
+        };
+        self.ask(exchange, Form::Peer(kind), question(ask));
+    }
+
+    fn admin(&self, exchange: Exchange) {
+        match admin::question(&exchange, &self.operators) {
+            Ok((kind, question)) => self.ask(exchange, Form::Admin(kind), question),
+            Err(fault) => admin::refuse(exchange, fault.status, &fault.text, None),
+        }
+    }
+
+    fn ask(&self, exchange: Exchange, form: Form, question: Question) {
+        let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
+        let waiting = Waiting {
+            ticket,
+            exchange,
+            form,
+        };
+        // If the core has ended, the exchange is dropped and the asker sees a closed connection.
+        let _ = self.inbox.call(waiting, Input::Ask(ticket, question));
+    }
+
+    fn open<T: DeserializeOwned>(&self, path: &str, exchange: &Exchange) -> Option<T> {
+        match self.sealer.open(path, &exchange.body) {
+            Ok(message) => Some(message),
+            Err(fault) => {
+                event!(self.log, PeerRefused, "fault" => fault.to_string());
+                None
+            }
+        }
+    }
+}
+
+fn view(ask: ViewAsk) -> Question {
+    let id = ViewerId {
+        host: ask.host,
+        side: match ask.side {
+            Side::Entry => ViewerSide::Entry,
+            Side::Agent => ViewerSide::Agent,
+        },
+        run: ask.run,
+    };
+    Question::View(id, ask.revision, ask.wait)
+}
+
+fn claim(ask: ClaimAsk) -> Question {
+    Question::Run(Command::Claim {
+        key: (ask.account, ask.key),
+        fingerprint: ask.fingerprint,
+        attempt: ask.attempt,
+        // The core puts its own time in.
+        now: 0,
+    })
+}
+
+fn settle(ask: SettleAsk) -> Question {
+    Question::Run(Command::Settle {
+        key: (ask.account, ask.key),
+        attempt: ask.attempt,
+        settlement: ask.settlement,
+    })
+}
+
+/// Writes answers.
+pub(crate) struct Replies {
+    pub(crate) sealer: Sealer,
+    pub(crate) host: HostName,
+}
+
+impl Replies {
+    /// Answers one of the system's own processes.
+    pub(crate) fn peer(&self, exchange: Exchange, kind: PeerKind, reply: Reply) {
+        match (kind, reply) {
+            (PeerKind::View, Reply::View(update, hosts)) => {
+                let answer = ViewAnswer {
+                    update,
+                    fresh: FRESH,
+                    hosts,
+                };
+                self.seal(exchange, &Answer::Done(answer));
+            }
+            (PeerKind::Claim, Reply::Outcome(Outcome::Claimed(claimed))) => {
+                self.seal(exchange, &Answer::Done(claimed));
+            }
+            (PeerKind::Settle, Reply::Outcome(Outcome::Settled(taken))) => {
+                self.seal(exchange, &Answer::Done(taken));
+            }
+            (PeerKind::Usage, Reply::Outcome(Outcome::Noted)) => {
+                self.seal(exchange, &Answer::Done(()));
+            }
+            (kind, Reply::Elsewhere(leader)) => self.elsewhere(exchange, kind, leader),
+            (kind, _) => self.unavailable(exchange, kind),
+        }
+    }
+
+    fn elsewhere(&self, exchange: Exchange, kind: PeerKind, leader: Option<SocketAddr>) {
+        match kind {
+            PeerKind::View => self.seal(exchange, &Answer::<ViewAnswer>::Elsewhere(leader)),
+            PeerKind::Claim => self.seal(exchange, &Answer::<Claimed>::Elsewhere(leader)),
+            PeerKind::Settle => self.seal(exchange, &Answer::<bool>::Elsewhere(leader)),
+            PeerKind::Usage => self.seal(exchange, &Answer::<()>::Elsewhere(leader)),
+        }
+    }
+
+    fn unavailable(&self, exchange: Exchange, kind: PeerKind) {
+        match kind {
+            PeerKind::View => self.seal(exchange, &Answer::<ViewAnswer>::Unavailable),
+            PeerKind::Claim => self.seal(exchange, &Answer::<Claimed>::Unavailable),
+            PeerKind::Settle => self.seal(exchange, &Answer::<bool>::Unavailable),
+            PeerKind::Usage => self.seal(exchange, &Answer::<()>::Unavailable),
+        }
+    }
+
+    fn seal<T: Serialize>(&self, exchange: Exchange, answer: &Answer<T>) {
+        match self.sealer.seal(paths::ANSWER, answer) {
+            Ok(bytes) => exchange.reply(200, HeaderMap::new(), bytes),
+            Err(_) => exchange.reply(500, HeaderMap::new(), Vec::new()),
+        }
+    }
+}
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -63,6 +63,8 @@
     Delivered(u64, bool),
     /// Give the leadership away if it is held.
     HandOver,
+    /// The disk failed: do nothing any more, so that the others go on without this host.
+    Halt,
 }
 
 /// An answer.
@@ -70,8 +72,8 @@
 pub enum Reply {
     /// What a command did.
     Outcome(Outcome),
-    /// What brings a follower up to date.
-    View(Update),
+    /// What brings a follower up to date, and where the control hosts are.
+    View(Update, Vec<SocketAddr>),
     /// The configuration: its revision and the changes that build it.
     Config(Revision, Vec<conf::Change>),
     /// The group was changed, or not.
@@ -87,6 +89,8 @@
 /// Where a control host stands.
 #[derive(Clone, Debug)]
 pub struct Status {
+    /// When this was said.
+    pub at: Tick,
     /// The agreement's standing.
     pub standing: Standing,
     /// The revision in force here.
@@ -233,14 +237,15 @@
             Question::Config => self.read(now, ticket, out),
             Question::Member(change) => self.change_group(now, ticket, &change, out),
             Question::Status => {
-                let status = Box::new(self.status());
+                let status = Box::new(self.status(now));
                 out.push(Output::Reply(ticket, Reply::Status(status)));
             }
         }
     }
 
-    fn status(&self) -> Status {
+    fn status(&self, now: Tick) -> Status {
         Status {
+            at: now,
             standing: self.node.standing(),
             revision: self.machine.registry.config().revision(),
             log: self.node.log_len(),
@@ -486,11 +491,17 @@
                 }
             }
         }
+        let hosts: Vec<_> = self
+            .node
+            .group()
+            .iter()
+            .map(|member| member.address)
+            .collect();
         let registry = &self.machine.registry;
         let revision = registry.config().revision();
         for (ticket, held) in self.viewers.take_ready(now, self.applied, revision) {
             let update = registry.update_since(held);
-            out.push(Output::Reply(ticket, Reply::View(update)));
+            out.push(Output::Reply(ticket, Reply::View(update, hosts.clone())));
         }
         for (ticket, _) in self.viewers.take_late(now) {
             out.push(Output::Reply(ticket, Reply::Unavailable));
@@ -569,6 +580,10 @@
             Input::HandOver => {
                 self.node.hand_over(now, &mut inner);
             }
+            Input::Halt => {
+                self.broken = true;
+                return;
+            }
         }
         self.carry(now, inner, out);
         self.govern_usage(now, out);
@@ -592,6 +607,9 @@
     }
 
     fn deadline(&self) -> Option<Tick> {
+        if self.broken {
+            return None;
+        }
         let reads = self.reads.iter().map(|read| read.until).min();
         let node = self.node.deadline();
         [node, self.viewers.deadline(), reads]
--- a/crates/ids/src/digest.rs
+++ b/crates/ids/src/digest.rs
@@ -90,6 +90,34 @@
     }
 }
 
+/// The text is not a digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DigestError;
+
+impl fmt::Display for DigestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a digest has 64 hexadecimal digits")
+    }
+}
+
+impl std::error::Error for DigestError {}
+
+impl FromStr for Digest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, DigestError> {
+        let mut bytes = [0; 32];
+        if text.len() != 2 * bytes.len() || !text.is_ascii() {
+            return Err(DigestError);
+        }
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            let pair = &text[2 * i..2 * i + 2];
+            *byte = u8::from_str_radix(pair, 16).map_err(|_| DigestError)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
 /// Turns clear keys into digests; derived from the cluster secret.
 #[derive(Clone)]
 pub struct DigestKey([u8; 32]);
@@ -131,6 +159,11 @@
             let secret = Secret::generate();
             assert_ne!(digest("a", &secret), digest("b", &secret));
         };
+        digest_round_trip: {
+            let digest = digest("a", &Secret::generate());
+            assert_eq!(digest.to_string().parse(), Ok(digest));
+        };
+        short_digest: assert_eq!("00".parse::<Digest>(), Err(DigestError));
         debug_hides_the_key: assert_eq!(format!("{:?}", Secret::generate()), "Secret(..)");
     }
 }
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -6,7 +6,7 @@
 mod tick;
 mod unit;
 
-pub use digest::{Digest, DigestKey, Secret, SecretError};
+pub use digest::{Digest, DigestError, DigestKey, Secret, SecretError};
 pub use key::{AccountId, AttemptKey, ClassId, EndpointId, GrantId, RequestId, RouteId, ZoneId};
 pub use name::{
     AccountName, ClassName, ClusterName, EndpointName, GrantName, HostName, ModelName, NameError,
--- /dev/null
+++ b/crates/local/src/demo.rs
@@ -0,0 +1,218 @@
+//! The demo: one call of each kind, and what each got.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use edge::{CallError, Link, Target};
+use ids::Secret;
+use obs::Logger;
+use serde_json::Value;
+
+use crate::local::{Local, LocalError, Options};
+
+/// How long each answer may take.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One row of the demo's table.
+#[derive(Clone, Debug)]
+pub struct Check {
+    /// What was tried.
+    pub name: &'static str,
+    /// What came back.
+    pub got: String,
+    /// Whether that is as it must be.
+    pub good: bool,
+}
+
+/// What came back to a call.
+struct Answer {
+    status: u16,
+    run: String,
+    body: String,
+    pieces: usize,
+}
+
+/// Starts everything, makes the calls, stops everything.
+///
+/// # Errors
+///
+/// [`LocalError`] if the system cannot start.
+pub fn demo(options: &Options, log: &Logger) -> Result<Vec<Check>, LocalError> {
+    let local = Local::start(options, log)?;
+    let (name, key) = local.new_key("norte")?;
+    let mut checks = vec![
+        streamed(&local, &key),
+        whole(&local, &key),
+        booked_once(&local, &key),
+        bad_key(&local),
+    ];
+    local.withdraw(&name)?;
+    checks.push(withdrawn(&local, &key));
+    checks.push(no_key_seen(&local, &key));
+    local.close();
+    Ok(checks)
+}
+
+fn chat(stream: bool) -> String {
+    format!(
+        r#"{{"model":"crew-assistant","stream":{stream},"max_tokens":12,
+            "messages":[{{"role":"user","content":"pipe history of main 7"}}]}}"#
+    )
+}
+
+fn post(
+    entry: SocketAddr,
+    path: &str,
+    fields: &[(&str, &str)],
+    body: String,
+) -> Result<Answer, CallError> {
+    let fields: Vec<_> = fields
+        .iter()
+        .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+        .collect();
+    let request = edge::request(entry, "POST", path, &fields, body.into_bytes())?;
+    let target = Target {
+        address: entry,
+        connect: PATIENCE,
+        first: PATIENCE,
+    };
+    let mut link = Link::open(target, request)?;
+    let run = link
+        .headers
+        .get("berg-run")
+        .and_then(|value| value.to_str().ok());
+    let run = run.unwrap_or_default().to_owned();
+    let status = link.status;
+    let (mut body, mut pieces) = (Vec::new(), 0);
+    while let Some(piece) = link.piece()? {
+        body.extend_from_slice(&piece);
+        pieces += 1;
+    }
+    Ok(Answer {
+        status,
+        run,
+        body: String::from_utf8_lossy(&body).into_owned(),
+        pieces,
+    })
+}
+
+fn check(
+    name: &'static str,
+    answer: Result<Answer, CallError>,
+    good: impl FnOnce(&Answer) -> bool,
+    show: impl FnOnce(&Answer) -> String,
+) -> Check {
+    match answer {
+        Ok(answer) => Check {
+            name,
+            good: good(&answer),
+            got: show(&answer),
+        },
+        Err(fault) => Check {
+            name,
+            good: false,
+            got: fault.to_string(),
+        },
+    }
+}
+
+fn bearer(key: &Secret) -> String {
+    format!("Bearer {}", key.reveal())
+}
+
+fn streamed(local: &Local, key: &Secret) -> Check {
+    let bearer = bearer(key);
+    let fields = [("authorization", bearer.as_str())];
+    let answer = post(local.entry(), "/v1/chat/completions", &fields, chat(true));
+    check(
+        "streamed call",
+        answer,
+        |a| a.status == 200 && a.pieces >= 12 && a.body.ends_with("data: [DONE]\n\n"),
+        |a| format!("{} in {} pieces", a.status, a.pieces),
+    )
+}
+
+fn whole(local: &Local, key: &Secret) -> Check {
+    let fields = [("x-api-key", key.reveal())];
+    let answer = post(local.entry(), "/v1/chat/completions", &fields, chat(false));
+    let tokens = |a: &Answer| {
+        let body: Value = serde_json::from_str(&a.body).unwrap_or_default();
+        body["usage"]["completion_tokens"].as_u64()
+    };
+    check(
+        "whole call",
+        answer,
+        |a| a.status == 200 && tokens(a) == Some(12),
+        |a| format!("{} with {} tokens", a.status, tokens(a).unwrap_or(0)),
+    )
+}
+
+fn booked_once(local: &Local, key: &Secret) -> Check {
+    let bearer = bearer(key);
+    let fields = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", "shutoff-1"),
+    ];
+    let body = r#"{"valve": 12}"#;
+    let book = || post(local.entry(), "/permits/shutoff", &fields, body.to_owned());
+    let (first, again) = (book(), book());
+    let same = first.as_ref().ok().map(|a| a.body.clone());
+    let runs = local.service.runs("POST", "/permits/shutoff", body);
+    check(
+        "booking sent twice",
+        again,
+        |a| a.status == 201 && Some(&a.body) == same.as_ref() && runs == 1,
+        |a| format!("{} and the same answer again, {runs} run", a.status),
+    )
+}
+
+fn bad_key(local: &Local) -> Check {
+    let stranger = bearer(&Secret::generate());
+    let fields = [("authorization", stranger.as_str())];
+    refused(
+        "unknown key",
+        post(local.entry(), "/v1/chat/completions", &fields, chat(false)),
+    )
+}
+
+fn withdrawn(local: &Local, key: &Secret) -> Check {
+    let bearer = bearer(key);
+    let fields = [("authorization", bearer.as_str())];
+    refused(
+        "withdrawn key",
+        post(local.entry(), "/v1/chat/completions", &fields, chat(false)),
+    )
+}
+
+fn refused(name: &'static str, answer: Result<Answer, CallError>) -> Check {
+    check(
+        name,
+        answer,
+        |a| a.status == 401 && a.run == "not-run",
+        |a| format!("{} {}", a.status, a.run),
+    )
+}
+
+fn no_key_seen(local: &Local, key: &Secret) -> Check {
+    let engines = local
+        .engines
+        .iter()
+        .map(|engine| engine.transcript().bytes());
+    let seen: Vec<u8> = engines
+        .chain([local.service.transcript().bytes()])
+        .flatten()
+        .collect();
+    let found = Secret::find(&seen).is_some()
+        || seen
+            .windows(key.reveal().len())
+            .any(|w| w == key.reveal().as_bytes());
+    Check {
+        name: "keys at the endpoints",
+        got: format!(
+            "{} in {} bytes seen",
+            if found { "found" } else { "none" },
+            seen.len()
+        ),
+        good: !found && !seen.is_empty(),
+    }
+}
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -1,1 +1,7 @@
-//! x
+//! All roles and the stand-ins in one process on loopback: the quick start and the demo.
+
+mod demo;
+mod local;
+
+pub use demo::{Check, demo};
+pub use local::{Local, LocalError, Options};
