--- a/cmd/berg-control/src/main.rs
+++ b/cmd/berg-control/src/main.rs
@@ -1,10 +1,13 @@
-//! Runs one control.
+//! Runs one control host.
 
 mod flags;
 
 use std::process::ExitCode;
 
-use control::Settings;
+use control::{Settings, Start};
+use crossbeam::channel::{Receiver, bounded, select};
+use flags::Task;
+use ids::{DigestKey, OperatorName, Secret};
 use obs::Counters;
 
 /// Exit code for faults on the command line or in the settings.
@@ -12,15 +15,49 @@
 
 fn main() -> ExitCode {
     let flags = flags::parse();
+    if let Task::Operator(name) = &flags.task {
+        return operator(&flags.settings, name);
+    }
     let settings = match Settings::try_from(flags.settings.as_path()) {
         Ok(settings) => settings,
         Err(fault) => return fail(fault, USAGE),
     };
-    if flags.check {
-        println!("{}: valid", flags.settings.display());
-        return ExitCode::SUCCESS;
+    match flags.task {
+        Task::Check => {
+            println!("{}: valid", flags.settings.display());
+            ExitCode::SUCCESS
+        }
+        Task::Init => init(&settings, Start::Group),
+        Task::Join => init(&settings, Start::Join),
+        Task::Serve | Task::Operator(_) => serve(&settings),
     }
-    serve(&settings)
+}
+
+fn init(settings: &Settings, start: Start) -> ExitCode {
+    match control::init(settings, start) {
+        Ok(id) => {
+            println!("member {id}");
+            ExitCode::SUCCESS
+        }
+        Err(fault) => fail(fault, 1),
+    }
+}
+
+/// Makes an operator's key. The settings need not name an operator yet.
+fn operator(path: &std::path::Path, name: &str) -> ExitCode {
+    let secret = match control::read_secret(path) {
+        Ok(secret) => secret,
+        Err(fault) => return fail(fault, USAGE),
+    };
+    let name = match OperatorName::try_from(name) {
+        Ok(name) => name,
+        Err(fault) => return fail(fault, USAGE),
+    };
+    let key = Secret::generate();
+    let digest = DigestKey::derive(&secret).digest(&key);
+    println!("{}", key.reveal());
+    eprintln!("[[operators]]\nname = \"{name}\"\ndigest = \"{digest}\"");
+    ExitCode::SUCCESS
 }
 
 fn serve(settings: &Settings) -> ExitCode {
@@ -34,14 +71,25 @@
         Ok(handle) => handle,
         Err(fault) => return fail(fault, 1),
     };
-    let stopped = obs::wait_for_stop();
-    handle.close();
-    match stopped {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => fail(fault, 1),
+    select! {
+        recv(stop()) -> _ => {
+            handle.close();
+            ExitCode::SUCCESS
+        }
+        // Nothing is closed: what the disk holds is not known any more.
+        recv(handle.failure()) -> fault => fail(fault.unwrap_or_default(), 1),
     }
 }
 
+fn stop() -> Receiver<()> {
+    let (tx, rx) = bounded(1);
+    std::thread::spawn(move || {
+        let _ = obs::wait_for_stop();
+        let _ = tx.send(());
+    });
+    rx
+}
+
 fn fail(fault: impl std::fmt::Display, code: u8) -> ExitCode {
     eprintln!("berg-control: {fault}");
     ExitCode::from(code)
--- a/cmd/berg/src/main.rs
+++ b/cmd/berg/src/main.rs
@@ -1,2 +1,36 @@
-//! x
-fn main() {}
+//! The operators' command line.
+
+mod change;
+mod config;
+mod flags;
+mod run;
+mod show;
+
+use std::process::ExitCode;
+
+use config::Operator;
+use flags::Berg;
+
+/// Exit code for faults on the command line or in a file.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = Berg::from_env_or_exit();
+    if flags.version {
+        println!("berg {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let operator = match Operator::try_from(&flags) {
+        Ok(operator) => operator,
+        Err(fault) => return fail(&fault, USAGE),
+    };
+    match run::run(&flags, &operator) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => fail(&fault, fault.code()),
+    }
+}
+
+fn fail(fault: &dyn std::fmt::Display, code: u8) -> ExitCode {
+    eprintln!("berg: {fault}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/cmd/berg/src/show.rs
@@ -0,0 +1,154 @@
+//! Output: tables for people, JSON for programs.
+
+use agree::Stage;
+use conf::Change;
+use ids::Revision;
+use serde::Serialize;
+use wire::{ConfigAnswer, KeyAnswer, StatusAnswer, UsageAnswer};
+
+fn json<T: Serialize>(value: &T) {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(fault) => eprintln!("berg: {fault}"),
+    }
+}
+
+pub(crate) fn revision(revision: Revision, as_json: bool) {
+    if as_json {
+        json(&serde_json::json!({"revision": revision}));
+    } else {
+        println!("revision {revision}");
+    }
+}
+
+pub(crate) fn key(answer: &KeyAnswer, as_json: bool) {
+    if as_json {
+        json(answer);
+    } else {
+        println!(
+            "name {}\nkey {}\nrevision {}",
+            answer.name, answer.key, answer.revision
+        );
+    }
+}
+
+pub(crate) fn changes(changes: &[Change], as_json: bool) {
+    if as_json {
+        json(&changes);
+    } else {
+        changes.iter().for_each(|change| println!("{change}"));
+    }
+}
+
+pub(crate) fn config(answer: &ConfigAnswer, as_json: bool) {
+    if as_json {
+        json(answer);
+    } else {
+        println!("revision {}", answer.revision);
+        changes(&answer.changes, false);
+    }
+}
+
+/// Lists the records of one kind, one on a line.
+pub(crate) fn list(kind: &str, answer: &ConfigAnswer, as_json: bool) {
+    let of_kind = answer
+        .changes
+        .iter()
+        .filter(|change| change.subject().0 == kind);
+    let rows: Vec<_> = of_kind.cloned().collect();
+    if as_json {
+        return json(&rows);
+    }
+    for change in &rows {
+        let fields = match serde_json::to_value(change) {
+            Ok(serde_json::Value::Object(map)) => map.into_values().next().unwrap_or_default(),
+            _ => continue,
+        };
+        match (change, fields.as_object()) {
+            (Change::WithdrawGrant(name), _) => println!("{name} withdrawn"),
+            (Change::CloseAccount(name), _) => println!("{name} closed"),
+            (_, Some(fields)) => println!("{}", row(fields)),
+            (_, None) => {}
+        }
+    }
+}
+
+fn row(fields: &serde_json::Map<String, serde_json::Value>) -> String {
+    let text = |value: &serde_json::Value| match value {
+        serde_json::Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    let name = fields.get("name").map(text).unwrap_or_default();
+    let rest = fields.iter().filter(|(field, _)| *field != "name");
+    rest.fold(format!("{name:<20}"), |line, (field, value)| {
+        format!("{line} {field}={}", text(value))
+    })
+}
+
+pub(crate) fn status(hosts: &[StatusAnswer], as_json: bool) {
+    if as_json {
+        return json(&hosts);
+    }
+    for host in hosts {
+        let leads = host
+            .members
+            .iter()
+            .any(|member| member.leads && member.host == host.host);
+        println!(
+            "{:<20} term {} revision {} log {} claims {}{}",
+            host.host,
+            host.term,
+            host.revision,
+            host.log,
+            host.claims,
+            if leads { " leader" } else { "" }
+        );
+    }
+    let viewers = hosts.iter().flat_map(|host| &host.viewers);
+    for viewer in viewers.filter(|viewer| viewer.fresh_ms > 0) {
+        println!(
+            "  {:<18} {:<6} revision {} good for {} ms",
+            viewer.host,
+            format!("{:?}", viewer.side).to_lowercase(),
+            viewer.revision,
+            viewer.fresh_ms
+        );
+    }
+}
+
+pub(crate) fn members(hosts: &[StatusAnswer], as_json: bool) {
+    let newest = hosts.iter().max_by_key(|host| (host.term, host.revision));
+    let Some(newest) = newest else {
+        return;
+    };
+    if as_json {
+        return json(&newest.members);
+    }
+    for member in &newest.members {
+        let stage = match member.stage {
+            Stage::Learner => "learner",
+            Stage::Voter => "voter",
+        };
+        let leads = if member.leads { " leader" } else { "" };
+        println!(
+            "{:<20} {} {} {stage}{leads}",
+            member.host, member.id, member.address
+        );
+    }
+}
+
+pub(crate) fn usage(answer: &UsageAnswer, as_json: bool) {
+    if as_json {
+        return json(answer);
+    }
+    for window in &answer.windows {
+        let end = window.end.map_or("now".to_owned(), |end| end.to_string());
+        println!("window {} until {end} {}", window.number, window.state);
+        for line in &window.lines {
+            println!(
+                "  {:<18} {:<12} runs {} input {} output {}",
+                line.account, line.class, line.runs, line.input, line.output
+            );
+        }
+    }
+}
--- a/crates/conf/src/registry.rs
+++ b/crates/conf/src/registry.rs
@@ -21,8 +21,9 @@
     pub name: ProposalName,
     /// Who asks.
     pub operator: OperatorName,
-    /// The revision the request was made on.
-    pub base: Revision,
+    /// The revision the request was made on; none for a change that does not depend on others,
+    /// such as a new key.
+    pub base: Option<Revision>,
     /// The changes, all or none.
     pub changes: Vec<Change>,
 }
@@ -130,10 +131,10 @@
 
     fn judge(&mut self, proposal: &Proposal) -> Verdict {
         let current = self.config.revision();
-        if proposal.base != current {
+        if let Some(base) = proposal.base.filter(|base| *base != current) {
             return Verdict::Conflict {
                 current,
-                since: self.since(proposal.base).unwrap_or_default(),
+                since: self.since(base).unwrap_or_default(),
             };
         }
         let revision = match self.config.apply_all(&proposal.changes) {
--- a/crates/conf/tests/rules.rs
+++ b/crates/conf/tests/rules.rs
@@ -63,7 +63,7 @@
     Proposal {
         name: name.try_into().unwrap(),
         operator: "ana".try_into().unwrap(),
-        base: Revision(base),
+        base: Some(Revision(base)),
         changes: changes(change),
     }
 }
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use agree::{Member, MemberChange, MemberId, Stage};
-use conf::{Proposal, Verdict};
+use conf::{Change, GrantSpec, Proposal, Verdict};
 use edge::Exchange;
 use govern::{Outcome, Question, Reply, Status, Viewer, ViewerSide};
-use ids::{DigestKey, OperatorName, Secret};
+use ids::{DigestKey, GrantName, OperatorName, ProposalName, Secret};
 use obs::Counters;
 use oxhttp::model::header::CONTENT_TYPE;
 use oxhttp::model::{HeaderMap, HeaderValue};
@@ -14,20 +14,22 @@
 use serde::de::DeserializeOwned;
 use usage::{Counts, Delivery, Line};
 use wire::{
-    ConfigAnswer, ErrorAnswer, MemberRow, NewMember, Operator, Propose, ProposeAnswer, SealedRow,
-    Side, StatusAnswer, UsageAnswer, UsageRow, ViewerRow,
+    ConfigAnswer, ErrorAnswer, KeyAnswer, MemberRow, NewKey, NewMember, Operator, Propose,
+    ProposeAnswer, SealedRow, Side, StatusAnswer, UsageAnswer, UsageRow, ViewerRow,
 };
 
 use crate::front::Replies;
 
 /// What an answer to an operator holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum AdminKind {
     Status,
     Config,
     Change,
     Usage,
     Member,
+    /// The clear key is shown once, in this answer.
+    Key(GrantName, Secret),
 }
 
 /// Who may operate the system.
@@ -78,11 +80,12 @@
             let proposal = Proposal {
                 name: ask.name,
                 operator: operator.clone(),
-                base: ask.base,
+                base: Some(ask.base),
                 changes: ask.changes,
             };
             Ok((AdminKind::Change, Question::Propose(proposal)))
         }
+        ("POST", "/v1/keys") => new_key(read(exchange)?, operator, operators),
         ("POST", "/v1/members") => {
             let change = MemberChange::Add(member(read(exchange)?)?);
             Ok((AdminKind::Member, Question::Member(change)))
@@ -102,6 +105,33 @@
         .map_err(|fault| refusal(400, format!("the body is not valid: {fault}")))
 }
 
+/// Makes a key. Only its digest goes into the proposal.
+fn new_key(
+    ask: NewKey,
+    operator: &OperatorName,
+    operators: &Operators,
+) -> Result<(AdminKind, Question), Refusal> {
+    let secret = Secret::generate();
+    let grant = GrantSpec {
+        name: ask.name.clone(),
+        account: ask.account,
+        digest: operators.digests.digest(&secret),
+        class: ask.class,
+    };
+    let request = format!("key/{:032x}", rand::random::<u128>());
+    let request = ProposalName::try_from(request.as_str());
+    let proposal = Proposal {
+        name: request.map_err(|fault| refusal(500, fault))?,
+        operator: operator.clone(),
+        base: None,
+        changes: vec![Change::PutGrant(grant)],
+    };
+    Ok((
+        AdminKind::Key(ask.name, secret),
+        Question::Propose(proposal),
+    ))
+}
+
 fn member(ask: NewMember) -> Result<Member, Refusal> {
     Ok(Member {
         id: member_id(&ask.id)?,
@@ -140,6 +170,9 @@
             };
             json(exchange, status, &ProposeAnswer { verdict });
         }
+        (AdminKind::Key(name, secret), Reply::Outcome(Outcome::Verdict(verdict))) => {
+            show_key(exchange, name, &secret, verdict);
+        }
         (AdminKind::Member, Reply::Member(Ok(()))) => json(exchange, 200, &()),
         (AdminKind::Member, Reply::Member(Err(fault))) => {
             refuse(exchange, 409, &fault.to_string(), None);
@@ -153,6 +186,27 @@
     }
 }
 
+fn show_key(exchange: Exchange, name: GrantName, secret: &Secret, verdict: Verdict) {
+    match verdict {
+        Verdict::Accepted(revision) => {
+            let key = secret.reveal().to_owned();
+            json(
+                exchange,
+                200,
+                &KeyAnswer {
+                    name,
+                    key,
+                    revision,
+                },
+            );
+        }
+        Verdict::Invalid(fault) => refuse(exchange, 422, &fault.to_string(), None),
+        Verdict::Conflict { .. } | Verdict::NameReused(_) => {
+            refuse(exchange, 409, "the configuration changed; try again", None);
+        }
+    }
+}
+
 fn show(status: &Status, replies: &Replies) -> StatusAnswer {
     let leader = status.standing.leader;
     let row = |member: &Member| MemberRow {
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -29,7 +29,7 @@
 }
 
 /// The form an answer takes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Form {
     /// Sealed, for a process of the system.
     Peer(PeerKind),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,4 +11,4 @@
 mod settings;
 
 pub use role::{Handle, RunError, Start, init, run};
-pub use settings::Settings;
+pub use settings::{Settings, read_secret};
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -76,12 +76,12 @@
     Join,
 }
 
-/// Initialises an empty data folder with a new identity.
+/// Initialises an empty data folder with a new identity, and returns it.
 ///
 /// # Errors
 ///
 /// [`RunError::Store`], also if the folder holds state already.
-pub fn init(settings: &Settings, start: Start) -> Result<(), RunError> {
+pub fn init(settings: &Settings, start: Start) -> Result<MemberId, RunError> {
     let id = rand::random();
     let address = settings.advertise.unwrap_or(settings.common.listen);
     let first = match start {
@@ -101,7 +101,8 @@
             }],
         },
     };
-    Ok(Vault::init(&settings.data, id, &codec::frame(&[first])?)?)
+    Vault::init(&settings.data, id, &codec::frame(&[first])?)?;
+    Ok(MemberId(id))
 }
 
 /// A running control host.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -104,6 +104,23 @@
     }
 }
 
+#[derive(Deserialize)]
+struct RawSecret {
+    secret_file: String,
+}
+
+/// Reads the cluster secret that a settings file names, whatever else the file lacks.
+///
+/// # Errors
+///
+/// [`SettingsError`], with the reason.
+pub fn read_secret(path: &Path) -> Result<String, SettingsError> {
+    let raw: RawSecret = setting::read(path)?;
+    let mut check = Check::new(path);
+    let secret = check.file("secret_file", &raw.secret_file);
+    check.close(secret)
+}
+
 fn operator(raw: &RawOperator, check: &mut Check) -> Option<Operator> {
     let name = check.parse("operators.name", &raw.name);
     let digest = check.parse("operators.digest", &raw.digest);
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -6,15 +6,15 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use conf::{Change, GrantSpec};
+use conf::Change;
 use edge::Limits;
 use fake::{EngineHost, PlatformHost, Profile, ServiceHost};
-use ids::{AccountName, DigestKey, GrantName, Revision, Secret};
+use ids::{DigestKey, GrantName, Revision, Secret};
 use obs::{Counters, LogFormat, Logger};
 use ops::Ops;
 use setting::Common;
 use tempfile::TempDir;
-use wire::{NewMember, Operator};
+use wire::{NewKey, NewMember, Operator};
 
 /// How long one call of the plain service takes.
 const SERVICE_TAKES: Duration = Duration::from_millis(5);
@@ -125,7 +125,6 @@
     pub platform: PlatformHost,
     /// What all roles count.
     pub counters: Counters,
-    digests: DigestKey,
     key: Secret,
     log: Logger,
     controls: Vec<ControlSlot>,
@@ -176,7 +175,6 @@
         let base = base(&data)?;
         let counters = Counters::local();
         let platform = PlatformHost::start(free()).map_err(part("platform"))?;
-        let digests = DigestKey::derive(&base.secret);
         let controls = start_controls(options, &base, platform.address(), log, &counters)?;
         let addresses: Vec<_> = controls
             .iter()
@@ -217,7 +215,6 @@
             service,
             platform,
             counters,
-            digests,
             key: base.operator,
             log: log.clone(),
             controls,
@@ -259,17 +256,14 @@
     ///
     /// [`LocalError::Setup`].
     pub fn new_key(&self, account: &str) -> Result<(GrantName, Secret), LocalError> {
-        let secret = Secret::generate();
         let name = format!("{account}-{:08x}", rand::random::<u32>());
-        let name: GrantName = name.as_str().try_into().map_err(part("key"))?;
-        let grant = GrantSpec {
-            name: name.clone(),
-            account: AccountName::try_from(account).map_err(part("account"))?,
-            digest: self.digests.digest(&secret),
+        let answer = self.ops.new_key(&NewKey {
+            name: name.as_str().try_into().map_err(part("key"))?,
+            account: account.try_into().map_err(part("account"))?,
             class: None,
-        };
-        self.confirm(self.ops.change(&[Change::PutGrant(grant)])?)?;
-        Ok((name, secret))
+        })?;
+        self.confirm(answer.revision)?;
+        Ok((answer.name, answer.key.parse().map_err(part("key"))?))
     }
 
     /// Withdraws a key and waits until it is refused everywhere.
--- a/crates/ops/src/client.rs
+++ b/crates/ops/src/client.rs
@@ -10,7 +10,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use wire::{
-    ConfigAnswer, ErrorAnswer, NewMember, Propose, ProposeAnswer, StatusAnswer, UsageAnswer,
+    ConfigAnswer, ErrorAnswer, KeyAnswer, NewKey, NewMember, Propose, ProposeAnswer, StatusAnswer,
+    UsageAnswer,
 };
 
 /// How long one call may take.
@@ -199,6 +200,15 @@
         }
     }
 
+    /// Creates a key. Its clear text is in this answer and nowhere else.
+    ///
+    /// # Errors
+    ///
+    /// [`OpsError`]. After a lost answer the key may exist; withdraw it by its name.
+    pub fn new_key(&self, key: &NewKey) -> Result<KeyAnswer, OpsError> {
+        self.call("POST", "/v1/keys", Some(key))
+    }
+
     /// Adds a host to the control group.
     ///
     /// # Errors
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use conf::{Change, Verdict};
-use ids::{AccountName, ClassName, Digest, HostName, OperatorName, ProposalName, Revision, Term};
+use ids::{
+    AccountName, ClassName, Digest, GrantName, HostName, OperatorName, ProposalName, Revision, Term,
+};
 use serde::{Deserialize, Serialize};
 
 /// An operator as the control hosts' settings name one.
@@ -126,6 +128,30 @@
     pub windows: Vec<SealedRow>,
 }
 
+/// Creates a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NewKey {
+    /// The key's name; not secret.
+    pub name: GrantName,
+    /// The account it stands for.
+    pub account: AccountName,
+    /// The class of requests under it, where it differs from the route's.
+    #[serde(default)]
+    pub class: Option<ClassName>,
+}
+
+/// A key just created. The clear text is shown here and nowhere else.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyAnswer {
+    /// The key's name.
+    pub name: GrantName,
+    /// The clear text.
+    pub key: String,
+    /// The revision from which on it works.
+    pub revision: Revision,
+}
+
 /// Adds a member to the control group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,8 +8,8 @@
 mod peer;
 
 pub use admin::{
-    ConfigAnswer, ErrorAnswer, MemberRow, NewMember, Operator, Propose, ProposeAnswer, SealedRow,
-    StatusAnswer, UsageAnswer, UsageRow, ViewerRow,
+    ConfigAnswer, ErrorAnswer, KeyAnswer, MemberRow, NewKey, NewMember, Operator, Propose,
+    ProposeAnswer, SealedRow, StatusAnswer, UsageAnswer, UsageRow, ViewerRow,
 };
 pub use attempt::{Advert, Attempt, AttemptHead, Call, Frame, Served};
 pub use codec::{FrameError, Sealer, WireError, decode, encode, read_frame};
