--- a/cmd/berg-control/src/main.rs
+++ b/cmd/berg-control/src/main.rs
@@ -4,10 +4,21 @@
 
 use std::process::ExitCode;
 
-use control::{Settings, Start};
-use crossbeam::channel::{Receiver, bounded, select};
+use control::{
+    Settings,
+    Start, //
+};
+use crossbeam::channel::{
+    Receiver,
+    bounded,
+    select, //
+};
 use flags::Task;
-use ids::{DigestKey, OperatorName, Secret};
+use ids::{
+    DigestKey,
+    OperatorName,
+    Secret, //
+};
 use obs::Counters;
 
 /// Exit code for faults on the command line or in the settings.
--- a/cmd/berg-local/src/main.rs
+++ b/cmd/berg-local/src/main.rs
@@ -4,8 +4,16 @@
 
 use std::process::ExitCode;
 
-use local::{Check, Local, LocalError, Options};
-use obs::{LogFormat, Logger};
+use local::{
+    Check,
+    Local,
+    LocalError,
+    Options, //
+};
+use obs::{
+    LogFormat,
+    Logger, //
+};
 
 /// Exit code for faults on the command line.
 const USAGE: u8 = 2;
--- a/cmd/berg/src/change.rs
+++ b/cmd/berg/src/change.rs
@@ -3,9 +3,25 @@
 use std::fmt;
 use std::time::Duration;
 
-use conf::{Access, AccountSpec, Change, ClassSpec, EndpointSpec, RouteSpec, Serves, ZoneSpec};
+use conf::{
+    Access,
+    AccountSpec,
+    Change,
+    ClassSpec,
+    EndpointSpec,
+    RouteSpec,
+    Serves,
+    ZoneSpec, //
+};
 
-use crate::flags::{AccountPut, ClassPut, EndpointPut, RouteModel, RouteService, ZonePut};
+use crate::flags::{
+    AccountPut,
+    ClassPut,
+    EndpointPut,
+    RouteModel,
+    RouteService,
+    ZonePut, //
+};
 
 /// An argument has a value that cannot be: argument, value, reason.
 #[derive(Debug)]
--- a/cmd/berg/src/run.rs
+++ b/cmd/berg/src/run.rs
@@ -2,19 +2,43 @@
 
 use std::fmt;
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 use std::time::Duration;
 
 use conf::Change;
 use ids::Revision;
-use ops::{OpsError, PlanError, diff, read_plan};
-use wire::{NewKey, NewMember};
+use ops::{
+    OpsError,
+    PlanError,
+    diff,
+    read_plan, //
+};
+use wire::{
+    NewKey,
+    NewMember, //
+};
 
-use crate::change::{self, ArgumentError, parse};
+use crate::change::{
+    self,
+    ArgumentError,
+    parse, //
+};
 use crate::config::Operator;
 use crate::flags::{
-    AccountCmd, Berg, BergCmd, ClassCmd, EndpointCmd, KeyCmd, KeyNew, MemberAdd, MemberCmd,
-    RouteCmd, ZoneCmd,
+    AccountCmd,
+    Berg,
+    BergCmd,
+    ClassCmd,
+    EndpointCmd,
+    KeyCmd,
+    KeyNew,
+    MemberAdd,
+    MemberCmd,
+    RouteCmd,
+    ZoneCmd, //
 };
 use crate::show;
 
--- a/cmd/berg/src/show.rs
+++ b/cmd/berg/src/show.rs
@@ -4,7 +4,12 @@
 use conf::Change;
 use ids::Revision;
 use serde::Serialize;
-use wire::{ConfigAnswer, KeyAnswer, StatusAnswer, UsageAnswer};
+use wire::{
+    ConfigAnswer,
+    KeyAnswer,
+    StatusAnswer,
+    UsageAnswer, //
+};
 
 fn json<T: Serialize>(value: &T) {
     match serde_json::to_string_pretty(value) {
--- a/crates/admit/src/agent.rs
+++ b/crates/admit/src/agent.rs
@@ -3,16 +3,41 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use conf::{AccessError, Config, Permit, Update};
+use conf::{
+    AccessError,
+    Config,
+    Permit,
+    Update, //
+};
 use fault::Kind;
 use ids::{
-    AccountId, AccountName, ClassId, ClassName, EndpointName, GrantName, Incarnation, Revision,
-    RouteName, Tick, Ticket, Tier, Tokens,
+    AccountId,
+    AccountName,
+    ClassId,
+    ClassName,
+    EndpointName,
+    GrantName,
+    Incarnation,
+    Revision,
+    RouteName,
+    Tick,
+    Ticket,
+    Tier,
+    Tokens, //
+};
+use slotmap::{
+    SlotMap,
+    new_key_type, //
+};
+use step::{
+    Core,
+    Outbox, //
 };
-use slotmap::{SlotMap, new_key_type};
-use step::{Core, Outbox};
 
-use crate::queue::{Queueing, Waiting};
+use crate::queue::{
+    Queueing,
+    Waiting, //
+};
 use crate::window::Window;
 
 /// Requests that may wait, as a multiple of the slots.
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -1,11 +1,24 @@
 //! Tiers first, a bounded reserve for each class, fair shares between the accounts of a class.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 use std::time::Duration;
 
-use ids::{AccountId, ClassId, Tick, Ticket, Tier, Tokens};
-
-use crate::queue::{Queueing, Waiting};
+use ids::{
+    AccountId,
+    ClassId,
+    Tick,
+    Ticket,
+    Tier,
+    Tokens, //
+};
+
+use crate::queue::{
+    Queueing,
+    Waiting, //
+};
 
 /// Credit that one start from the reserve costs. A backlogged class earns its reserve in percent
 /// with every start, so it gets that share of all starts.
--- a/crates/admit/src/fcfs.rs
+++ b/crates/admit/src/fcfs.rs
@@ -3,9 +3,19 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use ids::{AccountId, ClassId, Tick, Ticket, Tier, Tokens};
+use ids::{
+    AccountId,
+    ClassId,
+    Tick,
+    Ticket,
+    Tier,
+    Tokens, //
+};
 
-use crate::queue::{Queueing, Waiting};
+use crate::queue::{
+    Queueing,
+    Waiting, //
+};
 
 /// The baseline queue.
 #[derive(Clone, Debug, Default)]
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -10,8 +10,20 @@
 mod queue;
 mod window;
 
-pub use agent::{Agent, Arrival, Engine, Input, Load, Outcome, Output, Trace};
+pub use agent::{
+    Agent,
+    Arrival,
+    Engine,
+    Input,
+    Load,
+    Outcome,
+    Output,
+    Trace, //
+};
 pub use fair::Tiered;
 pub use fcfs::Fcfs;
-pub use queue::{Queueing, Waiting};
+pub use queue::{
+    Queueing,
+    Waiting, //
+};
 pub use window::Window;
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -2,7 +2,14 @@
 
 use std::time::Duration;
 
-use ids::{AccountId, ClassId, Tick, Ticket, Tier, Tokens};
+use ids::{
+    AccountId,
+    ClassId,
+    Tick,
+    Ticket,
+    Tier,
+    Tokens, //
+};
 
 /// A request that waits for its start.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -1,16 +1,41 @@
 //! The agent's control thread: holds what waits and hands what starts to the traffic threads.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 
-use admit::{Input, Load, Output, Trace};
+use admit::{
+    Input,
+    Load,
+    Output,
+    Trace, //
+};
 use crossbeam::channel::Sender;
 use edge::Exchange;
 use fault::Kind;
-use ids::{Incarnation, Revision, Ticket, Tier};
-use obs::{Counter, Counters, Logger, event};
+use ids::{
+    Incarnation,
+    Revision,
+    Ticket,
+    Tier, //
+};
+use obs::{
+    Counter,
+    Counters,
+    Logger,
+    event, //
+};
 use oxhttp::model::HeaderMap;
-use step::{Effects, Inbox};
-use wire::{Advert, Attempt, Frame};
+use step::{
+    Effects,
+    Inbox, //
+};
+use wire::{
+    Advert,
+    Attempt,
+    Frame, //
+};
 
 /// What a thread hands over with an input.
 pub(crate) enum Attachment {
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -2,14 +2,26 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::{self, JoinHandle};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
 use std::time::Duration;
 
-use admit::{Engine, Input};
+use admit::{
+    Engine,
+    Input, //
+};
 use edge::Client;
 use ids::Incarnation;
-use obs::{Logger, event};
+use obs::{
+    Logger,
+    event, //
+};
 use serde::Deserialize;
 
 use crate::control::AgentInbox;
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,5 +8,12 @@
 mod settings;
 mod work;
 
-pub use role::{Handle, RunError, run};
-pub use settings::{Kind, Settings};
+pub use role::{
+    Handle,
+    RunError,
+    run, //
+};
+pub use settings::{
+    Kind,
+    Settings, //
+};
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -1,12 +1,30 @@
 //! Reports usage to the control group from a thread of its own, until it is acknowledged.
 
-use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
-use obs::{Logger, event};
+use crossbeam::channel::{
+    Receiver,
+    RecvTimeoutError,
+    Sender,
+    unbounded, //
+};
+use obs::{
+    Logger,
+    event, //
+};
 use peer::Control;
-use usage::{Counts, Line, Meter};
+use usage::{
+    Counts,
+    Line,
+    Meter, //
+};
 use wire::paths;
 
 /// How long one report may take.
--- a/crates/agent/src/role.rs
+++ b/crates/agent/src/role.rs
@@ -2,23 +2,70 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 
-use admit::{Agent, Arrival, Input, Tiered};
+use admit::{
+    Agent,
+    Arrival,
+    Input,
+    Tiered, //
+};
 use crossbeam::channel::bounded;
-use edge::{EdgeError, Exchange, Handler, Limits, Pool, Server};
+use edge::{
+    EdgeError,
+    Exchange,
+    Handler,
+    Limits,
+    Pool,
+    Server, //
+};
 use fault::Kind;
-use ids::{Incarnation, Monotonic, Revision, Ticket};
-use obs::{Counters, Logger, event};
+use ids::{
+    Incarnation,
+    Monotonic,
+    Revision,
+    Ticket, //
+};
+use obs::{
+    Counters,
+    Logger,
+    event, //
+};
 use oxhttp::model::HeaderMap;
-use peer::{Control, Follower, Identity, Viewed};
-use usage::{Meter, Source};
-use wire::{Advert, Attempt, Frame, Sealer, Side, paths};
+use peer::{
+    Control,
+    Follower,
+    Identity,
+    Viewed, //
+};
+use usage::{
+    Meter,
+    Source, //
+};
+use wire::{
+    Advert,
+    Attempt,
+    Frame,
+    Sealer,
+    Side,
+    paths, //
+};
 
-use crate::control::{AgentEffects, AgentInbox, Attachment, Job};
+use crate::control::{
+    AgentEffects,
+    AgentInbox,
+    Attachment,
+    Job, //
+};
 use crate::engine::Watch;
 use crate::report::Reporter;
-use crate::settings::{self, Settings};
+use crate::settings::{
+    self,
+    Settings, //
+};
 use crate::work::Worker;
 
 /// Why an agent cannot run.
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -6,7 +6,14 @@
 
 use ids::EndpointName;
 use serde::Deserialize;
-use setting::{Check, Common, RawCommon, RawLimits, RawLog, SettingsError};
+use setting::{
+    Check,
+    Common,
+    RawCommon,
+    RawLimits,
+    RawLog,
+    SettingsError, //
+};
 
 /// Traffic threads unless the settings say otherwise; each carries one running request.
 const DEFAULT_THREADS: u64 = 128;
--- a/crates/agent/src/work.rs
+++ b/crates/agent/src/work.rs
@@ -1,21 +1,66 @@
 //! Carries one started request to the backend and its answer back, on a traffic thread.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-use admit::{Input, Outcome};
-use crossbeam::channel::{Sender, bounded};
-use edge::{CallError, Link, Stream, Target};
+use admit::{
+    Input,
+    Outcome, //
+};
+use crossbeam::channel::{
+    Sender,
+    bounded, //
+};
+use edge::{
+    CallError,
+    Link,
+    Stream,
+    Target, //
+};
 use fault::Kind;
-use ids::{AttemptId, Incarnation, Ticket, Tier, Tokens};
-use obs::{Logger, event};
+use ids::{
+    AttemptId,
+    Incarnation,
+    Ticket,
+    Tier,
+    Tokens, //
+};
+use obs::{
+    Logger,
+    event, //
+};
 use oxhttp::model::HeaderMap;
-use serde_json::{Map, Value, json};
-use usage::{Counts, Line};
-use wire::{Advert, Call, Frame, Served};
+use serde_json::{
+    Map,
+    Value,
+    json, //
+};
+use usage::{
+    Counts,
+    Line, //
+};
+use wire::{
+    Advert,
+    Call,
+    Frame,
+    Served, //
+};
 
-use crate::control::{AgentInbox, Attachment, Job, advert};
-use crate::events::{EngineUsage, Kind as Event, Splitter, classify};
+use crate::control::{
+    AgentInbox,
+    Attachment,
+    Job,
+    advert, //
+};
+use crate::events::{
+    EngineUsage,
+    Kind as Event,
+    Splitter,
+    classify, //
+};
 use crate::settings;
 
 /// How long a connection to the backend may take.
--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -2,12 +2,25 @@
 
 use std::collections::BTreeSet;
 
-use ids::{Index, Term, Tick};
+use ids::{
+    Index,
+    Term,
+    Tick, //
+};
 use step::Outbox;
 
-use crate::member::{self, MemberId};
+use crate::member::{
+    self,
+    MemberId, //
+};
 use crate::message::Message;
-use crate::node::{Leader, Node, Output, Peer, Role};
+use crate::node::{
+    Leader,
+    Node,
+    Output,
+    Peer,
+    Role, //
+};
 
 impl Node {
     /// Gives the leadership to the most advanced voter. The term is given up for good before the
--- a/crates/agree/src/lease.rs
+++ b/crates/agree/src/lease.rs
@@ -2,10 +2,16 @@
 
 use std::time::Duration;
 
-use ids::{Term, Tick};
+use ids::{
+    Term,
+    Tick, //
+};
 
 use crate::member;
-use crate::node::{Node, Role};
+use crate::node::{
+    Node,
+    Role, //
+};
 
 /// The right to act as the one leader, until a moment of the holder's own clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -23,11 +23,31 @@
 mod snapshot;
 
 pub use lease::Authority;
-pub use log::{Body, Entry};
-pub use member::{Member, MemberChange, MemberError, MemberId, Stage};
+pub use log::{
+    Body,
+    Entry, //
+};
+pub use member::{
+    Member,
+    MemberChange,
+    MemberError,
+    MemberId,
+    Stage, //
+};
 pub use message::Message;
-pub use node::{Node, NotLeader, Output, Seed, Standing, Timing};
-pub use record::{Record, Saved, SnapshotMeta};
+pub use node::{
+    Node,
+    NotLeader,
+    Output,
+    Seed,
+    Standing,
+    Timing, //
+};
+pub use record::{
+    Record,
+    Saved,
+    SnapshotMeta, //
+};
 
 /// Largest difference between the rates of two hosts' clocks, and of one to true time.
 pub const MAX_DRIFT_PERCENT: u32 = 5;
--- a/crates/agree/src/log.rs
+++ b/crates/agree/src/log.rs
@@ -1,7 +1,13 @@
 //! The replicated log in memory: entries after a base that a snapshot covers.
 
-use ids::{Index, Term};
-use serde::{Deserialize, Serialize};
+use ids::{
+    Index,
+    Term, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::member::Member;
 
--- a/crates/agree/src/member.rs
+++ b/crates/agree/src/member.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 
 use ids::HostName;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// The identity of a member, bound to its disk. A wiped disk gets a new one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/agree/src/message.rs
+++ b/crates/agree/src/message.rs
@@ -1,7 +1,13 @@
 //! Messages between members. How they are encoded is decided elsewhere.
 
-use ids::{Index, Term};
-use serde::{Deserialize, Serialize};
+use ids::{
+    Index,
+    Term, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::log::Entry;
 use crate::record::SnapshotMeta;
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -1,18 +1,45 @@
 //! One member of the group: its state, its public face, and the dispatch of messages.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    VecDeque, //
+};
 use std::fmt;
 use std::time::Duration;
 
-use ids::{Index, Term, Tick};
-use rand::{RngExt, SeedableRng};
+use ids::{
+    Index,
+    Term,
+    Tick, //
+};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use rand_pcg::Pcg32;
 use step::Outbox;
 
-use crate::log::{Body, Entry, Log};
-use crate::member::{self, Member, MemberChange, MemberError, MemberId, Stage};
+use crate::log::{
+    Body,
+    Entry,
+    Log, //
+};
+use crate::member::{
+    self,
+    Member,
+    MemberChange,
+    MemberError,
+    MemberId,
+    Stage, //
+};
 use crate::message::Message;
-use crate::record::{Record, Saved, SnapshotMeta};
+use crate::record::{
+    Record,
+    Saved,
+    SnapshotMeta, //
+};
+use crate::replicate::Ack;
 use crate::snapshot::Incoming;
 
 /// The group's time constants.
@@ -320,7 +347,7 @@
                 matched,
                 last,
                 sent,
-            } => self.on_appended(now, from, term, matched, last, sent, out),
+            } => self.on_appended(now, from, Ack { term, sent }, matched, last, out),
             Message::Chunk {
                 term,
                 meta,
@@ -338,7 +365,7 @@
                 index,
                 offset,
                 sent,
-            } => self.on_chunked(now, from, term, index, offset, sent, out),
+            } => self.on_chunked(now, from, Ack { term, sent }, index, offset, out),
             Message::Handover { term } => self.on_handover(now, from, term, out),
             Message::Ask { token } => {
                 if self.authority(now).is_some() {
--- a/crates/agree/src/record.rs
+++ b/crates/agree/src/record.rs
@@ -1,10 +1,19 @@
 //! What a member writes to its disk, and how it is read back.
 
-use ids::{Index, Term};
-use serde::{Deserialize, Serialize};
+use ids::{
+    Index,
+    Term, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 use crate::log::Entry;
-use crate::member::{Member, MemberId};
+use crate::member::{
+    Member,
+    MemberId, //
+};
 
 /// What a snapshot covers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -1,17 +1,40 @@
 //! Replication of the log: the leader's side and the follower's.
 
-use ids::{Index, Term, Tick};
+use ids::{
+    Index,
+    Term,
+    Tick, //
+};
 use step::Outbox;
 
-use crate::log::{Body, Entry};
-use crate::member::{self, MemberId};
+use crate::log::{
+    Body,
+    Entry, //
+};
+use crate::member::{
+    self,
+    MemberId, //
+};
 use crate::message::Message;
-use crate::node::{Node, Output, Role};
+use crate::node::{
+    Node,
+    Output,
+    Role, //
+};
 use crate::record::Record;
 
 /// Most bytes of entries in one message.
 const BATCH_BYTES: usize = 256 * 1024;
 
+/// What every answer to a leader carries.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ack {
+    /// The answering member's term.
+    pub(crate) term: Term,
+    /// When the message answered was sent, by the leader's clock.
+    pub(crate) sent: u64,
+}
+
 impl Node {
     /// Appends an entry as leader and starts to replicate it.
     pub(crate) fn lead_append(&mut self, now: Tick, body: Body, out: &mut Outbox<Output>) -> Index {
@@ -85,13 +108,12 @@
         &mut self,
         now: Tick,
         from: MemberId,
-        term: Term,
+        ack: Ack,
         matched: Option<Index>,
         last: Index,
-        sent: u64,
         out: &mut Outbox<Output>,
     ) {
-        if !self.heard_peer(now, from, term, sent, out) {
+        if !self.heard_peer(now, from, ack, out) {
             return;
         }
         let Role::Leader(leader) = &mut self.role else {
@@ -100,7 +122,7 @@
         let Some(peer) = leader.peers.get_mut(&from) else {
             return;
         };
-        if peer.flight.is_some_and(|flight| flight.0 <= sent) {
+        if peer.flight.is_some_and(|flight| flight.0 <= ack.sent) {
             peer.flight = None;
         }
         match matched {
@@ -121,10 +143,10 @@
         &mut self,
         now: Tick,
         from: MemberId,
-        term: Term,
-        sent: u64,
+        ack: Ack,
         out: &mut Outbox<Output>,
     ) -> bool {
+        let Ack { term, sent } = ack;
         if term > self.term {
             self.enter_term(now, term, out);
             return false;
--- a/crates/agree/src/snapshot.rs
+++ b/crates/agree/src/snapshot.rs
@@ -1,13 +1,24 @@
 //! Log compaction, and the transfer of a snapshot in bounded pieces.
 
-use ids::{Index, Term, Tick};
+use ids::{
+    Index,
+    Tick, //
+};
 use step::Outbox;
 
 use crate::log::Log;
 use crate::member::MemberId;
 use crate::message::Message;
-use crate::node::{Node, Output, Role};
-use crate::record::{Record, SnapshotMeta};
+use crate::node::{
+    Node,
+    Output,
+    Role, //
+};
+use crate::record::{
+    Record,
+    SnapshotMeta, //
+};
+use crate::replicate::Ack;
 
 /// Most bytes of a snapshot in one message.
 const CHUNK_BYTES: usize = 128 * 1024;
@@ -111,13 +122,12 @@
         &mut self,
         now: Tick,
         from: MemberId,
-        term: Term,
+        ack: Ack,
         index: Index,
         offset: u64,
-        sent: u64,
         out: &mut Outbox<Output>,
     ) {
-        if !self.heard_peer(now, from, term, sent, out) {
+        if !self.heard_peer(now, from, ack, out) {
             return;
         }
         let current = self.meta.index;
--- a/crates/agree/tests/histories.rs
+++ b/crates/agree/tests/histories.rs
@@ -5,8 +5,18 @@
 mod world;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
-use world::{Act, Sabotage, World};
+use proptest::test_runner::{
+    Config,
+    RngAlgorithm,
+    TestError,
+    TestRng,
+    TestRunner, //
+};
+use world::{
+    Act,
+    Sabotage,
+    World, //
+};
 
 /// Histories of each case unless the environment says otherwise.
 const DEFAULT_HISTORIES: u32 = 300;
@@ -35,7 +45,10 @@
     ]
 }
 
-fn history() -> impl Strategy<Value = (u64, Vec<(u64, Act)>)> {
+/// A seed, and what happens after how many milliseconds.
+type History = (u64, Vec<(u64, Act)>);
+
+fn history() -> impl Strategy<Value = History> {
     (
         any::<u64>(),
         prop::collection::vec((1u64..900, act()), 10..60),
@@ -55,7 +68,7 @@
     world.faults
 }
 
-fn run(size: u64, sabotage: Sabotage) -> Result<(), TestError<(u64, Vec<(u64, Act)>)>> {
+fn run(size: u64, sabotage: Sabotage) -> Result<(), TestError<History>> {
     let config = Config {
         cases: histories(),
         failure_persistence: None,
--- a/crates/agree/tests/world/mod.rs
+++ b/crates/agree/tests/world/mod.rs
@@ -3,15 +3,38 @@
 //! The checker compares what all nodes ever committed and who ever held a lease at one true time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    BinaryHeap, //
+};
 use std::time::Duration;
 
 use agree::{
-    Body, Entry, Member, MemberChange, MemberId, Message, Node, Output, Record, Saved, Seed,
-    SnapshotMeta, Stage, Timing,
+    Body,
+    Entry,
+    Member,
+    MemberChange,
+    MemberId,
+    Message,
+    Node,
+    Output,
+    Record,
+    Saved,
+    Seed,
+    SnapshotMeta,
+    Stage,
+    Timing, //
+};
+use ids::{
+    Index,
+    Term,
+    Tick, //
+};
+use rand::{
+    RngExt,
+    SeedableRng, //
 };
-use ids::{Index, Term, Tick};
-use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use step::Outbox;
 
@@ -520,7 +543,7 @@
             }
             Event::Synced(_, run, seq) if run == host.run && host.node.is_some() => {
                 while let Some(at) = host.disk.pending.iter().position(|(s, _)| *s <= seq) {
-                    if self.sabotage == Sabotage::SkipSync && self.serial % 3 == 0 {
+                    if self.sabotage == Sabotage::SkipSync && self.serial.is_multiple_of(3) {
                         break;
                     }
                     let (_, output) = host.disk.pending.remove(at);
--- a/crates/conf/src/access.rs
+++ b/crates/conf/src/access.rs
@@ -1,8 +1,20 @@
 //! Who may run what: the rules that bind a request to a client account.
 
-use ids::{AccountId, AccountName, ClassId, ClassName, Digest, GrantId, GrantName, RouteId};
+use ids::{
+    AccountId,
+    AccountName,
+    ClassId,
+    ClassName,
+    Digest,
+    GrantId,
+    GrantName,
+    RouteId, //
+};
 
-use crate::config::{Config, Reach};
+use crate::config::{
+    Config,
+    Reach, //
+};
 
 /// What a request may run as.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/conf/src/change.rs
+++ b/crates/conf/src/change.rs
@@ -2,10 +2,27 @@
 
 use std::fmt;
 
-use ids::{AccountName, ClassName, EndpointName, GrantName, RouteName, ZoneName};
-use serde::{Deserialize, Serialize};
+use ids::{
+    AccountName,
+    ClassName,
+    EndpointName,
+    GrantName,
+    RouteName,
+    ZoneName, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
-use crate::record::{AccountSpec, ClassSpec, EndpointSpec, GrantSpec, RouteSpec, ZoneSpec};
+use crate::record::{
+    AccountSpec,
+    ClassSpec,
+    EndpointSpec,
+    GrantSpec,
+    RouteSpec,
+    ZoneSpec, //
+};
 
 /// One change of the configuration. `Put` creates a record or replaces it by name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/conf/src/config.rs
+++ b/crates/conf/src/config.rs
@@ -4,14 +4,39 @@
 use std::net::SocketAddr;
 
 use ids::{
-    AccountId, AccountName, ClassId, ClassName, Digest, EndpointId, EndpointName, GrantId,
-    GrantName, ModelName, RegionName, Revision, RouteId, RouteName, Tier, ZoneId, ZoneName,
+    AccountId,
+    AccountName,
+    ClassId,
+    ClassName,
+    Digest,
+    EndpointId,
+    EndpointName,
+    GrantId,
+    GrantName,
+    ModelName,
+    RegionName,
+    Revision,
+    RouteId,
+    RouteName,
+    Tier,
+    ZoneId,
+    ZoneName, //
 };
 use slotmap::SlotMap;
 
-use crate::change::{Change, ChangeError};
+use crate::change::{
+    Change,
+    ChangeError, //
+};
 use crate::record::{
-    Access, AccountSpec, ClassSpec, EndpointSpec, GrantSpec, RouteSpec, Serves, ZoneSpec,
+    Access,
+    AccountSpec,
+    ClassSpec,
+    EndpointSpec,
+    GrantSpec,
+    RouteSpec,
+    Serves,
+    ZoneSpec, //
 };
 
 /// A zone.
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -10,12 +10,47 @@
 mod registry;
 mod update;
 
-pub use access::{AccessError, Permit};
-pub use change::{Change, ChangeError};
-pub use config::{Account, Class, Config, Endpoint, Grant, Reach, Route, Zone};
+pub use access::{
+    AccessError,
+    Permit, //
+};
+pub use change::{
+    Change,
+    ChangeError, //
+};
+pub use config::{
+    Account,
+    Class,
+    Config,
+    Endpoint,
+    Grant,
+    Reach,
+    Route,
+    Zone, //
+};
 pub use record::{
-    Access, AccountSpec, ClassSpec, EndpointSpec, GrantSpec, Method, MethodError, Prefix,
-    PrefixError, RouteSpec, Serves, ZoneSpec,
+    Access,
+    AccountSpec,
+    ClassSpec,
+    EndpointSpec,
+    GrantSpec,
+    Method,
+    MethodError,
+    Prefix,
+    PrefixError,
+    RouteSpec,
+    Serves,
+    ZoneSpec, //
+};
+pub use registry::{
+    Accepted,
+    Proposal,
+    Registry,
+    RegistryState,
+    Verdict, //
+};
+pub use update::{
+    Content,
+    StaleUpdate,
+    Update, //
 };
-pub use registry::{Accepted, Proposal, Registry, RegistryState, Verdict};
-pub use update::{Content, StaleUpdate, Update};
--- a/crates/conf/src/record.rs
+++ b/crates/conf/src/record.rs
@@ -6,11 +6,28 @@
 use std::time::Duration;
 
 use ids::{
-    AccountName, ClassName, Digest, EndpointName, GrantName, ModelName, Percent, RegionName,
-    RouteName, Tier, ZoneName,
+    AccountName,
+    ClassName,
+    Digest,
+    EndpointName,
+    GrantName,
+    ModelName,
+    Percent,
+    RegionName,
+    RouteName,
+    Tier,
+    ZoneName, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_with::{
+    DeserializeFromStr,
+    DurationMilliSeconds,
+    SerializeDisplay,
+    serde_as, //
 };
-use serde::{Deserialize, Serialize};
-use serde_with::{DeserializeFromStr, DurationMilliSeconds, SerializeDisplay, serde_as};
 
 /// An availability zone.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/conf/src/registry.rs
+++ b/crates/conf/src/registry.rs
@@ -1,13 +1,29 @@
 //! Decides on operators' proposals: one line of revisions, duplicates recognised, history kept.
 
-use std::collections::{BTreeMap, VecDeque};
-
-use ids::{OperatorName, ProposalName, Revision};
-use serde::{Deserialize, Serialize};
-
-use crate::change::{Change, ChangeError};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+use ids::{
+    OperatorName,
+    ProposalName,
+    Revision, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::change::{
+    Change,
+    ChangeError, //
+};
 use crate::config::Config;
-use crate::update::{Content, Update};
+use crate::update::{
+    Content,
+    Update, //
+};
 
 /// How many accepted proposals are kept for deltas and conflict reports.
 const HISTORY_LEN: usize = 1024;
--- a/crates/conf/src/update.rs
+++ b/crates/conf/src/update.rs
@@ -3,9 +3,15 @@
 use std::fmt;
 
 use ids::Revision;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
-use crate::change::{Change, ChangeError};
+use crate::change::{
+    Change,
+    ChangeError, //
+};
 use crate::config::Config;
 use crate::registry::Accepted;
 
--- a/crates/conf/tests/rules.rs
+++ b/crates/conf/tests/rules.rs
@@ -1,8 +1,20 @@
 //! The configuration's rules, through its public face.
 
 use assert_matches::assert_matches;
-use conf::{AccessError, Change, ChangeError, Config, Content, Proposal, Registry, Verdict};
-use ids::{Digest, Revision};
+use conf::{
+    AccessError,
+    Change,
+    ChangeError,
+    Config,
+    Content,
+    Proposal,
+    Registry,
+    Verdict, //
+};
+use ids::{
+    Digest,
+    Revision, //
+};
 
 const SHEET: &str = r#"[
     {"put-zone": {"name": "quito-norte", "region": "ec-sierra"}},
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -2,20 +2,63 @@
 
 use std::net::SocketAddr;
 
-use agree::{Member, MemberChange, MemberId, Stage};
-use conf::{Change, GrantSpec, Proposal, Verdict};
+use agree::{
+    Member,
+    MemberChange,
+    MemberId,
+    Stage, //
+};
+use conf::{
+    Change,
+    GrantSpec,
+    Proposal,
+    Verdict, //
+};
 use edge::Exchange;
-use govern::{Outcome, Question, Reply, Status, Viewer, ViewerSide};
-use ids::{DigestKey, GrantName, OperatorName, ProposalName, Secret};
+use govern::{
+    Outcome,
+    Question,
+    Reply,
+    Status,
+    Viewer,
+    ViewerSide, //
+};
+use ids::{
+    DigestKey,
+    GrantName,
+    OperatorName,
+    ProposalName,
+    Secret, //
+};
 use obs::Counters;
 use oxhttp::model::header::CONTENT_TYPE;
-use oxhttp::model::{HeaderMap, HeaderValue};
+use oxhttp::model::{
+    HeaderMap,
+    HeaderValue, //
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use usage::{Counts, Delivery, Line};
+use usage::{
+    Counts,
+    Delivery,
+    Line, //
+};
 use wire::{
-    ConfigAnswer, ErrorAnswer, KeyAnswer, MemberRow, NewKey, NewMember, Operator, Propose,
-    ProposeAnswer, SealedRow, Side, StatusAnswer, UsageAnswer, UsageRow, ViewerRow,
+    ConfigAnswer,
+    ErrorAnswer,
+    KeyAnswer,
+    MemberRow,
+    NewKey,
+    NewMember,
+    Operator,
+    Propose,
+    ProposeAnswer,
+    SealedRow,
+    Side,
+    StatusAnswer,
+    UsageAnswer,
+    UsageRow,
+    ViewerRow, //
 };
 
 use crate::front::Replies;
--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -1,8 +1,19 @@
 //! How commands, snapshots and journal records are written.
 
-use agree::{Record, SnapshotMeta};
-use govern::{Codec, Command, MachineState};
-use wire::{WireError, decode, encode};
+use agree::{
+    Record,
+    SnapshotMeta, //
+};
+use govern::{
+    Codec,
+    Command,
+    MachineState, //
+};
+use wire::{
+    WireError,
+    decode,
+    encode, //
+};
 
 /// `rmp-serde` for commands and snapshots.
 #[derive(Clone, Copy, Debug)]
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -1,13 +1,29 @@
 //! The disk thread: writes what is due in one go, syncs it, and says so.
 
 use std::fmt;
-use std::thread::{self, JoinHandle};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
 
-use agree::{Record, SnapshotMeta};
-use crossbeam::channel::{Receiver, Sender, unbounded};
+use agree::{
+    Record,
+    SnapshotMeta, //
+};
+use crossbeam::channel::{
+    Receiver,
+    Sender,
+    unbounded, //
+};
 use govern::Input;
-use obs::{Logger, event};
-use store::{StoreError, Vault};
+use obs::{
+    Logger,
+    event, //
+};
+use store::{
+    StoreError,
+    Vault, //
+};
 use wire::WireError;
 
 use crate::codec;
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -2,19 +2,34 @@
 
 use std::collections::BTreeMap;
 
-use agree::Authority;
 use crossbeam::channel::Sender;
 use edge::Exchange;
-use govern::{Input, Output, Reply, Trace};
+use govern::{
+    Input,
+    Output,
+    Reply,
+    Trace, //
+};
 use ids::Ticket;
-use obs::{Counter, Counters, Logger, event};
-use step::{Effects, Inbox};
-use usage::Window;
+use obs::{
+    Counter,
+    Counters,
+    Logger,
+    event, //
+};
+use step::{
+    Effects,
+    Inbox, //
+};
 
 use crate::admin;
 use crate::disk::Job;
-use crate::front::{self, Form};
+use crate::front::{
+    self,
+    Form, //
+};
 use crate::post::Post;
+use crate::report::Due;
 
 /// An exchange that waits for its answer, and the form the answer takes.
 pub(crate) struct Waiting {
@@ -28,7 +43,7 @@
 
 pub(crate) struct ControlEffects {
     pub(crate) disk: Sender<Job>,
-    pub(crate) deliver: Sender<(Window, Authority)>,
+    pub(crate) deliver: Sender<Due>,
     pub(crate) post: Post,
     pub(crate) replies: front::Replies,
     pub(crate) waiting: BTreeMap<Ticket, (Exchange, Form)>,
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,23 +1,63 @@
 //! The HTTP fronts: messages from the system's own processes, and the operators' interface.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 
 use agree::MemberId;
-use edge::{Exchange, Handler};
+use edge::{
+    Exchange,
+    Handler, //
+};
 use fault::Kind;
-use govern::{Command, FRESH, Input, Outcome, Question, Reply, ViewerId, ViewerSide};
-use ids::{HostName, Ticket};
+use govern::{
+    Command,
+    FRESH,
+    Input,
+    Outcome,
+    Question,
+    Reply,
+    ViewerId,
+    ViewerSide, //
+};
+use ids::{
+    HostName,
+    Ticket, //
+};
 use ledger::Claimed;
-use obs::{Counter, Counters, Logger, event};
+use obs::{
+    Counter,
+    Counters,
+    Logger,
+    event, //
+};
 use oxhttp::model::HeaderMap;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use usage::Report;
-use wire::{Answer, ClaimAsk, Mail, Sealer, SettleAsk, Side, ViewAnswer, ViewAsk, paths};
+use wire::{
+    Answer,
+    ClaimAsk,
+    Mail,
+    Sealer,
+    SettleAsk,
+    Side,
+    ViewAnswer,
+    ViewAsk,
+    paths, //
+};
 
-use crate::admin::{self, AdminKind, Operators};
-use crate::effects::{ControlInbox, Waiting};
+use crate::admin::{
+    self,
+    AdminKind,
+    Operators, //
+};
+use crate::effects::{
+    ControlInbox,
+    Waiting, //
+};
 
 /// What an answer to one of the system's own processes holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,9 +119,13 @@
         let Some(mail) = self.open::<Mail>(paths::MAIL, &exchange) else {
             return self.refuse(exchange, Kind::PeerInvalid);
         };
-        let _ = self
-            .inbox
-            .send(Input::Mail(mail.from, mail.to, mail.messages));
+        let mail = govern::Mail {
+            from: mail.from,
+            address: mail.address,
+            to: mail.to,
+            messages: mail.messages,
+        };
+        let _ = self.inbox.send(Input::Mail(mail));
         exchange.reply(200, HeaderMap::new(), Vec::new());
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,5 +10,14 @@
 mod role;
 mod settings;
 
-pub use role::{Handle, RunError, Start, init, run};
-pub use settings::{Settings, read_secret};
+pub use role::{
+    Handle,
+    RunError,
+    Start,
+    init,
+    run, //
+};
+pub use settings::{
+    Settings,
+    read_secret, //
+};
--- a/crates/control/src/post.rs
+++ b/crates/control/src/post.rs
@@ -5,10 +5,21 @@
 use std::thread;
 use std::time::Duration;
 
-use agree::{MemberId, Message};
-use crossbeam::channel::{Receiver, Sender, bounded};
+use agree::{
+    MemberId,
+    Message, //
+};
+use crossbeam::channel::{
+    Receiver,
+    Sender,
+    bounded, //
+};
 use edge::Client;
-use wire::{Mail, Sealer, paths};
+use wire::{
+    Mail,
+    Sealer,
+    paths, //
+};
 
 /// Messages that may wait for a slow host; more are dropped, as a network would.
 const WAITING: usize = 256;
@@ -21,14 +32,16 @@
 /// Sends messages to other members.
 pub(crate) struct Post {
     from: MemberId,
+    address: SocketAddr,
     sealer: Sealer,
     boxes: BTreeMap<(MemberId, SocketAddr), Sender<Message>>,
 }
 
 impl Post {
-    pub(crate) fn new(from: MemberId, sealer: Sealer) -> Self {
+    pub(crate) fn new(from: MemberId, address: SocketAddr, sealer: Sealer) -> Self {
         Self {
             from,
+            address,
             sealer,
             boxes: BTreeMap::new(),
         }
@@ -50,8 +63,14 @@
 
     fn open(&self, to: MemberId, address: SocketAddr) -> std::io::Result<Sender<Message>> {
         let (tx, rx) = bounded(WAITING);
-        let (from, sealer) = (self.from, self.sealer.clone());
-        let carry = move || carry(from, to, address, &sealer, &rx);
+        let mut mail = Mail {
+            from: self.from,
+            address: self.address,
+            to,
+            messages: Vec::new(),
+        };
+        let sealer = self.sealer.clone();
+        let carry = move || carry(&mut mail, address, &sealer, &rx);
         thread::Builder::new()
             .name(format!("control-post-{address}"))
             .spawn(carry)?;
@@ -60,22 +79,12 @@
 }
 
 /// Sends what waits until the sender is gone.
-fn carry(
-    from: MemberId,
-    to: MemberId,
-    address: SocketAddr,
-    sealer: &Sealer,
-    messages: &Receiver<Message>,
-) {
+fn carry(mail: &mut Mail, address: SocketAddr, sealer: &Sealer, messages: &Receiver<Message>) {
     let client = Client::new(PATIENCE);
     while let Ok(first) = messages.recv() {
         let more = messages.try_iter().take(MAIL_MESSAGES);
-        let mail = Mail {
-            from,
-            to,
-            messages: std::iter::once(first).chain(more).collect(),
-        };
-        if let Ok(body) = sealer.seal(paths::MAIL, &mail) {
+        mail.messages = std::iter::once(first).chain(more).collect();
+        if let Ok(body) = sealer.seal(paths::MAIL, mail) {
             // A lost mail is repeated by the agreement itself.
             let _ = client.call(address, "POST", paths::MAIL, &[], body);
         }
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -1,15 +1,28 @@
 //! Delivers sealed usage windows to the billing interface, under the leader's lease.
 
 use std::net::SocketAddr;
-use std::thread::{self, JoinHandle};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
 use std::time::Duration;
 
 use agree::Authority;
-use crossbeam::channel::{Receiver, Sender, bounded};
+use crossbeam::channel::{
+    Receiver,
+    Sender,
+    bounded, //
+};
 use edge::Client;
 use govern::Input;
-use ids::{Clock, Monotonic};
-use obs::{Logger, event};
+use ids::{
+    Clock,
+    Monotonic, //
+};
+use obs::{
+    Logger,
+    event, //
+};
 use serde_json::json;
 use usage::Window;
 
@@ -18,13 +31,16 @@
 /// What must be left of the lease when a delivery begins; the delivery's time-out is half of it.
 const LEAST_LEFT: Duration = Duration::from_millis(200);
 
+/// A window to be delivered, and the right to do so.
+pub(crate) type Due = (Window, Authority);
+
 /// A running delivery thread.
 pub(crate) struct Deliverer {
     thread: JoinHandle<()>,
 }
 
 /// The channel to a delivery thread; the core has one window on its way at most.
-pub(crate) fn channel() -> (Sender<(Window, Authority)>, Receiver<(Window, Authority)>) {
+pub(crate) fn channel() -> (Sender<Due>, Receiver<Due>) {
     bounded(1)
 }
 
@@ -32,7 +48,7 @@
     /// Starts the thread; it ends when the sender is gone.
     pub(crate) fn start(
         platform: Option<SocketAddr>,
-        windows: Receiver<(Window, Authority)>,
+        windows: Receiver<Due>,
         inbox: ControlInbox,
         clock: Monotonic,
         log: Logger,
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -4,24 +4,77 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::AtomicU64;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
-use agree::{Body, Entry, Member, MemberId, Record, Saved, Stage, Timing};
-use crossbeam::channel::{Receiver, bounded};
-use edge::{EdgeError, Server};
-use govern::{Govern, Input, Seed};
-use ids::{Clock, DigestKey, Index, Monotonic, Term};
-use obs::{Counters, Logger, event};
-use store::{StoreError, Vault};
-use wire::{Sealer, WireError};
+use agree::{
+    Body,
+    Entry,
+    Member,
+    MemberId,
+    Record,
+    Saved,
+    Stage,
+    Timing, //
+};
+use crossbeam::channel::{
+    Receiver,
+    bounded, //
+};
+use edge::{
+    EdgeError,
+    Server, //
+};
+use govern::{
+    Govern,
+    Input,
+    Seed, //
+};
+use ids::{
+    Clock,
+    DigestKey,
+    Index,
+    Monotonic,
+    Term, //
+};
+use obs::{
+    Counters,
+    Logger,
+    event, //
+};
+use store::{
+    StoreError,
+    Vault, //
+};
+use wire::{
+    Sealer,
+    WireError, //
+};
 
 use crate::admin::Operators;
-use crate::codec::{self, Packed};
-use crate::disk::{self, Disk};
-use crate::effects::{ControlEffects, Waiting};
-use crate::front::{Front, Replies};
+use crate::codec::{
+    self,
+    Packed, //
+};
+use crate::disk::{
+    self,
+    Disk, //
+};
+use crate::effects::{
+    ControlEffects,
+    Waiting, //
+};
+use crate::front::{
+    Front,
+    Replies, //
+};
 use crate::post::Post;
-use crate::report::{self, Deliverer};
+use crate::report::{
+    self,
+    Deliverer, //
+};
 use crate::settings::Settings;
 
 /// Why a control host cannot run.
@@ -123,6 +176,7 @@
 pub fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, RunError> {
     let common = &settings.common;
     let (vault, id, saved) = open(&settings.data, &log)?;
+    let address = settings.advertise.unwrap_or(common.listen);
     let clock = Monotonic::start();
     let seed = Seed {
         node: agree::Seed {
@@ -141,7 +195,7 @@
     let effects = ControlEffects {
         disk: jobs,
         deliver: windows,
-        post: Post::new(id, sealer.clone()),
+        post: Post::new(id, address, sealer.clone()),
         replies: Replies {
             sealer: sealer.clone(),
             host: common.host.clone(),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,11 +1,21 @@
 //! The control host's settings.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 use std::time::Duration;
 
 use serde::Deserialize;
-use setting::{Check, Common, RawCommon, RawLimits, RawLog, SettingsError};
+use setting::{
+    Check,
+    Common,
+    RawCommon,
+    RawLimits,
+    RawLog,
+    SettingsError, //
+};
 use wire::Operator;
 
 /// Length of a usage window unless the settings say otherwise, in seconds.
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -2,17 +2,32 @@
 
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::task::{
+    Context,
+    Poll,
+    ready, //
+};
 use std::time::Duration;
 
-use http_body::{Frame, SizeHint};
+use http_body::{
+    Frame,
+    SizeHint, //
+};
 use hyper::body::Bytes;
-use smol::channel::{Receiver, Sender};
+use smol::Timer;
+use smol::channel::{
+    Receiver,
+    Sender, //
+};
 use smol::future::FutureExt;
+use std::future::Future;
 
 /// Pieces that may wait for a slow caller.
 pub(crate) const PIECES_WAITING: usize = 64;
 
+/// Time to flush what was sent before a broken answer's connection is closed.
+const FLUSH: Duration = Duration::from_millis(50);
+
 /// The caller went away, or was too slow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gone;
@@ -48,6 +63,8 @@
 pub(crate) enum Body {
     Whole(Option<Bytes>),
     Pieces(Pin<Box<Receiver<Piece>>>),
+    /// The sender broke off; what it sent before is still on its way out.
+    Aborting(Timer),
 }
 
 impl http_body::Body for Body {
@@ -59,13 +76,21 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         use smol::stream::Stream as _;
-        match self.get_mut() {
+        let this = self.get_mut();
+        match this {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Self::Pieces(pieces) => match ready!(pieces.as_mut().poll_next(cx)) {
                 Some(Piece::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 Some(Piece::End) => Poll::Ready(None),
-                None => Poll::Ready(Some(Err(Aborted))),
+                None => {
+                    *this = Self::Aborting(Timer::after(FLUSH));
+                    Pin::new(this).poll_frame(cx)
+                }
             },
+            Self::Aborting(timer) => {
+                ready!(Pin::new(timer).poll(cx));
+                Poll::Ready(Some(Err(Aborted)))
+            }
         }
     }
 
@@ -78,7 +103,7 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Self::Pieces(_) => SizeHint::default(),
+            Self::Pieces(_) | Self::Aborting(_) => SizeHint::default(),
         }
     }
 }
@@ -125,7 +150,7 @@
         };
         let send = async { self.pieces.send(piece).await.map_err(|_| Gone) };
         let late = async {
-            smol::Timer::after(self.patience).await;
+            Timer::after(self.patience).await;
             Err(Gone)
         };
         smol::block_on(send.or(late))
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -1,12 +1,22 @@
 //! The client for short calls to control hosts, the platform and engines' side interfaces.
 
 use std::fmt;
-use std::io::{self, Read};
+use std::io::{
+    self,
+    Read, //
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use oxhttp::model::header::CONTENT_LENGTH;
-use oxhttp::model::{Body, HeaderName, HeaderValue, Method, Request, Uri};
+use oxhttp::model::{
+    Body,
+    HeaderName,
+    HeaderValue,
+    Method,
+    Request,
+    Uri, //
+};
 
 /// Why a call failed.
 #[derive(Debug)]
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,10 +4,23 @@
 
 use hyper::body::Bytes;
 use hyper::http::response::Parts;
-use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
-use smol::channel::{Sender, bounded};
+use hyper::{
+    HeaderMap,
+    Method,
+    Response,
+    StatusCode,
+    Uri, //
+};
+use smol::channel::{
+    Sender,
+    bounded, //
+};
 
-use crate::body::{Body, PIECES_WAITING, Stream};
+use crate::body::{
+    Body,
+    PIECES_WAITING,
+    Stream, //
+};
 
 /// How long a streamed answer waits for a slow caller before it is broken off.
 const SLOW_CALLER: Duration = Duration::from_secs(20);
@@ -34,7 +47,7 @@
 #[derive(Debug)]
 pub struct Exchange {
     /// What came before the body.
-    pub head: Head,
+    pub head: Box<Head>,
     /// The body.
     pub body: Vec<u8>,
     answer: Sender<Response<Body>>,
@@ -42,7 +55,11 @@
 
 impl Exchange {
     pub(crate) fn new(head: Head, body: Vec<u8>, answer: Sender<Response<Body>>) -> Self {
-        Self { head, body, answer }
+        Self {
+            head: Box::new(head),
+            body,
+            answer,
+        }
     }
 
     /// Whether the caller hung up.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,9 +10,29 @@
 mod pool;
 mod server;
 
-pub use body::{Gone, Stream};
-pub use client::{CallError, Client, Reply};
-pub use exchange::{Exchange, Head};
-pub use link::{HOP_FIELDS, Link, Target, request};
+pub use body::{
+    Gone,
+    Stream, //
+};
+pub use client::{
+    CallError,
+    Client,
+    Reply, //
+};
+pub use exchange::{
+    Exchange,
+    Head, //
+};
+pub use link::{
+    HOP_FIELDS,
+    Link,
+    Target,
+    request, //
+};
 pub use pool::Pool;
-pub use server::{EdgeError, Handler, Limits, Server};
+pub use server::{
+    EdgeError,
+    Handler,
+    Limits,
+    Server, //
+};
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -10,11 +10,27 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::body::{
+    Bytes,
+    Incoming, //
+};
 use hyper::client::conn::http1;
-use hyper::header::{HOST, HeaderName, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Response, Uri};
+use hyper::header::{
+    HOST,
+    HeaderName,
+    HeaderValue, //
+};
+use hyper::{
+    HeaderMap,
+    Method,
+    Request,
+    Response,
+    Uri, //
+};
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::TcpStream;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -1,7 +1,10 @@
 //! Traffic threads for blocking work.
 
 use std::io;
-use std::thread::{self, JoinHandle};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
 
 use crossbeam::channel::Receiver;
 use std::marker::PhantomData;
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -4,24 +4,56 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::thread::{self, JoinHandle};
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
 use std::time::Duration;
 
 use fault::Kind;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::body::{
+    Bytes,
+    Incoming, //
+};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
-use smol::channel::{Receiver, Sender, bounded};
+use hyper::{
+    Request,
+    Response, //
+};
+use smol::channel::{
+    Receiver,
+    Sender,
+    bounded, //
+};
 use smol::future::FutureExt;
-use smol::net::{TcpListener, TcpStream};
-use smol::{Executor, Timer};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol::net::{
+    TcpListener,
+    TcpStream, //
+};
+use smol::{
+    Executor,
+    Timer, //
+};
+use smol_hyper::rt::{
+    FuturesIo,
+    SmolTimer, //
+};
 
 use crate::body::Body;
-use crate::exchange::{Exchange, Head};
+use crate::exchange::{
+    Exchange,
+    Head, //
+};
 
 /// Takes requests. Called on the event loop, so it must not block.
 pub trait Handler: Send + Sync + 'static {
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -2,9 +2,19 @@
 
 use edge::Exchange;
 use fault::Kind;
-use oxhttp::model::header::{CONTENT_TYPE, RETRY_AFTER};
-use oxhttp::model::{HeaderMap, HeaderName, HeaderValue};
-use serde_json::{Value, json};
+use oxhttp::model::header::{
+    CONTENT_TYPE,
+    RETRY_AFTER, //
+};
+use oxhttp::model::{
+    HeaderMap,
+    HeaderName,
+    HeaderValue, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// The header field that says whether a request without a regular answer ran.
 const RUN_FIELD: HeaderName = HeaderName::from_static("berg-run");
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -1,15 +1,28 @@
 //! The callers' interface: the model calls in the widely used JSON form, and plain services.
 
 use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+use std::hash::{
+    Hash,
+    Hasher, //
+};
 
 use conf::Method;
 use edge::Exchange;
 use fault::Kind;
-use ids::{ClassName, ModelName, Tokens};
-use ledger::{Fingerprint, RequestKey};
+use ids::{
+    ClassName,
+    ModelName,
+    Tokens, //
+};
+use ledger::{
+    Fingerprint,
+    RequestKey, //
+};
 use route::Asked;
-use serde_json::{Map, Value};
+use serde_json::{
+    Map,
+    Value, //
+};
 use wire::Call;
 
 use crate::credential;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -1,14 +1,37 @@
 //! One attempt: sends it to an agent and passes the answer on as it comes.
 
-use std::io::{BufReader, Read};
+use std::io::{
+    BufReader,
+    Read, //
+};
 use std::time::Duration;
 
-use edge::{CallError, Exchange, Link, Stream, Target};
+use edge::{
+    CallError,
+    Exchange,
+    Link,
+    Stream,
+    Target, //
+};
 use fault::Kind;
 use ids::AttemptId;
-use obs::{Counter, Counters};
-use route::{Advert, Ended, Plan};
-use wire::{Attempt, AttemptHead, Call, Frame, Sealer, paths};
+use obs::{
+    Counter,
+    Counters, //
+};
+use route::{
+    Advert,
+    Ended,
+    Plan, //
+};
+use wire::{
+    Attempt,
+    AttemptHead,
+    Call,
+    Frame,
+    Sealer,
+    paths, //
+};
 
 use crate::answer;
 use crate::claim::Recorded;
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -3,11 +3,24 @@
 use std::time::Duration;
 
 use fault::Kind;
-use ledger::{Claimed, Settlement};
+use ledger::{
+    Claimed,
+    Settlement, //
+};
 use peer::Control;
-use route::{Claim, ClaimResult};
-use serde::{Deserialize, Serialize};
-use wire::{ClaimAsk, SettleAsk, paths};
+use route::{
+    Claim,
+    ClaimResult, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use wire::{
+    ClaimAsk,
+    SettleAsk,
+    paths, //
+};
 
 /// How long a claim may take before the request is refused as not run.
 const CLAIM_PATIENCE: Duration = Duration::from_secs(3);
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -3,10 +3,24 @@
 use std::collections::BTreeMap;
 
 use crossbeam::channel::Sender;
-use ids::{Revision, Ticket};
-use obs::{Counter, Counters};
-use route::{Input, Output, Trace, Verdict};
-use step::{Effects, Inbox};
+use ids::{
+    Revision,
+    Ticket, //
+};
+use obs::{
+    Counter,
+    Counters, //
+};
+use route::{
+    Input,
+    Output,
+    Trace,
+    Verdict, //
+};
+use step::{
+    Effects,
+    Inbox, //
+};
 
 /// What a thread hands over with an input.
 pub(crate) enum Attachment {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,5 +10,9 @@
 mod serve;
 mod settings;
 
-pub use role::{Handle, RunError, run};
+pub use role::{
+    Handle,
+    RunError,
+    run, //
+};
 pub use settings::Settings;
--- a/crates/entry/src/role.rs
+++ b/crates/entry/src/role.rs
@@ -6,17 +6,52 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use crossbeam::channel::{Sender, bounded};
-use edge::{EdgeError, Exchange, Handler, Pool, Server};
+use crossbeam::channel::{
+    Sender,
+    bounded, //
+};
+use edge::{
+    EdgeError,
+    Exchange,
+    Handler,
+    Pool,
+    Server, //
+};
 use fault::Kind;
-use ids::{DigestKey, Incarnation, Monotonic, Revision};
-use obs::{Counters, Logger, event};
-use peer::{Control, Follower, Identity, Viewed};
-use route::{Entry, Input, Seed, Weighted};
-use wire::{Sealer, Side};
+use ids::{
+    DigestKey,
+    Incarnation,
+    Monotonic,
+    Revision, //
+};
+use obs::{
+    Counters,
+    Logger,
+    event, //
+};
+use peer::{
+    Control,
+    Follower,
+    Identity,
+    Viewed, //
+};
+use route::{
+    Entry,
+    Input,
+    Seed,
+    Weighted, //
+};
+use wire::{
+    Sealer,
+    Side, //
+};
 
 use crate::attempt::Attempter;
-use crate::control::{Attachment, EntryEffects, EntryInbox};
+use crate::control::{
+    Attachment,
+    EntryEffects,
+    EntryInbox, //
+};
 use crate::serve::Service;
 use crate::settings::Settings;
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,23 +1,58 @@
 //! Carries one request from its arrival to its answer, on a traffic thread.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 
-use crossbeam::channel::{Receiver, bounded};
+use crossbeam::channel::{
+    Receiver,
+    bounded, //
+};
 use edge::Exchange;
 use fault::Kind;
-use ids::{Digest, DigestKey, Ticket};
+use ids::{
+    Digest,
+    DigestKey,
+    Ticket, //
+};
 use ledger::Settlement;
-use obs::{Counter, Counters, Logger, event};
+use obs::{
+    Counter,
+    Counters,
+    Logger,
+    event, //
+};
 use peer::Control;
-use route::{Arrival, Claim, ClaimResult, Ended, Input, Plan, Verdict};
+use route::{
+    Arrival,
+    Claim,
+    ClaimResult,
+    Ended,
+    Input,
+    Plan,
+    Verdict, //
+};
 use serde_json::json;
 
 use crate::answer;
-use crate::api::{Ask, Wanted};
-use crate::attempt::{Attempter, Caller};
-use crate::claim::{self, Recorded};
-use crate::control::{Attachment, EntryInbox};
+use crate::api::{
+    Ask,
+    Wanted, //
+};
+use crate::attempt::{
+    Attempter,
+    Caller, //
+};
+use crate::claim::{
+    self,
+    Recorded, //
+};
+use crate::control::{
+    Attachment,
+    EntryInbox, //
+};
 use crate::credential;
 
 /// Verdicts that may wait for a traffic thread; the core sends one and waits for the next input.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,7 +6,14 @@
 
 use ids::ZoneName;
 use serde::Deserialize;
-use setting::{Check, Common, RawCommon, RawLimits, RawLog, SettingsError};
+use setting::{
+    Check,
+    Common,
+    RawCommon,
+    RawLimits,
+    RawLog,
+    SettingsError, //
+};
 
 /// Traffic threads unless the settings say otherwise; each carries one request at a time.
 const DEFAULT_THREADS: u64 = 256;
--- a/crates/fake/src/chat.rs
+++ b/crates/fake/src/chat.rs
@@ -1,9 +1,15 @@
 //! The engine's HTTP bodies, in the widely used form.
 
 use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+use std::hash::{
+    Hash,
+    Hasher, //
+};
 
-use serde_json::{Value, json};
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// Tokens generated when the caller sets no bound: at least this many.
 const LEAST_OUTPUT: u64 = 16;
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use ids::Tick;
-use step::{Core, Outbox};
+use step::{
+    Core,
+    Outbox, //
+};
 
 /// Prefill tokens that one iteration handles at most.
 const PREFILL_CHUNK: u64 = 2048;
--- a/crates/fake/src/host.rs
+++ b/crates/fake/src/host.rs
@@ -1,19 +1,55 @@
 //! The engine over HTTP.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::time::Duration;
 
-use edge::{EdgeError, Exchange, Handler, Limits, Server, Stream};
-use ids::{Clock, Monotonic, Tick};
+use edge::{
+    EdgeError,
+    Exchange,
+    Handler,
+    Limits,
+    Server,
+    Stream, //
+};
+use ids::{
+    Clock,
+    Monotonic,
+    Tick, //
+};
 use oxhttp::model::header::CONTENT_TYPE;
-use oxhttp::model::{HeaderMap, HeaderValue};
-use serde_json::{Value, json};
-use step::{Core, Effects, Inbox, Outbox};
+use oxhttp::model::{
+    HeaderMap,
+    HeaderValue, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use step::{
+    Core,
+    Effects,
+    Inbox,
+    Outbox, //
+};
 
 use crate::chat::Ask;
-use crate::engine::{Engine, EngineLoad, Input, Job, JobId, Output, Profile};
+use crate::engine::{
+    Engine,
+    EngineLoad,
+    Input,
+    Job,
+    JobId,
+    Output,
+    Profile, //
+};
 use crate::transcript::Transcript;
 
 /// How far the load report lags behind.
@@ -176,9 +212,7 @@
     fn done(&mut self, id: JobId) {
         match self.jobs.remove(&id) {
             Some(Answering::Streaming(ask, mut stream)) => {
-                if stream.write(ask.end(id.0)).is_ok() {
-                    let _ = stream.close();
-                }
+                let _ = stream.write(ask.end(id.0)).and_then(|()| stream.close());
             }
             Some(Answering::Whole(ask, exchange)) => {
                 exchange.reply(200, headers("application/json"), ask.whole(id.0));
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -11,9 +11,24 @@
 mod transcript;
 mod weights;
 
-pub use engine::{Engine, EngineLoad, Input, Job, JobId, Output, Profile};
+pub use engine::{
+    Engine,
+    EngineLoad,
+    Input,
+    Job,
+    JobId,
+    Output,
+    Profile, //
+};
 pub use host::EngineHost;
-pub use platform::{Order, PlatformHost, ReportedWindow};
+pub use platform::{
+    Order,
+    PlatformHost,
+    ReportedWindow, //
+};
 pub use service::ServiceHost;
 pub use transcript::Transcript;
-pub use weights::{Bucket, WeightHost};
+pub use weights::{
+    Bucket,
+    WeightHost, //
+};
--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -3,13 +3,32 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
-
-use edge::{EdgeError, Exchange, Handler, Limits, Server};
+use std::sync::{
+    Arc,
+    Mutex,
+    PoisonError, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use edge::{
+    EdgeError,
+    Exchange,
+    Handler,
+    Limits,
+    Server, //
+};
 use oxhttp::model::HeaderMap;
-use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// How far the list of hosts lags behind.
 const LIST_LAG: Duration = Duration::from_millis(500);
--- a/crates/fake/src/service.rs
+++ b/crates/fake/src/service.rs
@@ -2,12 +2,26 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{
+    Arc,
+    Mutex,
+    PoisonError, //
+};
 use std::time::Duration;
 
-use edge::{EdgeError, Exchange, Handler, Limits, Pool, Server};
+use edge::{
+    EdgeError,
+    Exchange,
+    Handler,
+    Limits,
+    Pool,
+    Server, //
+};
 use oxhttp::model::header::CONTENT_TYPE;
-use oxhttp::model::{HeaderMap, HeaderValue};
+use oxhttp::model::{
+    HeaderMap,
+    HeaderValue, //
+};
 use serde_json::json;
 
 use crate::transcript::Transcript;
--- a/crates/fake/src/transcript.rs
+++ b/crates/fake/src/transcript.rs
@@ -1,6 +1,10 @@
 //! Everything a stand-in saw, for tests that look for what must not be there.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{
+    Arc,
+    Mutex,
+    PoisonError, //
+};
 
 use edge::Exchange;
 
--- a/crates/fake/src/weights.rs
+++ b/crates/fake/src/weights.rs
@@ -1,13 +1,29 @@
 //! A weight store that gives only so many bytes a second.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{
+    Mutex,
+    PoisonError, //
+};
 use std::time::Duration;
 
-use edge::{EdgeError, Exchange, Handler, Limits, Server};
-use ids::{Clock, Monotonic, Tick};
+use edge::{
+    EdgeError,
+    Exchange,
+    Handler,
+    Limits,
+    Server, //
+};
+use ids::{
+    Clock,
+    Monotonic,
+    Tick, //
+};
 use oxhttp::model::HeaderMap;
-use serde_json::{Value, json};
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// A rate limit: tells how long a transfer of some bytes must wait.
 #[derive(Clone, Copy, Debug)]
--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -3,7 +3,10 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde_with::{DeserializeFromStr, SerializeDisplay};
+use serde_with::{
+    DeserializeFromStr,
+    SerializeDisplay, //
+};
 
 /// What is known of the execution of a request that did not get a regular answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/govern/src/command.rs
+++ b/crates/govern/src/command.rs
@@ -1,9 +1,23 @@
 //! The commands of the replicated state machine.
 
-use conf::{Proposal, Verdict};
-use ids::{AccountName, AttemptId};
-use ledger::{Claimed, Fingerprint, RequestKey, Settlement};
-use serde::{Deserialize, Serialize};
+use conf::{
+    Proposal,
+    Verdict, //
+};
+use ids::{
+    AccountName,
+    AttemptId, //
+};
+use ledger::{
+    Claimed,
+    Fingerprint,
+    RequestKey,
+    Settlement, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use usage::Report;
 
 use crate::machine::MachineState;
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -5,17 +5,49 @@
 use std::time::Duration;
 
 use agree::{
-    Authority, Body, Entry, Member, MemberChange, MemberError, MemberId, Message, Node, Record,
-    Saved, SnapshotMeta, Standing,
+    Authority,
+    Body,
+    Entry,
+    Member,
+    MemberChange,
+    MemberError,
+    MemberId,
+    Message,
+    Node,
+    Record,
+    Saved,
+    SnapshotMeta,
+    Standing, //
+};
+use conf::{
+    Proposal,
+    Update, //
+};
+use ids::{
+    Index,
+    Revision,
+    Term,
+    Tick,
+    Ticket, //
+};
+use step::{
+    Core,
+    Outbox, //
 };
-use conf::{Proposal, Update};
-use ids::{Index, Revision, Term, Tick, Ticket};
-use step::{Core, Outbox};
 use usage::Window;
 
-use crate::command::{Codec, Command, Outcome};
+use crate::command::{
+    Codec,
+    Command,
+    Outcome, //
+};
 use crate::machine::Machine;
-use crate::viewers::{FRESH, Viewer, ViewerId, Viewers};
+use crate::viewers::{
+    FRESH,
+    Viewer,
+    ViewerId,
+    Viewers, //
+};
 
 /// Log entries in memory after which a snapshot is made.
 const COMPACT_ENTRIES: usize = 8192;
@@ -50,11 +82,24 @@
     Status,
 }
 
+/// Messages from one member to another.
+#[derive(Clone, Debug)]
+pub struct Mail {
+    /// The sender.
+    pub from: MemberId,
+    /// Where the sender is reached.
+    pub address: SocketAddr,
+    /// The identity that is meant; another one drops the mail.
+    pub to: MemberId,
+    /// The messages, oldest first.
+    pub messages: Vec<Message>,
+}
+
 /// What the core is told.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// Messages from another member, meant for this identity.
-    Mail(MemberId, MemberId, Vec<Message>),
+    /// Messages from another member.
+    Mail(Mail),
     /// The record with this number is synced.
     Synced(u64),
     /// A question, to be answered under the ticket.
@@ -174,6 +219,8 @@
     delivering: bool,
     deliver_at: Tick,
     broken: bool,
+    /// Where members that sent mail are reached.
+    senders: BTreeMap<MemberId, SocketAddr>,
 }
 
 impl<K: Codec> Govern<K> {
@@ -201,6 +248,7 @@
             delivering: false,
             deliver_at: now,
             broken: false,
+            senders: BTreeMap::new(),
         })
     }
 
@@ -324,12 +372,11 @@
     }
 
     fn address(&self, id: Option<MemberId>) -> Option<SocketAddr> {
-        let member = self
-            .node
-            .group()
-            .iter()
-            .find(|member| Some(member.id) == id)?;
-        Some(member.address)
+        let id = id?;
+        let member = self.node.group().iter().find(|member| member.id == id);
+        member
+            .map(|member| member.address)
+            .or_else(|| self.senders.get(&id).copied())
     }
 
     /// Carries out what the node asks for.
@@ -388,9 +435,13 @@
 
     fn apply(&mut self, command: Command, out: &mut Outbox<Output>) -> Outcome {
         out.push(Output::Trace(Trace::Committed));
-        if let Command::Seal { number, .. } = &command {
-            self.sealing = false;
-            out.push(Output::Trace(Trace::Sealed(*number)));
+        match &command {
+            Command::Seal { number, .. } => {
+                self.sealing = false;
+                out.push(Output::Trace(Trace::Sealed(*number)));
+            }
+            Command::Accept(_) => self.delivering = false,
+            _ => {}
         }
         let outcome = self.machine.apply(command);
         match &outcome {
@@ -549,10 +600,11 @@
     }
 
     fn delivered(&mut self, now: Tick, number: u64, accepted: bool, out: &mut Outbox<Output>) {
-        self.delivering = false;
         if accepted {
+            // The next delivery waits until this one is committed as accepted.
             self.propose(now, None, &Command::Accept(number), out);
         } else {
+            self.delivering = false;
             self.deliver_at = now + DELIVER_AGAIN;
         }
     }
@@ -568,12 +620,13 @@
         }
         let mut inner = Outbox::default();
         match input {
-            Input::Mail(from, to, messages) if to == self.node.id() => {
-                for message in messages {
-                    self.node.receive(now, from, message, &mut inner);
+            Input::Mail(mail) if mail.to == self.node.id() => {
+                self.senders.insert(mail.from, mail.address);
+                for message in mail.messages {
+                    self.node.receive(now, mail.from, message, &mut inner);
                 }
             }
-            Input::Mail(..) => {}
+            Input::Mail(_) => {}
             Input::Synced(seq) => self.node.synced(now, seq, &mut inner),
             Input::Ask(ticket, question) => self.ask(now, ticket, question, out),
             Input::Delivered(number, accepted) => self.delivered(now, number, accepted, out),
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -9,7 +9,29 @@
 mod machine;
 mod viewers;
 
-pub use command::{Codec, Command, Outcome};
-pub use govern::{Govern, Input, Output, Question, Reply, Seed, Status, Trace};
-pub use machine::{Machine, MachineState};
-pub use viewers::{FRESH, Viewer, ViewerId, ViewerSide};
+pub use command::{
+    Codec,
+    Command,
+    Outcome, //
+};
+pub use govern::{
+    Govern,
+    Input,
+    Mail,
+    Output,
+    Question,
+    Reply,
+    Seed,
+    Status,
+    Trace, //
+};
+pub use machine::{
+    Machine,
+    MachineState, //
+};
+pub use viewers::{
+    FRESH,
+    Viewer,
+    ViewerId,
+    ViewerSide, //
+};
--- a/crates/govern/src/machine.rs
+++ b/crates/govern/src/machine.rs
@@ -1,11 +1,21 @@
 //! The replicated state machine: the same commands in the same order give the same state.
 
-use conf::{ChangeError, Registry, RegistryState};
+use conf::{
+    ChangeError,
+    Registry,
+    RegistryState, //
+};
 use ledger::Ledger;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use usage::Book;
 
-use crate::command::{Command, Outcome};
+use crate::command::{
+    Command,
+    Outcome, //
+};
 
 /// Everything the control group keeps.
 #[derive(Clone, Debug, Default)]
--- a/crates/govern/src/viewers.rs
+++ b/crates/govern/src/viewers.rs
@@ -1,9 +1,19 @@
 //! The processes that follow the configuration, and the questions they have open.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::time::Duration;
 
-use ids::{HostName, Incarnation, Index, Revision, Tick, Ticket};
+use ids::{
+    HostName,
+    Incarnation,
+    Index,
+    Revision,
+    Tick,
+    Ticket, //
+};
 
 /// How long a follower may go by a view, counted from the moment it asked. With clocks that drift
 /// by 5 percent, a withdrawn key is refused everywhere within 2.7 s.
--- a/crates/ids/src/digest.rs
+++ b/crates/ids/src/digest.rs
@@ -5,7 +5,10 @@
 
 use rand::RngExt;
 use rand::distr::Alphanumeric;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_with::hex::Hex;
 use serde_with::serde_as;
 
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -6,13 +6,53 @@
 mod tick;
 mod unit;
 
-pub use digest::{Digest, DigestError, DigestKey, Secret, SecretError};
-pub use key::{AccountId, AttemptKey, ClassId, EndpointId, GrantId, RequestId, RouteId, ZoneId};
+pub use digest::{
+    Digest,
+    DigestError,
+    DigestKey,
+    Secret,
+    SecretError, //
+};
+pub use key::{
+    AccountId,
+    AttemptKey,
+    ClassId,
+    EndpointId,
+    GrantId,
+    RequestId,
+    RouteId,
+    ZoneId, //
+};
 pub use name::{
-    AccountName, ClassName, ClusterName, EndpointName, GrantName, HostName, ModelName, NameError,
-    OperatorName, ProposalName, RegionName, RouteName, ZoneName,
+    AccountName,
+    ClassName,
+    ClusterName,
+    EndpointName,
+    GrantName,
+    HostName,
+    ModelName,
+    NameError,
+    OperatorName,
+    ProposalName,
+    RegionName,
+    RouteName,
+    ZoneName, //
+};
+pub use tick::{
+    Clock,
+    Monotonic,
+    Tick, //
 };
-pub use tick::{Clock, Monotonic, Tick};
 pub use unit::{
-    AttemptId, Fence, Incarnation, Index, Percent, Revision, Term, Ticket, Tier, Tokens, UnitError,
+    AttemptId,
+    Fence,
+    Incarnation,
+    Index,
+    Percent,
+    Revision,
+    Term,
+    Ticket,
+    Tier,
+    Tokens,
+    UnitError, //
 };
--- a/crates/ids/src/name.rs
+++ b/crates/ids/src/name.rs
@@ -4,7 +4,10 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
-use serde_with::{DeserializeFromStr, SerializeDisplay};
+use serde_with::{
+    DeserializeFromStr,
+    SerializeDisplay, //
+};
 
 /// Longest name accepted, in bytes.
 const MAX_NAME_BYTES: usize = 63;
--- a/crates/ids/src/tick.rs
+++ b/crates/ids/src/tick.rs
@@ -1,7 +1,13 @@
 //! Clock readings, always given to a core from outside.
 
-use std::ops::{Add, Sub};
-use std::time::{Duration, Instant};
+use std::ops::{
+    Add,
+    Sub, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// A reading of a monotonic clock, in microseconds since an origin private to the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/ids/src/unit.rs
+++ b/crates/ids/src/unit.rs
@@ -2,7 +2,10 @@
 
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Why a number is outside the range of its unit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -1,12 +1,24 @@
 //! The ledger of claims and its rules.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 use std::time::Duration;
 
-use ids::{AccountName, AttemptId};
-use serde::{Deserialize, Serialize};
-
-use crate::key::{Fingerprint, RequestKey};
+use ids::{
+    AccountName,
+    AttemptId, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::key::{
+    Fingerprint,
+    RequestKey, //
+};
 
 /// How long a claim is kept. A resend after that is a new request.
 const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -3,9 +3,16 @@
 use std::fmt;
 use std::str::FromStr;
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_with::hex::Hex;
-use serde_with::{DeserializeFromStr, SerializeDisplay, serde_as};
+use serde_with::{
+    DeserializeFromStr,
+    SerializeDisplay,
+    serde_as, //
+};
 
 /// Longest request key accepted, in bytes.
 const MAX_KEY_BYTES: usize = 128;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -7,5 +7,15 @@
 mod claim;
 mod key;
 
-pub use claim::{Claim, Claimed, Ledger, Settlement, Stage};
-pub use key::{Fingerprint, RequestKey, RequestKeyError};
+pub use claim::{
+    Claim,
+    Claimed,
+    Ledger,
+    Settlement,
+    Stage, //
+};
+pub use key::{
+    Fingerprint,
+    RequestKey,
+    RequestKeyError, //
+};
--- a/crates/ledger/tests/rules.rs
+++ b/crates/ledger/tests/rules.rs
@@ -1,7 +1,18 @@
 //! At most one run for each request key.
 
-use ids::{AccountName, AttemptId, Incarnation};
-use ledger::{Claimed, Fingerprint, Ledger, RequestKey, RequestKeyError, Settlement};
+use ids::{
+    AccountName,
+    AttemptId,
+    Incarnation, //
+};
+use ledger::{
+    Claimed,
+    Fingerprint,
+    Ledger,
+    RequestKey,
+    RequestKeyError,
+    Settlement, //
+};
 
 const HOUR: u64 = 60 * 60 * 1000;
 
--- a/crates/local/src/demo.rs
+++ b/crates/local/src/demo.rs
@@ -3,12 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use edge::{CallError, Link, Target};
+use edge::{
+    CallError,
+    Link,
+    Target, //
+};
 use ids::Secret;
 use obs::Logger;
 use serde_json::Value;
 
-use crate::local::{Local, LocalError, Options};
+use crate::local::{
+    Local,
+    LocalError,
+    Options, //
+};
 
 /// How long each answer may take.
 const PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -3,5 +3,12 @@
 mod demo;
 mod local;
 
-pub use demo::{Check, demo};
-pub use local::{Local, LocalError, Options};
+pub use demo::{
+    Check,
+    demo, //
+};
+pub use local::{
+    Local,
+    LocalError,
+    Options, //
+};
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -2,19 +2,44 @@
 
 use std::fmt;
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::net::{
+    Ipv4Addr,
+    SocketAddr,
+    TcpListener, //
+};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 use std::time::Duration;
 
 use conf::Change;
 use edge::Limits;
-use fake::{EngineHost, PlatformHost, Profile, ServiceHost};
-use ids::{DigestKey, GrantName, Revision, Secret};
-use obs::{Counters, LogFormat, Logger};
+use fake::{
+    EngineHost,
+    PlatformHost,
+    Profile,
+    ServiceHost, //
+};
+use ids::{
+    DigestKey,
+    GrantName,
+    Revision,
+    Secret, //
+};
+use obs::{
+    Counters,
+    LogFormat,
+    Logger, //
+};
 use ops::Ops;
 use setting::Common;
 use tempfile::TempDir;
-use wire::{NewKey, NewMember, Operator};
+use wire::{
+    NewKey,
+    NewMember,
+    Operator, //
+};
 
 /// How long one call of the plain service takes.
 const SERVICE_TAKES: Duration = Duration::from_millis(5);
@@ -452,6 +477,19 @@
             address: *address,
         };
         add_member(ops, &member)?;
+        wait_for_vote(ops, *address)?;
+    }
+    Ok(())
+}
+
+/// Waits until a member that was added has caught up and votes.
+fn wait_for_vote(ops: &Ops, address: SocketAddr) -> Result<(), LocalError> {
+    let votes = |host: &wire::StatusAnswer| {
+        let member = host.members.iter().find(|m| m.address == address);
+        member.is_some_and(|m| m.stage == agree::Stage::Voter)
+    };
+    while !ops.status()?.iter().any(votes) {
+        std::thread::sleep(Duration::from_millis(20));
     }
     Ok(())
 }
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -1,11 +1,27 @@
 //! Counters, sent by `cadence` and readable in the process.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{
+    SocketAddr,
+    UdpSocket, //
+};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 
-use cadence::{Counted, CountedExt, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
-use fault::{Kind, TABLE};
+use cadence::{
+    Counted,
+    CountedExt,
+    NopMetricSink,
+    QueuingMetricSink,
+    StatsdClient,
+    UdpMetricSink, //
+};
+use fault::{
+    Kind,
+    TABLE, //
+};
 
 macro_rules! counters {
     ($($counter:ident $name:literal $text:literal;)+) => {
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -5,8 +5,22 @@
 mod logger;
 mod signal;
 
-pub use counter::{COUNTERS, Counter, Counters};
-pub use event::{EVENTS, Event, EventRow, Severity};
-pub use logger::{LogFormat, discard, emit, logger};
+pub use counter::{
+    COUNTERS,
+    Counter,
+    Counters, //
+};
+pub use event::{
+    EVENTS,
+    Event,
+    EventRow,
+    Severity, //
+};
+pub use logger::{
+    LogFormat,
+    discard,
+    emit,
+    logger, //
+};
 pub use signal::wait_for_stop;
 pub use slog::Logger;
--- a/crates/obs/src/logger.rs
+++ b/crates/obs/src/logger.rs
@@ -2,10 +2,25 @@
 
 use std::io;
 
-use serde::{Deserialize, Serialize};
-use slog::{Drain, Logger, OwnedKV, SendSyncRefUnwindSafeKV, error, info, o, warn};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use slog::{
+    Drain,
+    Logger,
+    OwnedKV,
+    SendSyncRefUnwindSafeKV,
+    error,
+    info,
+    o,
+    warn, //
+};
 
-use crate::event::{Event, Severity};
+use crate::event::{
+    Event,
+    Severity, //
+};
 
 /// Log lines that may wait for the output; more are dropped and counted.
 const QUEUE_LINES: usize = 4096;
--- a/crates/obs/src/signal.rs
+++ b/crates/obs/src/signal.rs
@@ -2,7 +2,10 @@
 
 use std::io;
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{
+    SIGINT,
+    SIGTERM, //
+};
 use signal_hook::iterator::Signals;
 
 /// Sleeps until the process is asked to stop.
--- a/crates/ops/src/client.rs
+++ b/crates/ops/src/client.rs
@@ -2,16 +2,36 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-use conf::{Change, Verdict};
-use edge::{CallError, Client};
-use ids::{ProposalName, Revision, Secret};
+use conf::{
+    Change,
+    Verdict, //
+};
+use edge::{
+    CallError,
+    Client, //
+};
+use ids::{
+    ProposalName,
+    Revision,
+    Secret, //
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use wire::{
-    ConfigAnswer, ErrorAnswer, KeyAnswer, NewKey, NewMember, Propose, ProposeAnswer, StatusAnswer,
-    UsageAnswer,
+    ConfigAnswer,
+    ErrorAnswer,
+    KeyAnswer,
+    NewKey,
+    NewMember,
+    Propose,
+    ProposeAnswer,
+    StatusAnswer,
+    UsageAnswer, //
 };
 
 /// How long one call may take.
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -3,5 +3,12 @@
 mod client;
 mod plan;
 
-pub use client::{Ops, OpsError};
-pub use plan::{PlanError, diff, read_plan};
+pub use client::{
+    Ops,
+    OpsError, //
+};
+pub use plan::{
+    PlanError,
+    diff,
+    read_plan, //
+};
--- a/crates/ops/src/plan.rs
+++ b/crates/ops/src/plan.rs
@@ -2,7 +2,15 @@
 
 use std::fmt;
 
-use conf::{AccountSpec, Change, ClassSpec, Config, EndpointSpec, RouteSpec, ZoneSpec};
+use conf::{
+    AccountSpec,
+    Change,
+    ClassSpec,
+    Config,
+    EndpointSpec,
+    RouteSpec,
+    ZoneSpec, //
+};
 use ids::Revision;
 use serde::Deserialize;
 
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -2,13 +2,28 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError, RwLock};
-use std::time::{Duration, Instant};
+use std::sync::{
+    Arc,
+    PoisonError,
+    RwLock, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-use edge::{CallError, Client};
+use edge::{
+    CallError,
+    Client, //
+};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use wire::{Answer, Sealer, WireError, paths};
+use wire::{
+    Answer,
+    Sealer,
+    WireError,
+    paths, //
+};
 
 /// Pause between two rounds over all control hosts.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/peer/src/follow.rs
+++ b/crates/peer/src/follow.rs
@@ -3,16 +3,43 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::{self, JoinHandle, Thread};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
+use std::thread::{
+    self,
+    JoinHandle,
+    Thread, //
+};
 use std::time::Duration;
 
 use conf::Update;
-use ids::{Clock, HostName, Incarnation, Revision, Tick};
-use obs::{Counter, Counters, Logger, event};
-use wire::{Answer, Side, ViewAnswer, ViewAsk, paths};
+use ids::{
+    Clock,
+    HostName,
+    Incarnation,
+    Revision,
+    Tick, //
+};
+use obs::{
+    Counter,
+    Counters,
+    Logger,
+    event, //
+};
+use wire::{
+    Answer,
+    Side,
+    ViewAnswer,
+    ViewAsk,
+    paths, //
+};
 
-use crate::call::{Control, PeerError};
+use crate::call::{
+    Control,
+    PeerError, //
+};
 
 /// How long a question may stay open at the control host.
 const POLL_WAIT: Duration = Duration::from_millis(800);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,5 +4,12 @@
 mod call;
 mod follow;
 
-pub use call::{Control, PeerError};
-pub use follow::{Follower, Identity, Viewed};
+pub use call::{
+    Control,
+    PeerError, //
+};
+pub use follow::{
+    Follower,
+    Identity,
+    Viewed, //
+};
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -1,25 +1,66 @@
 //! The entry's core.
 
 use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+use std::hash::{
+    Hash,
+    Hasher, //
+};
 use std::time::Duration;
 
-use conf::{AccessError, Config, Method, Permit, Serves, Update};
+use conf::{
+    AccessError,
+    Config,
+    Method,
+    Permit,
+    Serves,
+    Update, //
+};
 use fault::Kind;
 use ids::{
-    AttemptId, Digest, EndpointId, Incarnation, ModelName, RequestId, Revision, RouteId, Tick,
-    Ticket, Tokens, ZoneName,
+    AttemptId,
+    Digest,
+    EndpointId,
+    Incarnation,
+    ModelName,
+    RequestId,
+    Revision,
+    RouteId,
+    Tick,
+    Ticket,
+    Tokens,
+    ZoneName, //
+};
+use ledger::{
+    Fingerprint,
+    RequestKey, //
 };
-use ledger::{Fingerprint, RequestKey};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
-use slotmap::{SecondaryMap, SlotMap};
-use step::{Core, Outbox};
+use slotmap::{
+    SecondaryMap,
+    SlotMap, //
+};
+use step::{
+    Core,
+    Outbox, //
+};
 
 use crate::budget::Budgets;
 use crate::health::Health;
-use crate::place::{Candidate, Nearness, Placement};
-use crate::request::{Arrival, Asked, Claim, ClaimResult, Ended, Plan, Verdict};
+use crate::place::{
+    Candidate,
+    Nearness,
+    Placement, //
+};
+use crate::request::{
+    Arrival,
+    Asked,
+    Claim,
+    ClaimResult,
+    Ended,
+    Plan,
+    Verdict, //
+};
 
 /// A request may wait for its start this many times its class's first-token target; later it is
 /// refused as not run.
@@ -276,7 +317,7 @@
             Err(kind) => return self.refuse(id, kind, out),
         };
         let ticket = self.requests[id].ticket;
-        out.push(Output::Verdict(ticket, Verdict::Attempt(plan)));
+        out.push(Output::Verdict(ticket, Verdict::Attempt(Box::new(plan))));
     }
 
     fn plan(&mut self, now: Tick, id: RequestId) -> Result<Plan, Kind> {
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use ids::{Incarnation, Tick};
+use ids::{
+    Incarnation,
+    Tick, //
+};
 
 /// An agent's word on its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,7 +9,28 @@
 mod place;
 mod request;
 
-pub use entry::{Entry, Input, Output, Seed, Trace};
+pub use entry::{
+    Entry,
+    Input,
+    Output,
+    Seed,
+    Trace, //
+};
 pub use health::Advert;
-pub use place::{Candidate, LeastOutstanding, Nearness, Placement, RoundRobin, Weighted};
-pub use request::{Arrival, Asked, Claim, ClaimResult, Ended, Plan, Verdict};
+pub use place::{
+    Candidate,
+    LeastOutstanding,
+    Nearness,
+    Placement,
+    RoundRobin,
+    Weighted, //
+};
+pub use request::{
+    Arrival,
+    Asked,
+    Claim,
+    ClaimResult,
+    Ended,
+    Plan,
+    Verdict, //
+};
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -6,10 +6,23 @@
 use conf::Method;
 use fault::Kind;
 use ids::{
-    AccountName, AttemptId, ClassName, Digest, EndpointName, GrantName, ModelName, RequestId,
-    Revision, RouteName, Ticket, Tokens,
+    AccountName,
+    AttemptId,
+    ClassName,
+    Digest,
+    EndpointName,
+    GrantName,
+    ModelName,
+    RequestId,
+    Revision,
+    RouteName,
+    Ticket,
+    Tokens, //
+};
+use ledger::{
+    Fingerprint,
+    RequestKey, //
 };
-use ledger::{Fingerprint, RequestKey};
 
 use crate::health::Advert;
 
@@ -97,7 +110,7 @@
     /// It is refused or has failed.
     Refuse(Kind),
     /// Make this attempt.
-    Attempt(Plan),
+    Attempt(Box<Plan>),
     /// Claim it first.
     Claim(Claim),
     /// Give the answer recorded by its claim.
--- a/crates/setting/src/check.rs
+++ b/crates/setting/src/check.rs
@@ -3,7 +3,10 @@
 use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 use serde::de::DeserializeOwned;
 
--- a/crates/setting/src/common.rs
+++ b/crates/setting/src/common.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use edge::Limits;
-use ids::{ClusterName, HostName};
+use ids::{
+    ClusterName,
+    HostName, //
+};
 use obs::LogFormat;
 use serde::Deserialize;
 
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -3,5 +3,15 @@
 mod check;
 mod common;
 
-pub use check::{Check, Fault, SettingsError, read};
-pub use common::{Common, RawCommon, RawLimits, RawLog};
+pub use check::{
+    Check,
+    Fault,
+    SettingsError,
+    read, //
+};
+pub use common::{
+    Common,
+    RawCommon,
+    RawLimits,
+    RawLog, //
+};
--- a/crates/step/src/lib.rs
+++ b/crates/step/src/lib.rs
@@ -6,7 +6,11 @@
 
 mod runner;
 
-pub use runner::{Closed, Control, Inbox};
+pub use runner::{
+    Closed,
+    Control,
+    Inbox, //
+};
 
 use ids::Tick;
 
--- a/crates/step/src/runner.rs
+++ b/crates/step/src/runner.rs
@@ -2,13 +2,25 @@
 
 use std::fmt;
 use std::io;
-use std::thread::{self, JoinHandle};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam::channel::{
+    Receiver,
+    RecvTimeoutError,
+    Sender,
+    unbounded, //
+};
 use ids::Clock;
 
-use crate::{Core, Effects, Outbox};
+use crate::{
+    Core,
+    Effects,
+    Outbox, //
+};
 
 /// The control thread has ended, so the input was not handled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -147,7 +159,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use ids::{Monotonic, Tick};
+    use ids::{
+        Monotonic,
+        Tick, //
+    };
 
     /// Echoes inputs, and counts down three wake-ups of 1 ms each.
     struct Echo {
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -1,11 +1,26 @@
 //! An append-only file of checksummed records.
 
-use std::fs::{File, OpenOptions};
-use std::io::{Read, Seek, SeekFrom, Write};
-use std::path::{Path, PathBuf};
+use std::fs::{
+    File,
+    OpenOptions, //
+};
+use std::io::{
+    Read,
+    Seek,
+    SeekFrom,
+    Write, //
+};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 use crate::StoreError;
-use crate::frame::{self, Found, HEAD_BYTES};
+use crate::frame::{
+    self,
+    Found,
+    HEAD_BYTES, //
+};
 
 /// What a journal held when it was opened.
 #[derive(Debug, Default)]
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,12 +7,21 @@
 mod journal;
 mod vault;
 
-pub use journal::{Journal, Replay};
-pub use vault::{Recovered, Vault};
+pub use journal::{
+    Journal,
+    Replay, //
+};
+pub use vault::{
+    Recovered,
+    Vault, //
+};
 
 use std::fmt;
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 /// Why durable state cannot be opened or written.
 #[derive(Debug)]
--- a/crates/store/src/vault.rs
+++ b/crates/store/src/vault.rs
@@ -3,9 +3,15 @@
 //! A generation is a snapshot file and a journal file with the same number. The file `current`
 //! names the generation in force and is replaced by an atomic rename.
 
-use std::fs::{self, File};
+use std::fs::{
+    self,
+    File, //
+};
 use std::io::Write;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 use crate::StoreError;
 use crate::journal::Journal;
@@ -179,7 +185,11 @@
 }
 
 fn unframe(path: &Path, bytes: Vec<u8>) -> Result<Vec<u8>, StoreError> {
-    use crate::frame::{Found, HEAD_BYTES, look};
+    use crate::frame::{
+        Found,
+        HEAD_BYTES,
+        look, //
+    };
     if bytes.is_empty() {
         return Ok(bytes);
     }
--- a/crates/store/tests/vault.rs
+++ b/crates/store/tests/vault.rs
@@ -1,11 +1,17 @@
 //! What survives on disk, and what is refused.
 
-use std::fs::{self, OpenOptions};
+use std::fs::{
+    self,
+    OpenOptions, //
+};
 use std::io::Write;
 use std::path::Path;
 
 use assert_matches::assert_matches;
-use store::{StoreError, Vault};
+use store::{
+    StoreError,
+    Vault, //
+};
 use tempfile::TempDir;
 
 fn fresh() -> TempDir {
--- a/crates/usage/src/book.rs
+++ b/crates/usage/src/book.rs
@@ -1,10 +1,21 @@
 //! The book of windows: merged, sealed, delivered.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
-use crate::count::{Counts, Line, Report, Source};
+use crate::count::{
+    Counts,
+    Line,
+    Report,
+    Source, //
+};
 
 /// How many sealed windows are kept after their delivery.
 const KEPT_WINDOWS: usize = 1000;
--- a/crates/usage/src/count.rs
+++ b/crates/usage/src/count.rs
@@ -2,8 +2,17 @@
 
 use std::collections::BTreeMap;
 
-use ids::{AccountName, ClassName, EndpointName, Incarnation, Tokens};
-use serde::{Deserialize, Serialize};
+use ids::{
+    AccountName,
+    ClassName,
+    EndpointName,
+    Incarnation,
+    Tokens, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// Who counts: one run of one endpoint's agent.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -7,5 +7,15 @@
 mod book;
 mod count;
 
-pub use book::{Book, Delivery, Window};
-pub use count::{Counts, Line, Meter, Report, Source};
+pub use book::{
+    Book,
+    Delivery,
+    Window, //
+};
+pub use count::{
+    Counts,
+    Line,
+    Meter,
+    Report,
+    Source, //
+};
--- a/crates/usage/tests/rules.rs
+++ b/crates/usage/tests/rules.rs
@@ -1,7 +1,17 @@
 //! Nothing is counted twice, nothing is lost, and a sealed window stands.
 
-use ids::{Incarnation, Tokens};
-use usage::{Book, Counts, Line, Meter, Report, Source};
+use ids::{
+    Incarnation,
+    Tokens, //
+};
+use usage::{
+    Book,
+    Counts,
+    Line,
+    Meter,
+    Report,
+    Source, //
+};
 
 fn source(run: u64) -> Source {
     Source {
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -2,11 +2,25 @@
 
 use std::net::SocketAddr;
 
-use conf::{Change, Verdict};
+use conf::{
+    Change,
+    Verdict, //
+};
 use ids::{
-    AccountName, ClassName, Digest, GrantName, HostName, OperatorName, ProposalName, Revision, Term,
+    AccountName,
+    ClassName,
+    Digest,
+    GrantName,
+    HostName,
+    OperatorName,
+    ProposalName,
+    Revision,
+    Term, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
 };
-use serde::{Deserialize, Serialize};
 
 /// An operator as the control hosts' settings name one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -5,11 +5,24 @@
 use conf::Method;
 use fault::Kind;
 use ids::{
-    AccountName, AttemptId, ClassName, EndpointName, GrantName, Incarnation, Revision, RouteName,
-    Tokens,
+    AccountName,
+    AttemptId,
+    ClassName,
+    EndpointName,
+    GrantName,
+    Incarnation,
+    Revision,
+    RouteName,
+    Tokens, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_with::{
+    DurationMilliSeconds,
+    serde_as, //
 };
-use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
 
 /// What an agent decides by.
 #[serde_as]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,9 +8,44 @@
 mod peer;
 
 pub use admin::{
-    ConfigAnswer, ErrorAnswer, KeyAnswer, MemberRow, NewKey, NewMember, Operator, Propose,
-    ProposeAnswer, SealedRow, StatusAnswer, UsageAnswer, UsageRow, ViewerRow,
+    ConfigAnswer,
+    ErrorAnswer,
+    KeyAnswer,
+    MemberRow,
+    NewKey,
+    NewMember,
+    Operator,
+    Propose,
+    ProposeAnswer,
+    SealedRow,
+    StatusAnswer,
+    UsageAnswer,
+    UsageRow,
+    ViewerRow, //
+};
+pub use attempt::{
+    Advert,
+    Attempt,
+    AttemptHead,
+    Call,
+    Frame,
+    Served, //
+};
+pub use codec::{
+    FrameError,
+    Sealer,
+    WireError,
+    decode,
+    encode,
+    read_frame, //
+};
+pub use peer::{
+    Answer,
+    ClaimAsk,
+    Mail,
+    SettleAsk,
+    Side,
+    ViewAnswer,
+    ViewAsk,
+    paths, //
 };
-pub use attempt::{Advert, Attempt, AttemptHead, Call, Frame, Served};
-pub use codec::{FrameError, Sealer, WireError, decode, encode, read_frame};
-pub use peer::{Answer, ClaimAsk, Mail, SettleAsk, Side, ViewAnswer, ViewAsk, paths};
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,12 +3,31 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use agree::{MemberId, Message};
+use agree::{
+    MemberId,
+    Message, //
+};
 use conf::Update;
-use ids::{AccountName, AttemptId, HostName, Incarnation, Revision};
-use ledger::{Fingerprint, RequestKey, Settlement};
-use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
+use ids::{
+    AccountName,
+    AttemptId,
+    HostName,
+    Incarnation,
+    Revision, //
+};
+use ledger::{
+    Fingerprint,
+    RequestKey,
+    Settlement, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_with::{
+    DurationMilliSeconds,
+    serde_as, //
+};
 
 /// Paths of the messages.
 pub mod paths {
@@ -35,6 +54,8 @@
 pub struct Mail {
     /// The sender.
     pub from: MemberId,
+    /// Where the sender is reached; a host that joins knows no other way to answer.
+    pub address: SocketAddr,
     /// The receiver; a host with another identity drops the mail.
     pub to: MemberId,
     /// The messages, oldest first.
--- a/crates/wire/tests/seal.rs
+++ b/crates/wire/tests/seal.rs
@@ -1,7 +1,11 @@
 //! A sealed message is taken only by its own cluster, at its own path, unchanged.
 
 use assert_matches::assert_matches;
-use wire::{Sealer, WireError, decode};
+use wire::{
+    Sealer,
+    WireError,
+    decode, //
+};
 
 fn sealer(cluster: &str, secret: &str) -> Sealer {
     Sealer::new(cluster.try_into().unwrap(), secret)
