--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -44,7 +44,7 @@
 /// How long one call of the plain service takes.
 const SERVICE_TAKES: Duration = Duration::from_millis(5);
 /// How long a change may take until every process has confirmed it.
-const CONFIRM: Duration = Duration::from_secs(10);
+const CONFIRM: Duration = Duration::from_secs(60);
 /// Traffic threads of each entry and agent; a demo needs few.
 const THREADS: usize = 64;
 
