--- /dev/null
+++ b/cmd/berg-bench/src/main.rs
@@ -0,0 +1,119 @@
+//! Measures policy under load and faults, in virtual time.
+
+mod flags;
+
+use std::process::ExitCode;
+
+use bench::{
+    Disturbance,
+    Policy,
+    Row,
+    Run,
+    Score,
+    Site,
+    run,
+    write_report, //
+};
+use flags::Flags;
+
+/// Loads measured, as shares of capacity.
+const LOADS: [f64; 4] = [0.7, 1.0, 1.5, 3.0];
+
+fn main() -> ExitCode {
+    let flags = flags::parse();
+    let rows = measure(&flags);
+    match write_report(&flags.out, &rows) {
+        Ok(()) => {
+            eprintln!("{}: policy.csv and policy.html", flags.out.display());
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("berg-bench: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(flags: &Flags) -> Vec<Row> {
+    println!(
+        "{:<11} {:>4} {:<10} {:<18} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>7} {:>6} {:>6} {:>5}",
+        "site",
+        "load",
+        "fault",
+        "policy",
+        "tier0",
+        "tier1",
+        "tier2",
+        "tier3",
+        "serv3",
+        "goodput",
+        "wasted",
+        "worst",
+        "broken",
+        "viol"
+    );
+    let mut rows = Vec::new();
+    for site in [Site::Hidrovigia, Site::Cruinneog] {
+        for disturbance in Disturbance::ALL {
+            for load in LOADS {
+                for policy in Policy::ALL.into_iter().filter(|p| flags.wants(*p)) {
+                    let score = run(Run {
+                        site,
+                        load,
+                        disturbance,
+                        policy,
+                        length: flags.length,
+                        seed: flags.seed,
+                    });
+                    let row = row(site, load, disturbance, policy, &score);
+                    print(&row);
+                    rows.push(row);
+                }
+            }
+        }
+        if flags.quick {
+            break;
+        }
+    }
+    rows
+}
+
+fn row(site: Site, load: f64, disturbance: Disturbance, policy: Policy, score: &Score) -> Row {
+    Row {
+        site: site.name().to_owned(),
+        load,
+        disturbance: disturbance.name().to_owned(),
+        policy: policy.name().to_owned(),
+        tier0: score.attained[0],
+        tier1: score.attained[1],
+        tier2: score.attained[2],
+        tier3: score.attained[3],
+        served3: score.served[3],
+        goodput: score.goodput,
+        wasted: score.wasted,
+        worst: score.worst,
+        broken: score.broken,
+        cost: score.cost,
+        violations: score.inversions,
+    }
+}
+
+fn print(row: &Row) {
+    println!(
+        "{:<11} {:>4} {:<10} {:<18} {:>6.3} {:>6.3} {:>6.3} {:>6.3} {:>7.3} {:>7.0} {:>7.4} {:>6.2} {:>6} {:>5}",
+        row.site,
+        row.load,
+        row.disturbance,
+        row.policy,
+        row.tier0,
+        row.tier1,
+        row.tier2,
+        row.tier3,
+        row.served3,
+        row.goodput,
+        row.wasted,
+        row.worst,
+        row.broken,
+        row.violations
+    );
+}
--- a/crates/admit/src/fcfs.rs
+++ b/crates/admit/src/fcfs.rs
@@ -1,4 +1,4 @@
-//! First come, first served: the baseline that knows neither tiers nor accounts.
+//! First come, first served: the baseline that knows neither tiers nor accounts nor deadlines.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -39,10 +39,8 @@
         self.0.remove(at)
     }
 
-    fn expire(&mut self, now: Tick) -> Vec<Waiting> {
-        let (late, rest): (Vec<_>, Vec<_>) = self.0.drain(..).partition(|item| item.due <= now);
-        self.0 = rest.into();
-        late
+    fn expire(&mut self, _: Tick) -> Vec<Waiting> {
+        Vec::new()
     }
 
     fn clear(&mut self) -> Vec<Waiting> {
@@ -50,7 +48,7 @@
     }
 
     fn next_due(&self) -> Option<Tick> {
-        self.0.iter().map(|item| item.due).min()
+        None
     }
 
     fn len(&self) -> usize {
@@ -58,7 +56,7 @@
     }
 
     fn ahead_of(&self, _: Tier) -> usize {
-        self.0.len()
+        usize::from(!self.0.is_empty())
     }
 
     fn settle(&mut self, _: ClassId, _: AccountId, _: u32, _: Tokens, _: Tokens) {}
--- /dev/null
+++ b/crates/bench/src/site.rs
@@ -0,0 +1,124 @@
+//! The deployments measured: the two users' sizes of today.
+
+use std::time::Duration;
+
+use conf::Change;
+use fake::Profile;
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Endpoint slots of the engines measured.
+pub(crate) const SLOTS: usize = 16;
+/// Mean tokens of an answer.
+pub(crate) const MEAN_OUTPUT: u64 = 120;
+/// Mean tokens of a prompt.
+pub(crate) const MEAN_INPUT: u64 = 600;
+
+/// A deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Site {
+    /// Leak-crew dispatch: zones quito-norte, quito-sur and valle-chillos, 10 engines.
+    Hidrovigia,
+    /// Logo designers' studio: zones eire-a, eire-b and eire-c, 12 engines.
+    Cruinneog,
+}
+
+impl Site {
+    /// The deployment's name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Hidrovigia => "hidrovigia",
+            Self::Cruinneog => "cruinneog",
+        }
+    }
+
+    /// How many engines it has.
+    pub fn engines(self) -> usize {
+        match self {
+            Self::Hidrovigia => 10,
+            Self::Cruinneog => 12,
+        }
+    }
+
+    pub(crate) fn zones(self) -> [&'static str; 3] {
+        match self {
+            Self::Hidrovigia => ["quito-norte", "quito-sur", "valle-chillos"],
+            Self::Cruinneog => ["eire-a", "eire-b", "eire-c"],
+        }
+    }
+
+    /// The engines' size and speed.
+    pub(crate) fn profile(self) -> Profile {
+        Profile {
+            slots: SLOTS,
+            prefill: 20_000,
+            base: Duration::from_millis(18),
+            each: Duration::from_micros(900),
+            cache: 65_536,
+            warmup: Duration::from_secs(5),
+            chill: 3,
+        }
+    }
+
+    /// Requests a second that the engines serve with every slot in use.
+    pub fn capacity(self) -> f64 {
+        let profile = self.profile();
+        let step = profile.base.as_secs_f64() + profile.each.as_secs_f64() * SLOTS as f64;
+        let read = MEAN_INPUT as f64 / profile.prefill as f64;
+        // A slot is held for its tokens; reading a prompt holds up the whole batch.
+        let held = MEAN_OUTPUT as f64 * step / SLOTS as f64 + read;
+        self.engines() as f64 / held
+    }
+
+    /// The classes: name, tier, share of the load in percent, first-token target, reserve.
+    pub(crate) fn classes(self) -> [(&'static str, u8, u32, u64, u8); 4] {
+        match self {
+            Self::Hidrovigia => [
+                ("field", 0, 30, 650, 0),
+                ("dispatch", 1, 30, 1000, 5),
+                ("survey", 2, 25, 2000, 5),
+                ("archive", 3, 15, 4000, 5),
+            ],
+            Self::Cruinneog => [
+                ("sketch", 0, 30, 650, 0),
+                ("brief", 1, 30, 1000, 5),
+                ("critique", 2, 25, 2000, 5),
+                ("batch", 3, 15, 4000, 5),
+            ],
+        }
+    }
+
+    /// The configuration that all cores go by.
+    pub(crate) fn changes(self) -> Vec<Change> {
+        let zones = self
+            .zones()
+            .map(|zone| json!({"put-zone": {"name": zone, "region": "home"}}));
+        let classes = self.classes().map(|(name, tier, _, first, reserve)| {
+            json!({"put-class": {"name": name, "tier": tier, "first_ms": first, "gap_ms": 66,
+                "reserve": reserve}})
+        });
+        let accounts = (0..10).map(|n| json!({"put-account": {"name": format!("account-{n}")}}));
+        let routes = self.classes().map(|(name, ..)| {
+            json!({"put-route": {"name": name, "class": name, "serves": {"model": name}}})
+        });
+        let names: Vec<_> = self.classes().iter().map(|class| class.0).collect();
+        let endpoints = (0..self.engines()).map(|n| {
+            json!({"put-endpoint": {"name": format!("engine-{n}"), "zone": self.zones()[n % 3],
+                "routes": names, "agent": format!("127.0.0.1:{}", 9000 + n), "slots": SLOTS}})
+        });
+        let grants = (0..10).map(|n| {
+            json!({"put-grant": {"name": format!("key-{n}"), "account": format!("account-{n}"),
+                "digest": format!("{n:064x}")}})
+        });
+        let rows = zones
+            .into_iter()
+            .chain(classes)
+            .chain(accounts)
+            .chain(routes);
+        let rows = rows.chain(endpoints).chain(grants);
+        rows.filter_map(|row: Value| serde_json::from_value(row).ok())
+            .collect()
+    }
+}
