--- a/cmd/berg-bench/src/flags.rs
+++ b/cmd/berg-bench/src/flags.rs
@@ -47,7 +47,7 @@
     }
     Flags {
         out: flags.out.unwrap_or_else(|| PathBuf::from("target/bench")),
-        length: Duration::from_secs(flags.length.unwrap_or(DEFAULT_LENGTH_S).max(3)),
+        length: Duration::from_secs(flags.length.unwrap_or(DEFAULT_LENGTH_S).max(30)),
         seed: flags.seed.unwrap_or(DEFAULT_SEED),
         quick: flags.quick,
         product: flags.product,
--- a/crates/admit/src/agent.rs
+++ b/crates/admit/src/agent.rs
@@ -49,6 +49,8 @@
 /// Of the slots, how many may be overdrawn by higher tiers whose start makes the engine pause
 /// lower ones, as a divisor.
 const OVERDRAFT_DIVISOR: u32 = 2;
+/// Entries let a request wait for this many times its class's first-token target.
+const SLACK_TARGETS: u32 = 2;
 /// Turns of a slot that an arrival must be able to spare, so that a reserve can be granted in
 /// between without making it late.
 const SPARE_TURNS: u32 = 2;
@@ -122,10 +124,8 @@
 /// What an agent says of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
-    /// Requests at the engine.
-    pub running: u32,
-    /// Requests waiting.
-    pub queued: u32,
+    /// Requests at the engine and waiting, by tier.
+    pub busy: [u32; Tier::COUNT],
     /// Requests the engine may have at once.
     pub limit: u32,
 }
@@ -221,9 +221,12 @@
 
     /// The load now.
     pub fn load(&self) -> Load {
+        let mut busy = self.queue.by_tier();
+        for run in self.running.values() {
+            busy[run.tier.index()] += 1;
+        }
         Load {
-            running: count(self.running.len()),
-            queued: count(self.queue.len()),
+            busy,
             limit: self.window.limit(),
         }
     }
@@ -309,6 +312,7 @@
             reserve,
             cost: Tokens(arrival.input.0 + output),
             since: now,
+            target: now + arrival.slack / SLACK_TARGETS,
             due: now + arrival.slack,
         })
     }
@@ -456,15 +460,34 @@
         else {
             return;
         };
-        if self
-            .window
-            .first_token(now, now.since(run.began), run.first)
-        {
+        let took = now.since(run.began);
+        if took > run.first && self.is_overdrawn() {
+            return;
+        }
+        if self.window.first_token(now, took, run.first) {
             out.push(Output::Trace(Trace::Cooled));
         }
         self.dispatch(now, out);
     }
 
+    fn gap(&mut self, now: Tick, ticket: Ticket, gap: Duration) {
+        // A request that the engine has paused for a higher tier says nothing of its speed.
+        if self.is_overdrawn() {
+            return;
+        }
+        let run = self
+            .tickets
+            .get(&ticket)
+            .and_then(|key| self.running.get(*key));
+        if let Some(target) = run.map(|run| run.gap) {
+            self.window.token_gap(now, gap, target);
+        }
+    }
+
+    fn is_overdrawn(&self) -> bool {
+        count(self.running.len()) > self.window.limit()
+    }
+
     fn done(
         &mut self,
         now: Tick,
@@ -537,13 +560,7 @@
             Input::Arrive(arrival) => self.arrive(now, &arrival, out),
             Input::First(ticket) => self.first(now, ticket, out),
             Input::Gap(ticket, gap) => {
-                let run = self
-                    .tickets
-                    .get(&ticket)
-                    .and_then(|key| self.running.get(*key));
-                if let Some(target) = run.map(|run| run.gap) {
-                    self.window.token_gap(now, gap, target);
-                }
+                self.gap(now, ticket, gap);
             }
             Input::Done(ticket, outcome, tokens) => self.done(now, ticket, outcome, tokens, out),
             Input::Gone(ticket) => {
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -68,11 +68,17 @@
         share.waiting.push_back(item);
     }
 
-    fn pop(&mut self) -> Option<Waiting> {
-        let least = self.backlog().min_by_key(|(_, share)| share.served);
+    /// Takes the next request of the account that has had least; requests that can still meet
+    /// their target go before late ones.
+    fn pop(&mut self, now: Tick) -> Option<Waiting> {
+        let on_time = |item: &Waiting| item.target > now;
+        let least = self
+            .backlog()
+            .min_by_key(|(_, share)| (!share.waiting.iter().any(on_time), share.served));
         let account = least.map(|(account, _)| *account)?;
         let share = self.shares.get_mut(&account)?;
-        let item = share.waiting.pop_front()?;
+        let at = share.waiting.iter().position(on_time).unwrap_or(0);
+        let item = share.waiting.remove(at)?;
         share.served += charge(item.cost, item.weight);
         Some(item)
     }
@@ -150,7 +156,7 @@
         if reserved.is_some() {
             lane.credit -= START_CREDIT;
         }
-        lane.pop().map(|item| (item, reserved.is_some()))
+        lane.pop(now).map(|item| (item, reserved.is_some()))
     }
 
     fn give_way(&mut self, tier: Tier) -> Option<Waiting> {
@@ -193,6 +199,13 @@
         self.lanes.values().map(|lane| lane.items().count()).sum()
     }
 
+    fn by_tier(&self) -> [u32; Tier::COUNT] {
+        let mut counts = [0; Tier::COUNT];
+        let items = self.lanes.values().flat_map(Lane::items);
+        items.for_each(|item| counts[item.tier.index()] += 1);
+        counts
+    }
+
     fn ahead_of(&self, tier: Tier) -> usize {
         let ahead = self
             .lanes
--- a/crates/admit/src/fcfs.rs
+++ b/crates/admit/src/fcfs.rs
@@ -55,6 +55,14 @@
         self.0.len()
     }
 
+    fn by_tier(&self) -> [u32; Tier::COUNT] {
+        let mut counts = [0; Tier::COUNT];
+        self.0
+            .iter()
+            .for_each(|item| counts[item.tier.index()] += 1);
+        counts
+    }
+
     fn ahead_of(&self, _: Tier) -> usize {
         usize::from(!self.0.is_empty())
     }
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -30,7 +30,9 @@
     pub cost: Tokens,
     /// When it came.
     pub since: Tick,
-    /// When its start is too late.
+    /// When its start is late: the class's target can no longer be met.
+    pub target: Tick,
+    /// When its start is too late, so that it is sent away.
     pub due: Tick,
 }
 
@@ -66,6 +68,9 @@
         self.len() == 0
     }
 
+    /// How many requests wait, by tier.
+    fn by_tier(&self) -> [u32; Tier::COUNT];
+
     /// How many requests would start before an arrival of this tier.
     fn ahead_of(&self, tier: Tier) -> usize;
 
--- a/crates/admit/src/window.rs
+++ b/crates/admit/src/window.rs
@@ -16,6 +16,8 @@
 const COLD_FACTOR: u32 = 3;
 /// So many such first tokens in a row turn the window cold.
 const COLD_SIGNS: u32 = 3;
+/// Weight of the newest gap in the moving average, as a divisor.
+const GAP_SMOOTHING: u32 = 64;
 /// The limit shrinks at most once in this time, so that one slow batch counts once.
 const SHRINK_PAUSE: Duration = Duration::from_secs(1);
 
@@ -27,6 +29,8 @@
     signs: u32,
     warm: bool,
     shrunk: Tick,
+    /// Moving average of the time between tokens.
+    gap: Duration,
 }
 
 impl Window {
@@ -38,6 +42,7 @@
             signs: 0,
             warm: false,
             shrunk: Tick::default(),
+            gap: Duration::ZERO,
         }
     }
 
@@ -83,9 +88,11 @@
         false
     }
 
-    /// Tokens came `gap` apart, against a target.
+    /// Tokens came `gap` apart, against a target. Single gaps are long whenever the engine reads a
+    /// prompt, so the average decides.
     pub fn token_gap(&mut self, now: Tick, gap: Duration, target: Duration) {
-        if gap > target {
+        self.gap = (self.gap * (GAP_SMOOTHING - 1) + gap) / GAP_SMOOTHING;
+        if self.gap > target {
             self.shrink(now);
         }
     }
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -174,8 +174,7 @@
 pub(crate) fn advert(run: Incarnation, load: Load) -> Advert {
     Advert {
         run,
-        running: load.running,
-        queued: load.queued,
+        busy: load.busy,
         limit: load.limit,
     }
 }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -79,6 +79,8 @@
 const WATCH: Duration = Duration::from_millis(500);
 /// How long a changed configuration takes to reach the cores.
 const SPREAD: Duration = Duration::from_millis(200);
+/// Time before the first request that counts, in which all engines get warm.
+const LEAD: Duration = Duration::from_secs(15);
 /// How long a crashed engine is away.
 const REBOOT: Duration = Duration::from_secs(8);
 /// How long a zone is out.
@@ -251,8 +253,23 @@
                 self.handle(event);
             }
         }
-        let generated = self.engines.iter().map(Engine::generated).sum();
-        let mut score = score(self.run.site, &self.fates, self.run.length, generated);
+        let generated: u64 = self.engines.iter().map(Engine::generated).sum();
+        let lead = Tick::default() + LEAD;
+        let counted: Vec<_> = self
+            .fates
+            .iter()
+            .filter(|fate| fate.came >= lead)
+            .copied()
+            .collect();
+        let length = self.run.length - LEAD;
+        let early: u64 = self
+            .fates
+            .iter()
+            .filter(|f| f.came < lead)
+            .map(|f| f.tokens)
+            .sum();
+        let generated = generated.saturating_sub(early);
+        let mut score = score(self.run.site, &counted, length, generated);
         score.inversions = self.inversions;
         score.retried = self.retried;
         score
@@ -577,8 +594,7 @@
 fn advert(load: Load) -> Advert {
     Advert {
         run: Incarnation(1),
-        running: load.running,
-        queued: load.queued,
+        busy: load.busy,
         limit: load.limit,
     }
 }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -295,8 +295,7 @@
 fn advert_of(advert: wire::Advert) -> Advert {
     Advert {
         run: advert.run,
-        running: advert.running,
-        queued: advert.queued,
+        busy: advert.busy,
         limit: advert.limit,
     }
 }
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -27,6 +27,7 @@
     RouteId,
     Tick,
     Ticket,
+    Tier,
     Tokens,
     ZoneName, //
 };
@@ -346,11 +347,12 @@
             .place
             .choose(&candidates, &mut self.rng)
             .ok_or(bounce)?;
+        let tier = self.config.tier_of(request.class);
         self.health
             .entry(chosen)
             .ok_or(missing)?
             .or_default()
-            .sent();
+            .sent(tier);
         let request = self.requests.get_mut(id).ok_or(Kind::Internal)?;
         request.at = Some(chosen);
         request.tried.push(chosen);
@@ -391,8 +393,11 @@
             endpoint.routes.contains(&request.route) && self.config.takes_work(*id)
         });
         let untried = serves.filter(|(id, _)| !request.tried.contains(id));
-        let all: Vec<_> = untried.map(|(id, e)| self.candidate(now, id, e)).collect();
-        let out = |c: &Candidate| self.health.get(c.id).is_some_and(|h| h.is_out(now));
+        let tier = self.config.tier_of(request.class);
+        let all: Vec<_> = untried
+            .map(|(id, e)| self.candidate(now, id, e, tier))
+            .collect();
+        let out = |c: &Candidate| self.health.get(c.id).is_some_and(|h| h.is_out(now, tier));
         let good: Vec<_> = all.iter().filter(|c| !out(c)).copied().collect();
         // With every endpoint left out, one that may fail is better than none.
         let mut chosen = if good.is_empty() { all } else { good };
@@ -408,7 +413,13 @@
         chosen
     }
 
-    fn candidate(&self, now: Tick, id: EndpointId, endpoint: &conf::Endpoint) -> Candidate {
+    fn candidate(
+        &self,
+        now: Tick,
+        id: EndpointId,
+        endpoint: &conf::Endpoint,
+        tier: Tier,
+    ) -> Candidate {
         let health = self.health.get(id);
         let mine = self.config.find_zone(&self.seed.zone);
         let region = |zone| self.config.region_of(zone);
@@ -421,7 +432,7 @@
         };
         Candidate {
             id,
-            load: health.map_or(0, |health| health.load(now)),
+            load: health.map_or(0, |health| health.load(now, tier)),
             near,
             first: health.map_or(Duration::ZERO, Health::usual_first),
             home: false,
@@ -444,9 +455,10 @@
         };
         let at = request.at.take();
         let once = request.once;
+        let tier = self.config.tier_of(request.class);
         if let Some(health) = at.and_then(|at| self.health.get_mut(at)) {
-            health.ended();
-            if note(now, health, ended) {
+            health.ended(tier);
+            if note(now, tier, health, ended) {
                 out.push(Output::Trace(Trace::Ejected));
             }
         }
@@ -550,7 +562,7 @@
 }
 
 /// Updates an endpoint's health. Returns whether it is left out from now on.
-fn note(now: Tick, health: &mut Health, ended: Ended) -> bool {
+fn note(now: Tick, tier: Tier, health: &mut Health, ended: Ended) -> bool {
     match ended {
         Ended::Served(advert) => {
             health.heard(now, advert);
@@ -559,7 +571,7 @@
         }
         Ended::Bounced(_, advert) => {
             health.heard(now, advert);
-            health.bounced(now);
+            health.bounced(now, tier);
             false
         }
         Ended::Unreached | Ended::Lost(_) | Ended::Broken => health.failed(now),
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -2,20 +2,15 @@
 
 use std::time::Duration;
 
-use ids::{
-    Incarnation,
-    Tick, //
-};
+use ids::{Incarnation, Tick, Tier};
 
 /// An agent's word on its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Advert {
     /// The agent's run.
     pub run: Incarnation,
-    /// Requests at the engine.
-    pub running: u32,
-    /// Requests waiting in the agent.
-    pub queued: u32,
+    /// Requests at the engine and waiting, by tier.
+    pub busy: [u32; Tier::COUNT],
     /// Requests the engine may have at once now.
     pub limit: u32,
 }
@@ -30,6 +25,8 @@
 const BOUNCE_PAUSE: Duration = Duration::from_millis(100);
 /// How long an agent's word holds; after that it fades to half with each further span.
 const ADVERT_HOLDS: Duration = Duration::from_secs(2);
+/// What a request of a lower tier adds to the load, in thousandths of a rival.
+const LOWER_TIERS: u64 = 200;
 /// Weight of the newest first-token time in its moving average, as a divisor.
 const SMOOTHING: u32 = 8;
 
@@ -38,24 +35,28 @@
 pub(crate) struct Health {
     advert: Advert,
     heard: Tick,
-    /// Own attempts under way.
-    own: u32,
+    /// Own attempts under way, by tier.
+    own: [u32; Tier::COUNT],
     /// Own attempts under way when the advert came, so that they are not counted twice.
-    own_then: u32,
+    own_then: [u32; Tier::COUNT],
     failures: u32,
     ejections: u32,
     until: Tick,
+    /// Until when each tier passes the endpoint over after a bounce.
+    full: [Tick; Tier::COUNT],
     first: Duration,
 }
 
 impl Health {
-    pub(crate) fn sent(&mut self) {
-        self.own += 1;
+    pub(crate) fn sent(&mut self, tier: Tier) {
+        self.own[tier.index()] += 1;
     }
 
-    pub(crate) fn ended(&mut self) {
-        self.own = self.own.saturating_sub(1);
-        self.own_then = self.own_then.min(self.own);
+    pub(crate) fn ended(&mut self, tier: Tier) {
+        let own = &mut self.own[tier.index()];
+        *own = own.saturating_sub(1);
+        let then = &mut self.own_then[tier.index()];
+        *then = (*then).min(*own);
     }
 
     pub(crate) fn heard(&mut self, now: Tick, advert: Advert) {
@@ -82,8 +83,11 @@
         self.ejections = 0;
     }
 
-    pub(crate) fn bounced(&mut self, now: Tick) {
-        self.until = self.until.max(now + BOUNCE_PAUSE);
+    /// Notes a bounce: there was no room for this tier, so there is none for lower ones.
+    pub(crate) fn bounced(&mut self, now: Tick, tier: Tier) {
+        for full in &mut self.full[tier.index()..] {
+            *full = (*full).max(now + BOUNCE_PAUSE);
+        }
     }
 
     /// Notes a failure. Returns whether the endpoint is left out because of it.
@@ -100,17 +104,23 @@
         true
     }
 
-    pub(crate) fn is_out(&self, now: Tick) -> bool {
-        now < self.until
+    pub(crate) fn is_out(&self, now: Tick, tier: Tier) -> bool {
+        now < self.until || now < self.full[tier.index()]
     }
 
-    /// Requests at the endpoint, as a share of what it bears, in thousandths.
-    pub(crate) fn load(&self, now: Tick) -> u64 {
+    /// Requests at the endpoint that a request of this tier would compete with, as a share of what
+    /// the endpoint bears, in thousandths. Lower tiers count little: they give way.
+    pub(crate) fn load(&self, now: Tick, tier: Tier) -> u64 {
         let age = now.since(self.heard);
         let halvings = (age.as_millis() / ADVERT_HOLDS.as_millis()).min(31) as u32;
-        let said = u64::from(self.advert.running + self.advert.queued) >> halvings;
-        let since = u64::from(self.own - self.own_then.min(self.own));
-        let busy = said.max(u64::from(self.own_then)) + since;
-        busy * 1000 / u64::from(self.advert.limit.max(1))
+        let busy = |n: usize| {
+            let said = u64::from(self.advert.busy[n]) >> halvings;
+            let then = u64::from(self.own_then[n]);
+            let since = u64::from(self.own[n]).saturating_sub(then);
+            said.max(then) + since
+        };
+        let rivals: u64 = (0..=tier.index()).map(busy).sum();
+        let others: u64 = (tier.index() + 1..Tier::COUNT).map(busy).sum();
+        (rivals * 1000 + others * LOWER_TIERS) / u64::from(self.advert.limit.max(1))
     }
 }
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -13,6 +13,7 @@
     Incarnation,
     Revision,
     RouteName,
+    Tier,
     Tokens, //
 };
 use serde::{
@@ -79,10 +80,8 @@
 pub struct Advert {
     /// The run of the agent.
     pub run: Incarnation,
-    /// Requests at the engine.
-    pub running: u32,
-    /// Requests waiting in the agent.
-    pub queued: u32,
+    /// Requests at the engine and waiting in the agent, by tier.
+    pub busy: [u32; Tier::COUNT],
     /// Requests the engine may have at once now.
     pub limit: u32,
 }
