Probe endpoints before waiting, reckon waits by tier, and share classes between accounts

Cause: a request of the highest tier waited at a full engine while others had room, a class with a reserve was refused before it could use it, and accounts of an overloaded class got what they sent rather than a fair share.

--- a/crates/admit/src/agent.rs
+++ b/crates/admit/src/agent.rs
@@ -49,8 +49,6 @@
 /// Of the slots, how many may be overdrawn by higher tiers whose start makes the engine pause
 /// lower ones, as a divisor.
 const OVERDRAFT_DIVISOR: u32 = 2;
-/// Entries let a request wait for this many times its class's first-token target.
-const SLACK_TARGETS: u32 = 2;
 /// Turns of a slot that an arrival must be able to spare, so that a reserve can be granted in
 /// between without making it late.
 const SPARE_TURNS: u32 = 2;
@@ -74,8 +72,10 @@
     pub route: RouteName,
     /// The class.
     pub class: ClassName,
-    /// How long it may wait for its start.
+    /// How long it may wait for its start here.
     pub slack: Duration,
+    /// How long it may wait before its class's target is missed.
+    pub target: Duration,
     /// Estimate of the tokens to be read.
     pub input: Tokens,
 }
@@ -194,8 +194,9 @@
     tickets: BTreeMap<Ticket, RunKey>,
     engine: Option<Engine>,
     outputs: BTreeMap<(ClassId, AccountId), u64>,
-    turnover: Duration,
-    freed: Option<Tick>,
+    /// Usual time between two starts that a tier could have had: its own and lower ones.
+    turnover: [Duration; Tier::COUNT],
+    started: [Tick; Tier::COUNT],
     draining: bool,
 }
 
@@ -213,8 +214,8 @@
             tickets: BTreeMap::new(),
             engine: None,
             outputs: BTreeMap::new(),
-            turnover: Duration::ZERO,
-            freed: None,
+            turnover: [Duration::ZERO; Tier::COUNT],
+            started: [Tick::default(); Tier::COUNT],
             draining: false,
         }
     }
@@ -255,7 +256,7 @@
         if self.queue.ahead_of(item.tier) == 0 && self.has_slot(item.tier) {
             return self.start(now, item, false, out);
         }
-        if self.wait_for(item.tier) + self.turnover * SPARE_TURNS > arrival.slack {
+        if self.wait_for(&item) > arrival.slack {
             return self.bounce(arrival.ticket, Kind::Overloaded, out);
         }
         if !self.make_room(item.tier, out) {
@@ -312,7 +313,7 @@
             reserve,
             cost: Tokens(arrival.input.0 + output),
             since: now,
-            target: now + arrival.slack / SLACK_TARGETS,
+            target: now + arrival.target,
             due: now + arrival.slack,
         })
     }
@@ -364,10 +365,18 @@
         self.window.is_warm() && overdrawn < lower.min(limit / OVERDRAFT_DIVISOR)
     }
 
-    /// How long an arrival of this tier is likely to wait.
-    fn wait_for(&self, tier: Tier) -> Duration {
-        let ahead = count(self.queue.ahead_of(tier));
-        self.turnover * (ahead + 1)
+    /// How long an arrival is likely to wait, with some turns to spare. A class with a reserve
+    /// waits for its part of all starts at most.
+    fn wait_for(&self, item: &Waiting) -> Duration {
+        let ahead = count(self.queue.ahead_of(item.tier));
+        let strict = self.turnover[item.tier.index()].saturating_mul(ahead + 1 + SPARE_TURNS);
+        if item.reserve == 0 {
+            return strict;
+        }
+        let own = count(self.queue.of_class(item.class));
+        let any = self.turnover[Tier::HIGHEST.index()];
+        let reserved = any.saturating_mul((own + 1) * 100 / u32::from(item.reserve));
+        strict.min(reserved)
     }
 
     /// Makes room in the queue, by sending away a lower tier if it is full.
@@ -397,8 +406,12 @@
             }
             // An overdraft is for the tier that it was granted to, never for a reserve.
             let free = count(self.running.len()) < self.window.limit();
-            let turnover = if free { self.turnover } else { Duration::MAX };
-            let Some((item, reserved)) = self.queue.pop(now, turnover) else {
+            let turnover = if free {
+                self.turnover
+            } else {
+                [Duration::MAX; Tier::COUNT]
+            };
+            let Some((item, reserved)) = self.queue.pop(now, &turnover) else {
                 return;
             };
             let Some(claimant) = self.claimants.remove(&item.ticket) else {
@@ -434,6 +447,7 @@
         if reserved {
             out.push(Output::Trace(Trace::Reserved));
         }
+        self.note_start(now, item.tier);
         let target = |f: fn(&conf::Class) -> Duration| {
             self.config.class(item.class).map_or(Duration::MAX, f)
         };
@@ -452,6 +466,18 @@
         out.push(Output::Start(item.ticket, item.tier));
     }
 
+    /// A start of one tier is a start that every higher tier could have had.
+    fn note_start(&mut self, now: Tick, tier: Tier) {
+        let busy = count(self.running.len()) + 1 >= self.window.limit();
+        for n in 0..=tier.index() {
+            let since = now.since(std::mem::replace(&mut self.started[n], now));
+            // Time in which slots were free says nothing of how long a full engine takes.
+            if busy {
+                self.turnover[n] = (self.turnover[n] * (SMOOTHING - 1) + since) / SMOOTHING;
+            }
+        }
+    }
+
     fn first(&mut self, now: Tick, ticket: Ticket, out: &mut Outbox<Output>) {
         let Some(run) = self
             .tickets
@@ -512,9 +538,6 @@
                 .or_insert(tokens.0);
             *learnt = (*learnt * u64::from(SMOOTHING - 1) + tokens.0) / u64::from(SMOOTHING);
         }
-        if let Some(freed) = self.freed.replace(now).filter(|_| !self.queue.is_empty()) {
-            self.turnover = (self.turnover * (SMOOTHING - 1) + now.since(freed)) / SMOOTHING;
-        }
         self.dispatch(now, out);
         out.push(Output::Ended(ticket, self.load()));
         if self.draining && self.running.is_empty() {
--- a/crates/admit/src/fair.rs
+++ b/crates/admit/src/fair.rs
@@ -113,8 +113,8 @@
 
 impl Tiered {
     /// The lane that has earned a start although a higher tier waits: the one with most credit,
-    /// if no request above it would become late by one more turn.
-    fn reserved(&self, now: Tick, turnover: Duration) -> Option<(Tier, ClassId)> {
+    /// if no request above it that is still in time would become late by one more turn.
+    fn reserved(&self, now: Tick, turnover: &[Duration; Tier::COUNT]) -> Option<(Tier, ClassId)> {
         let earned = self
             .lanes
             .iter()
@@ -125,7 +125,8 @@
             .iter()
             .take_while(|((tier, _), _)| tier.outranks(key.0));
         let mut waiting = above.flat_map(|(_, lane)| lane.items());
-        let harmless = waiting.all(|item| item.due.since(now) > turnover);
+        let spared = |item: &Waiting| item.target.since(now) > turnover[item.tier.index()];
+        let harmless = waiting.all(|item| item.target <= now || spared(item));
         harmless.then_some(*key)
     }
 
@@ -144,7 +145,7 @@
             .push(item);
     }
 
-    fn pop(&mut self, now: Tick, turnover: Duration) -> Option<(Waiting, bool)> {
+    fn pop(&mut self, now: Tick, turnover: &[Duration; Tier::COUNT]) -> Option<(Waiting, bool)> {
         let first = self
             .lanes
             .iter()
@@ -199,6 +200,11 @@
         self.lanes.values().map(|lane| lane.items().count()).sum()
     }
 
+    fn of_class(&self, class: ClassId) -> usize {
+        let lanes = self.lanes.iter().filter(|((_, id), _)| *id == class);
+        lanes.map(|(_, lane)| lane.items().count()).sum()
+    }
+
     fn by_tier(&self) -> [u32; Tier::COUNT] {
         let mut counts = [0; Tier::COUNT];
         let items = self.lanes.values().flat_map(Lane::items);
--- a/crates/admit/src/fcfs.rs
+++ b/crates/admit/src/fcfs.rs
@@ -26,7 +26,7 @@
         self.0.push_back(item);
     }
 
-    fn pop(&mut self, _: Tick, _: Duration) -> Option<(Waiting, bool)> {
+    fn pop(&mut self, _: Tick, _: &[Duration; Tier::COUNT]) -> Option<(Waiting, bool)> {
         self.0.pop_front().map(|item| (item, false))
     }
 
@@ -55,6 +55,10 @@
         self.0.len()
     }
 
+    fn of_class(&self, _: ClassId) -> usize {
+        self.0.len()
+    }
+
     fn by_tier(&self) -> [u32; Tier::COUNT] {
         let mut counts = [0; Tier::COUNT];
         self.0
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -41,9 +41,9 @@
     /// Adds a request.
     fn push(&mut self, item: Waiting);
 
-    /// Takes the request that starts next. `turnover` is the usual time until another slot is
-    /// free. Returns whether it starts from its class's reserve.
-    fn pop(&mut self, now: Tick, turnover: Duration) -> Option<(Waiting, bool)>;
+    /// Takes the request that starts next. `turnover` is the usual time until another slot is free
+    /// for each tier. Returns whether it starts from its class's reserve.
+    fn pop(&mut self, now: Tick, turnover: &[Duration; Tier::COUNT]) -> Option<(Waiting, bool)>;
 
     /// Takes the request that gives way to an arrival of this tier, if one ranks below it.
     fn give_way(&mut self, tier: Tier) -> Option<Waiting>;
@@ -68,6 +68,9 @@
         self.len() == 0
     }
 
+    /// How many requests of a class wait.
+    fn of_class(&self, class: ClassId) -> usize;
+
     /// How many requests wait, by tier.
     fn by_tier(&self) -> [u32; Tier::COUNT];
 
--- a/crates/agent/src/role.rs
+++ b/crates/agent/src/role.rs
@@ -143,6 +143,7 @@
         route: head.route.clone(),
         class: head.class.clone(),
         slack: head.slack,
+        target: head.target,
         input: head.input,
     }
 }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -416,6 +416,7 @@
             route: plan.route.clone(),
             class: plan.class.clone(),
             slack: plan.slack,
+            target: plan.target,
             input: plan.input,
         };
         let (agent, tier) = (flight.agent, self.tier(flight.ask));
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -148,6 +148,7 @@
                 class: plan.class.clone(),
                 revision: plan.revision,
                 slack: plan.slack,
+                target: plan.target,
                 input: plan.input,
                 once: plan.once,
             },
--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -90,6 +90,8 @@
     EndpointMissing, "endpoint_missing", 503, NotRun, 2, "no endpoint of the route is available";
     /// Every endpoint tried was full.
     Overloaded, "overloaded", 429, NotRun, 1, "the endpoints of the route are full";
+    /// The account has had its fair share while others of the class wait.
+    ShareSpent, "share_spent", 429, NotRun, 2, "the account has had its share of a class that is full";
     /// Work of a higher tier took the place in the queue.
     Shed, "shed", 429, NotRun, 2, "the request gave way to a higher tier";
     /// The class target can no longer be met.
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry's core.
 
+use std::collections::BTreeMap;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{
     Hash,
@@ -18,6 +19,7 @@
 use fault::Kind;
 use ids::{
     AttemptId,
+    ClassId,
     Digest,
     EndpointId,
     Incarnation,
@@ -62,10 +64,14 @@
     Plan,
     Verdict, //
 };
+use crate::shares::Shares;
 
 /// A request may wait for its start this many times its class's first-token target; later it is
 /// refused as not run.
 const SLACK_FACTOR: u32 = 2;
+/// An endpoint that is not the last to be asked may keep a request waiting for this part of its
+/// class's first-token target.
+const PROBE_DIVISOR: u32 = 8;
 /// After its start, the first token may take this many times its target before the endpoint
 /// counts as failed.
 const PATIENCE_FACTOR: u32 = 20;
@@ -73,6 +79,8 @@
 const STALL_FACTOR: u32 = 50;
 /// No shorter pause within an answer counts as a failure.
 const MIN_STALL: Duration = Duration::from_secs(3);
+/// Tokens that an answer is taken to have when an account's share is reckoned.
+const USUAL_OUTPUT: u64 = 128;
 /// Attempts at one request, over all endpoints.
 const MAX_ATTEMPTS: usize = 6;
 
@@ -139,7 +147,7 @@
     ticket: Ticket,
     permit: Permit,
     key: Option<Digest>,
-    class: ids::ClassId,
+    class: ClassId,
     route: RouteId,
     input: Tokens,
     prefix: Option<u64>,
@@ -167,6 +175,7 @@
     health: SecondaryMap<EndpointId, Health>,
     requests: SlotMap<RequestId, Request>,
     budgets: Budgets,
+    shares: BTreeMap<ClassId, Shares>,
     serial: u64,
     draining: bool,
 }
@@ -183,6 +192,7 @@
             health: SecondaryMap::new(),
             requests: SlotMap::with_key(),
             budgets: Budgets::default(),
+            shares: BTreeMap::new(),
             serial: 0,
             draining: false,
         }
@@ -203,6 +213,10 @@
         match self.examine(now, arrival) {
             Err(kind) => out.push(Output::Verdict(ticket, Verdict::Refuse(kind))),
             Ok(request) => {
+                if !self.in_share(now, &request) {
+                    let verdict = Verdict::Refuse(Kind::ShareSpent);
+                    return out.push(Output::Verdict(ticket, verdict));
+                }
                 self.budgets.earn(request.permit.account);
                 let once = request.once;
                 let id = self.requests.insert(request);
@@ -215,6 +229,17 @@
         }
     }
 
+    /// Notes a request's demand. Returns whether its account may have more of its class now.
+    fn in_share(&mut self, now: Tick, request: &Request) -> bool {
+        let account = request.permit.account;
+        let weight = self
+            .config
+            .account(account)
+            .map_or(1, |account| account.spec.weight);
+        let shares = self.shares.entry(request.class).or_default();
+        shares.offer(now, account, weight, request.input.0 + USUAL_OUTPUT)
+    }
+
     fn examine(&mut self, now: Tick, arrival: Arrival) -> Result<Request, Kind> {
         if now >= self.fresh {
             return Err(Kind::ViewStale);
@@ -338,6 +363,8 @@
         if slack.is_zero() {
             return Err(Kind::DeadlinePassed);
         }
+        let target = class.spec.first.saturating_sub(waited);
+        let probe = class.spec.first / PROBE_DIVISOR;
         if request.tried.len() >= MAX_ATTEMPTS {
             return Err(request.bounce);
         }
@@ -347,6 +374,9 @@
             .place
             .choose(&candidates, &mut self.rng)
             .ok_or(bounce)?;
+        // While other endpoints are left, it is better to ask them than to wait for long here.
+        let last = candidates.len() == 1 || request.tried.len() + 1 >= MAX_ATTEMPTS;
+        let slack = if last { slack } else { slack.min(probe) };
         let tier = self.config.tier_of(request.class);
         self.health
             .entry(chosen)
@@ -381,6 +411,7 @@
             class: class.spec.name.clone(),
             revision: self.config.revision(),
             slack,
+            target,
             patience: class.spec.first * PATIENCE_FACTOR,
             stall: (class.spec.gap * STALL_FACTOR).max(MIN_STALL),
             input: request.input,
@@ -443,6 +474,9 @@
         let Some(request) = self.requests.get(id) else {
             return;
         };
+        let cost = request.input.0 + USUAL_OUTPUT;
+        let shares = self.shares.entry(request.class).or_default();
+        shares.serve(request.permit.account, cost);
         let took = now.since(request.sent);
         if let Some(health) = request.at.and_then(|at| self.health.get_mut(at)) {
             health.first_token(took);
@@ -508,9 +542,19 @@
     fn refuse(&mut self, id: RequestId, kind: Kind, out: &mut Outbox<Output>) {
         let lost = self.requests.get(id).and_then(|request| request.lost);
         let kind = lost.filter(|_| kind.not_run()).unwrap_or(kind);
+        self.note_loss(id, kind);
         self.finish(id, Verdict::Refuse(kind), out);
     }
 
+    /// Notes a request that found no room anywhere.
+    fn note_loss(&mut self, id: RequestId, kind: Kind) {
+        let full = matches!(kind, Kind::Overloaded | Kind::DeadlinePassed | Kind::Shed);
+        if let Some(request) = self.requests.get(id).filter(|_| full) {
+            let cost = request.input.0 + USUAL_OUTPUT;
+            self.shares.entry(request.class).or_default().lose(cost);
+        }
+    }
+
     fn finish(&mut self, id: RequestId, verdict: Verdict, out: &mut Outbox<Output>) {
         if let Some(request) = self.requests.remove(id) {
             out.push(Output::Verdict(request.ticket, verdict));
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 mod health;
 mod place;
 mod request;
+mod shares;
 
 pub use entry::{
     Entry,
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -77,8 +77,10 @@
     pub class: ClassName,
     /// The revision decided by.
     pub revision: Revision,
-    /// How long the request may still wait for its start.
+    /// How long the request may wait for its start at this endpoint.
     pub slack: Duration,
+    /// How long it may wait before its class's target is missed.
+    pub target: Duration,
     /// How long the first token may take after that before the endpoint counts as failed.
     pub patience: Duration,
     /// Longest pause within the answer before the endpoint counts as failed.
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -43,9 +43,12 @@
     pub class: ClassName,
     /// The revision that the entry decided by.
     pub revision: Revision,
-    /// How long the request may still wait for its start.
+    /// How long the request may wait for its start here.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub slack: Duration,
+    /// How long it may wait before its class's target is missed.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub target: Duration,
     /// Estimate of the tokens to be read.
     pub input: Tokens,
     /// Whether the request must not run a second time.
