Measure what the system costs, and ask again for reads that no leader confirmed

Cause: a question for the whole configuration that came before a leader was known waited out its 2.5 s, since it was asked once only.

--- a/cmd/berg-bench/src/flags.rs
+++ b/cmd/berg-bench/src/flags.rs
@@ -10,8 +10,19 @@
 /// Seed unless the command line says otherwise.
 const DEFAULT_SEED: u64 = 20_261_204;
 
+/// What is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum What {
+    /// Policy under load and faults, in virtual time.
+    Policy,
+    /// What the system costs at several sizes, in real time.
+    Capacity,
+}
+
 /// What the command line asks for.
 pub(crate) struct Flags {
+    pub(crate) what: What,
+    pub(crate) only: Option<String>,
     pub(crate) out: PathBuf,
     pub(crate) length: Duration,
     pub(crate) seed: u64,
@@ -28,6 +39,10 @@
 /// Reads the command line; ends the process for `--help`, `--version` and faults.
 pub(crate) fn parse() -> Flags {
     let flags = xflags::parse_or_exit! {
+        /// `policy` (unless given) or `capacity`.
+        optional what: String
+        /// With `capacity`: only this measurement.
+        optional --only name: String
         /// Where the report goes; target/bench unless given.
         optional --out folder: PathBuf
         /// Seconds of virtual time in each run.
@@ -45,7 +60,17 @@
         println!("berg-bench {}", env!("CARGO_PKG_VERSION"));
         std::process::exit(0);
     }
+    let what = match flags.what.as_deref() {
+        None | Some("policy") => What::Policy,
+        Some("capacity") => What::Capacity,
+        Some(other) => {
+            eprintln!("berg-bench: {other:?} is neither policy nor capacity");
+            std::process::exit(2);
+        }
+    };
     Flags {
+        what,
+        only: flags.only,
         out: flags.out.unwrap_or_else(|| PathBuf::from("target/bench")),
         length: Duration::from_secs(flags.length.unwrap_or(DEFAULT_LENGTH_S).max(30)),
         seed: flags.seed.unwrap_or(DEFAULT_SEED),
--- a/cmd/berg-bench/src/main.rs
+++ b/cmd/berg-bench/src/main.rs
@@ -1,4 +1,5 @@
-//! Measures policy under load and faults, in virtual time.
+//! Measures policy under load and faults in virtual time, and what the system costs at several
+//! sizes in real time.
 
 mod flags;
 
@@ -14,13 +15,19 @@
     run,
     write_report, //
 };
-use flags::Flags;
+use flags::{
+    Flags,
+    What, //
+};
 
 /// Loads measured, as shares of capacity.
 const LOADS: [f64; 4] = [0.7, 1.0, 1.5, 3.0];
 
 fn main() -> ExitCode {
     let flags = flags::parse();
+    if flags.what == What::Capacity {
+        return capacity(&flags);
+    }
     let rows = measure(&flags);
     match write_report(&flags.out, &rows) {
         Ok(()) => {
@@ -34,6 +41,45 @@
     }
 }
 
+/// Measures one series after the other; a failed measurement does not keep the others back.
+fn capacity(flags: &Flags) -> ExitCode {
+    let mut all = Vec::new();
+    let mut code = ExitCode::SUCCESS;
+    let wanted = |name: &str| flags.only.as_deref().is_none_or(|only| only == name);
+    for (name, measure) in gauge::MEASURES.iter().filter(|(name, _)| wanted(name)) {
+        eprintln!("measuring {name}");
+        match measure() {
+            Ok(series) => all.extend(series),
+            Err(fault) => {
+                eprintln!("berg-bench: {name}: {fault}");
+                code = ExitCode::FAILURE;
+            }
+        }
+    }
+    for series in &all {
+        let fit = series.fit();
+        println!("{} by {}", series.name, series.size);
+        let values = series
+            .samples
+            .iter()
+            .map(|s| format!("{}: {:.3}", s.x, s.y));
+        println!("  {}", values.collect::<Vec<_>>().join("  "));
+        println!(
+            "  {:.4} + {:.6} x, residual {:.1} %",
+            fit.base,
+            fit.slope,
+            fit.residual * 100.0
+        );
+    }
+    match gauge::write_csv(&flags.out.join("capacity.csv"), &all) {
+        Ok(()) => code,
+        Err(fault) => {
+            eprintln!("berg-bench: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn measure(flags: &Flags) -> Vec<Row> {
     println!(
         "{:<11} {:>4} {:<10} {:<18} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>7} {:>6} {:>6} {:>5}",
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -51,6 +51,8 @@
 
 /// Log entries in memory after which a snapshot is made.
 const COMPACT_ENTRIES: usize = 8192;
+/// A question that no leader confirmed in this time is asked again.
+pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(150);
 /// How long the delivery of a window waits after it was refused.
 const DELIVER_AGAIN: Duration = Duration::from_secs(2);
 
@@ -197,6 +199,8 @@
 struct Read {
     token: u64,
     ticket: Ticket,
+    /// When a leader was asked last.
+    asked: Tick,
     until: Tick,
     confirmed: Option<Index>,
 }
@@ -365,6 +369,7 @@
         self.reads.push(Read {
             token,
             ticket,
+            asked: now,
             until: now + FRESH,
             confirmed: None,
         });
@@ -477,6 +482,21 @@
         }
     }
 
+    /// Asks again for the reads that no leader has confirmed, since there may be one by now.
+    fn ask_reads_again(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        let due = |read: &Read| read.confirmed.is_none() && now.since(read.asked) >= ASK_AGAIN;
+        if !self.reads.iter().any(due) {
+            return;
+        }
+        let mut inner = Outbox::default();
+        let token = self.node.ask(now, &mut inner);
+        for read in self.reads.iter_mut().filter(|read| due(read)) {
+            read.token = token;
+            read.asked = now;
+        }
+        self.carry(now, inner, out);
+    }
+
     fn answer_reads(&mut self, out: &mut Outbox<Output>) {
         let applied = self.applied;
         let config = self.machine.registry.config();
@@ -649,6 +669,7 @@
         let mut inner = Outbox::default();
         self.node.wake(now, &mut inner);
         self.carry(now, inner, out);
+        self.ask_reads_again(now, out);
         self.govern_usage(now, out);
         self.reads.retain(|read| {
             let late = read.until <= now;
@@ -663,7 +684,14 @@
         if self.broken {
             return None;
         }
-        let reads = self.reads.iter().map(|read| read.until).min();
+        let reads = self
+            .reads
+            .iter()
+            .map(|read| match read.confirmed {
+                Some(_) => read.until,
+                None => read.until.min(read.asked + ASK_AGAIN),
+            })
+            .min();
         let node = self.node.deadline();
         [node, self.viewers.deadline(), reads]
             .into_iter()
--- a/crates/govern/src/viewers.rs
+++ b/crates/govern/src/viewers.rs
@@ -15,13 +15,13 @@
     Ticket, //
 };
 
+use crate::govern::ASK_AGAIN;
+
 /// How long a follower may go by a view, counted from the moment it asked. With clocks that drift
 /// by 5 percent, a withdrawn key is refused everywhere within 2.7 s.
 pub const FRESH: Duration = Duration::from_millis(2500);
 /// Longest time that a question stays open.
 const MAX_WAIT: Duration = Duration::from_millis(1500);
-/// A question that no leader confirmed in this time is asked again.
-const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// A follower that has not asked for this long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -98,7 +98,10 @@
     }
 
     /// Whether a new confirmation should be asked for.
-    pub(crate) fn wants_round(&self, now: Tick) -> bool {
+    pub(crate) fn wants_round(&mut self, now: Tick) -> bool {
+        if self.round.is_empty() {
+            self.token = None;
+        }
         match self.token {
             None => !self.next.is_empty(),
             Some((_, asked)) => now.since(asked) >= ASK_AGAIN,
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use ids::{Incarnation, Tick, Tier};
+use ids::{
+    Incarnation,
+    Tick,
+    Tier, //
+};
 
 /// An agent's word on its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/route/src/shares.rs
+++ b/crates/route/src/shares.rs
@@ -7,7 +7,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ids::{AccountId, Tick};
+use ids::{
+    AccountId,
+    Tick, //
+};
 
 /// After this time, what was offered and served counts half.
 const HALF_LIFE: Duration = Duration::from_secs(8);
