Prove the promises by scripted scenarios, and give back claims in the background

First failing, then passing: a call refused as not run while the majority was away left its claim in the log; once the majority was back, every resend was told that the first one may be running. The entry now settles such claims in the background, and repeats it until the settlement is taken.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod role;
 mod serve;
 mod settings;
+mod settle;
 
 pub use role::{
     Handle,
--- a/crates/entry/src/role.rs
+++ b/crates/entry/src/role.rs
@@ -54,6 +54,7 @@
 };
 use crate::serve::Service;
 use crate::settings::Settings;
+use crate::settle::Settler;
 
 /// Why an entry cannot run.
 #[derive(Debug)]
@@ -80,6 +81,7 @@
     server: Server,
     pool: Pool<Exchange>,
     follower: Follower,
+    settler: Settler,
     control: step::Control<Input, Attachment>,
     linger: Duration,
     log: Logger,
@@ -122,6 +124,7 @@
     let control = control.map_err(RunError::Thread)?;
     let sealer = Sealer::new(common.cluster.clone(), &common.secret);
     let peers = Control::new(sealer.clone(), settings.control.clone());
+    let settler = Settler::start(peers.clone(), log.clone()).map_err(RunError::Thread)?;
     let service = Arc::new(Service {
         inbox: control.inbox(),
         control: peers.clone(),
@@ -133,6 +136,7 @@
         counters: counters.clone(),
         log: log.clone(),
         tickets: Arc::new(AtomicU64::new(0)),
+        settler: settler.sender(),
     });
     let worker = Arc::clone(&service);
     // As many requests as threads may wait for one; more are refused at once.
@@ -159,6 +163,7 @@
         server,
         pool,
         follower,
+        settler,
         control,
         linger: settings.linger,
         log,
@@ -186,6 +191,7 @@
         std::thread::sleep(self.linger);
         self.server.close();
         self.pool.close();
+        self.settler.close();
         self.follower.close();
         let _ = self.control.close();
         event!(self.log, Stopped);
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -8,6 +8,7 @@
 
 use crossbeam::channel::{
     Receiver,
+    Sender,
     bounded, //
 };
 use edge::Exchange;
@@ -54,6 +55,7 @@
     EntryInbox, //
 };
 use crate::credential;
+use crate::settle::Due;
 
 /// Verdicts that may wait for a traffic thread; the core sends one and waits for the next input.
 const VERDICTS_WAITING: usize = 2;
@@ -67,6 +69,7 @@
     pub(crate) counters: Counters,
     pub(crate) log: Logger,
     pub(crate) tickets: Arc<AtomicU64>,
+    pub(crate) settler: Sender<Due>,
 }
 
 impl Service {
@@ -199,9 +202,14 @@
     fn make_claim(&mut self, claim: Claim) {
         let result = claim::claim(&self.service.control, &claim);
         let id = claim.id;
-        if result == ClaimResult::Granted {
-            self.service.counters.count(Counter::Claimed);
-            self.claim = Some(claim);
+        match &result {
+            ClaimResult::Granted => {
+                self.service.counters.count(Counter::Claimed);
+                self.claim = Some(claim);
+            }
+            // The claim may yet be committed, although the request will not run.
+            ClaimResult::Refused(Kind::ControlUnavailable) => self.claim = Some(claim),
+            ClaimResult::Refused(_) | ClaimResult::Answered(_) => {}
         }
         let _ = self.service.inbox.send(Input::Claimed(id, result));
     }
@@ -288,9 +296,11 @@
         let Some(claim) = self.claim.take() else {
             return;
         };
-        if let Err(fault) = claim::settle(&self.service.control, &claim, settlement) {
-            event!(self.service.log, SettleFailed,
-                "key" => claim.key.to_string(), "fault" => fault.to_string());
+        // What ran is recorded before the caller is told; the rest can wait.
+        let ran = matches!(settlement, Settlement::Answered(_));
+        let taken = ran && claim::settle(&self.service.control, &claim, settlement.clone()).is_ok();
+        if !taken {
+            let _ = self.service.settler.send(Due::new(claim, settlement));
         }
     }
 }
--- a/crates/gauge/src/views.rs
+++ b/crates/gauge/src/views.rs
@@ -100,6 +100,7 @@
     }
 
     fn close(self) {
+        self.followers.iter().for_each(Follower::stop);
         self.followers.into_iter().for_each(Follower::close);
     }
 }
--- a/crates/peer/src/follow.rs
+++ b/crates/peer/src/follow.rs
@@ -9,8 +9,7 @@
 };
 use std::thread::{
     self,
-    JoinHandle,
-    Thread, //
+    JoinHandle, //
 };
 use std::time::Duration;
 
@@ -116,10 +115,15 @@
         Ok(Self { stop, thread })
     }
 
+    /// Asks the follower to end after the question that is open.
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Release);
+        self.thread.thread().unpark();
+    }
+
     /// Stops following. Takes as long as an open question at most.
     pub fn close(self) {
-        self.stop.store(true, Ordering::Release);
-        Thread::unpark(self.thread.thread());
+        self.stop();
         let _ = self.thread.join();
     }
 }
--- /dev/null
+++ b/crates/script/src/control.rs
@@ -0,0 +1,87 @@
+//! A control host of a scenario, with its disk.
+
+use agree::{
+    MemberId,
+    Record,
+    Saved,
+    Seed,
+    SnapshotMeta,
+    Timing, //
+};
+use govern::{
+    Codec,
+    Command,
+    Govern,
+    MachineState, //
+};
+use ids::Tick;
+use wire::{
+    WireError,
+    decode,
+    encode, //
+};
+
+/// Encodes as the product does.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Packed;
+
+impl Codec for Packed {
+    type Fault = WireError;
+
+    fn command(&self, command: &Command) -> Result<Vec<u8>, WireError> {
+        encode(command)
+    }
+
+    fn read_command(&self, bytes: &[u8]) -> Result<Command, WireError> {
+        decode(bytes)
+    }
+
+    fn state(&self, state: &MachineState) -> Result<Vec<u8>, WireError> {
+        encode(state)
+    }
+
+    fn read_state(&self, bytes: &[u8]) -> Result<MachineState, WireError> {
+        decode(bytes)
+    }
+}
+
+/// What a host has on its disk.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Disk {
+    pub(crate) meta: SnapshotMeta,
+    pub(crate) state: Vec<u8>,
+    pub(crate) records: Vec<Record>,
+}
+
+pub(crate) struct Host {
+    pub(crate) id: MemberId,
+    pub(crate) disk: Disk,
+    pub(crate) core: Option<Govern<Packed>>,
+    /// Rises with each start, so that what was meant for an earlier run is dropped.
+    pub(crate) run: u64,
+    /// Whether the disk refuses to sync.
+    pub(crate) broken: bool,
+}
+
+impl Host {
+    /// Starts the core from the disk.
+    pub(crate) fn start(&mut self, now: Tick, random: u64) -> Result<(), String> {
+        let mut saved = Saved::new(self.disk.meta.clone(), self.disk.state.clone());
+        self.disk
+            .records
+            .iter()
+            .for_each(|record| saved.replay(record.clone()));
+        let seed = govern::Seed {
+            node: Seed {
+                id: self.id,
+                timing: Timing::default(),
+                random,
+            },
+            wall: 1_800_000_000_000,
+            window: std::time::Duration::from_secs(3600),
+        };
+        self.run += 1;
+        self.core = Some(Govern::new(now, seed, Packed, saved)?);
+        Ok(())
+    }
+}
