--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -5,12 +5,26 @@
 //! answered may still be committed later, so a settlement is repeated until it is taken.
 
 use std::collections::VecDeque;
-use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use crossbeam::channel::{
+    Receiver,
+    RecvTimeoutError,
+    Sender,
+    unbounded, //
+};
 use ledger::Settlement;
-use obs::{Logger, event};
+use obs::{
+    Logger,
+    event, //
+};
 use peer::Control;
 use route::Claim;
 
--- a/crates/gauge/src/claims.rs
+++ b/crates/gauge/src/claims.rs
@@ -9,15 +9,15 @@
     Instant, //
 };
 
+use ::ledger::{
+    Claimed,
+    Fingerprint, //
+};
 use hdrhistogram::Histogram;
 use ids::{
     AttemptId,
     Incarnation, //
 };
-use ledger::{
-    Claimed,
-    Fingerprint, //
-};
 use peer::Control;
 use wire::{
     ClaimAsk,
@@ -111,7 +111,7 @@
             .map_err(|f: ids::NameError| f.to_string())?,
         key: format!("k{serial}")
             .parse()
-            .map_err(|f: ledger::RequestKeyError| f.to_string())?,
+            .map_err(|f: ::ledger::RequestKeyError| f.to_string())?,
         fingerprint: Fingerprint([0; 32]),
         attempt: AttemptId {
             entry: Incarnation(1),
--- a/crates/gauge/src/lib.rs
+++ b/crates/gauge/src/lib.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod fit;
 mod group;
+mod ledger;
 mod process;
 mod recovery;
 mod sample;
@@ -25,10 +26,11 @@
 pub type Measure = (&'static str, fn() -> Result<Vec<Series>, String>);
 
 /// Every measurement, in the order in which they run.
-pub const MEASURES: [Measure; 5] = [
+pub const MEASURES: [Measure; 6] = [
     ("state", state::measure),
     ("views", views::measure),
     ("claims", claims::measure),
+    ("ledger", ledger::measure),
     ("streams", streams::measure),
     ("recovery", recovery::measure),
 ];
