--- a/cmd/berg/src/flags.rs
+++ b/cmd/berg/src/flags.rs
@@ -183,6 +183,34 @@
             /// List endpoints.
             cmd endpoint-list list {}
         }
+        /// The planners' sheet.
+        cmd sheet {
+            /// Print the sheet that leaves everything as it is.
+            cmd sheet-export export {}
+            /// Check a sheet against the configuration in force.
+            cmd sheet-check check {
+                /// The sheet, CSV.
+                required file: PathBuf
+                /// Let the sheet close more than 30 percent of accounts and keys.
+                optional --allow-large
+            }
+            /// Show what `apply` would change.
+            cmd sheet-diff diff {
+                /// The sheet, CSV.
+                required file: PathBuf
+                /// Let the sheet close more than 30 percent of accounts and keys.
+                optional --allow-large
+            }
+            /// Make the change, all or nothing.
+            cmd sheet-apply apply {
+                /// The sheet, CSV.
+                required file: PathBuf
+                /// Let the sheet close more than 30 percent of accounts and keys.
+                optional --allow-large
+                /// Apply to the current revision although the sheet was made on an older one.
+                optional --on-current
+            }
+        }
         /// Hosts of the control group.
         cmd member {
             /// Add a host; it votes once it has caught up.
@@ -230,6 +258,7 @@
     Zone(Zone),
     Route(Route),
     Endpoint(Endpoint),
+    Sheet(Sheet),
     Member(Member),
 }
 
@@ -451,6 +480,44 @@
 #[derive(Debug)]
 pub struct EndpointList;
 
+#[derive(Debug)]
+pub struct Sheet {
+    pub subcommand: SheetCmd,
+}
+
+#[derive(Debug)]
+pub enum SheetCmd {
+    SheetExport(SheetExport),
+    SheetCheck(SheetCheck),
+    SheetDiff(SheetDiff),
+    SheetApply(SheetApply),
+}
+
+#[derive(Debug)]
+pub struct SheetExport;
+
+#[derive(Debug)]
+pub struct SheetCheck {
+    pub file: PathBuf,
+
+    pub allow_large: bool,
+}
+
+#[derive(Debug)]
+pub struct SheetDiff {
+    pub file: PathBuf,
+
+    pub allow_large: bool,
+}
+
+#[derive(Debug)]
+pub struct SheetApply {
+    pub file: PathBuf,
+
+    pub allow_large: bool,
+    pub on_current: bool,
+}
+
 #[derive(Debug)]
 pub struct Member {
     pub subcommand: MemberCmd,
--- a/cmd/berg/src/run.rs
+++ b/cmd/berg/src/run.rs
@@ -8,12 +8,21 @@
 };
 use std::time::Duration;
 
-use conf::Change;
-use ids::Revision;
+use conf::{
+    Change,
+    Config, //
+};
+use ids::{
+    ClusterName,
+    Revision, //
+};
 use ops::{
     OpsError,
     PlanError,
+    Sheet,
+    SheetError,
     diff,
+    export_sheet,
     read_plan, //
 };
 use wire::{
@@ -38,6 +47,7 @@
     MemberAdd,
     MemberCmd,
     RouteCmd,
+    SheetCmd,
     ZoneCmd, //
 };
 use crate::show;
@@ -54,6 +64,8 @@
     File(PathBuf, std::io::Error),
     /// A file is not a configuration.
     Plan(PathBuf, PlanError),
+    /// A sheet cannot be used.
+    Sheet(PathBuf, SheetError),
     /// No record has that name: kind and name.
     Missing(&'static str, String),
     /// The control group said no or nothing.
@@ -64,7 +76,11 @@
     /// The exit code: 2 for faults of the caller, 3 for a conflict, 4 where nobody answered.
     pub(crate) fn code(&self) -> u8 {
         match self {
-            Self::Argument(_) | Self::File(..) | Self::Plan(..) | Self::Missing(..) => 2,
+            Self::Argument(_)
+            | Self::File(..)
+            | Self::Plan(..)
+            | Self::Sheet(..)
+            | Self::Missing(..) => 2,
             Self::Ops(OpsError::Verdict(_) | OpsError::Refused(409 | 422, _)) => 3,
             Self::Ops(OpsError::Unreached(_) | OpsError::NotConfirmed(_)) => 4,
             Self::Ops(_) => 1,
@@ -78,6 +94,7 @@
             Self::Argument(fault) => write!(f, "{fault}"),
             Self::File(path, fault) => write!(f, "{}: {fault}", path.display()),
             Self::Plan(path, fault) => write!(f, "{}: {fault}", path.display()),
+            Self::Sheet(path, fault) => write!(f, "{}: {fault}", path.display()),
             Self::Missing(kind, name) => write!(f, "{kind} {name:?} does not exist"),
             Self::Ops(fault) => write!(f, "{fault}"),
         }
@@ -114,6 +131,7 @@
         BergCmd::Zone(zone) => work.zone(&zone.subcommand)?,
         BergCmd::Route(route) => work.route(&route.subcommand)?,
         BergCmd::Endpoint(endpoint) => work.endpoint(&endpoint.subcommand)?,
+        BergCmd::Sheet(sheet) => work.sheet(&sheet.subcommand)?,
         BergCmd::Member(member) => work.member(&member.subcommand)?,
     }
     Ok(())
@@ -269,6 +287,70 @@
         self.finish(revision)
     }
 
+    fn sheet(&self, command: &SheetCmd) -> Result<(), RunError> {
+        match command {
+            SheetCmd::SheetExport(_) => {
+                let (cluster, config) = self.current()?;
+                print!("{}", export_sheet(cluster.as_ref(), &config));
+                Ok(())
+            }
+            SheetCmd::SheetCheck(flags) => {
+                let (sheet, _, changes) = self.read_sheet(&flags.file, flags.allow_large)?;
+                println!(
+                    "made on revision {}, {} changes",
+                    sheet.revision,
+                    changes.len()
+                );
+                Ok(())
+            }
+            SheetCmd::SheetDiff(flags) => {
+                let (_, _, changes) = self.read_sheet(&flags.file, flags.allow_large)?;
+                show::changes(&changes, self.flags.json);
+                Ok(())
+            }
+            SheetCmd::SheetApply(flags) => {
+                let (sheet, current, changes) = self.read_sheet(&flags.file, flags.allow_large)?;
+                if !self.flags.json {
+                    show::changes(&changes, false);
+                }
+                let base = if flags.on_current {
+                    current
+                } else {
+                    sheet.revision
+                };
+                let revision = self.operator.ops.propose(base, changes)?;
+                self.finish(revision)
+            }
+        }
+    }
+
+    fn current(&self) -> Result<(ClusterName, Config), RunError> {
+        let ops = &self.operator.ops;
+        let cluster = ops.status()?.into_iter().next().map(|host| host.cluster);
+        let cluster = cluster.ok_or_else(|| OpsError::Unreached("no host".to_owned()))?;
+        let answer = ops.config()?;
+        let config = Config::import(answer.revision, &answer.changes);
+        let config = config.map_err(|fault| OpsError::Malformed(fault.to_string()))?;
+        Ok((cluster, config))
+    }
+
+    fn read_sheet(
+        &self,
+        path: &Path,
+        allow_large: bool,
+    ) -> Result<(Sheet, Revision, Vec<Change>), RunError> {
+        let text = fs::read_to_string(path);
+        let text = text.map_err(|fault| RunError::File(path.to_owned(), fault))?;
+        let fault = |fault| RunError::Sheet(path.to_owned(), fault);
+        let sheet = Sheet::try_from(text.as_str()).map_err(fault)?;
+        let (cluster, config) = self.current()?;
+        if sheet.cluster != cluster {
+            return Err(fault(SheetError::Cluster(sheet.cluster)));
+        }
+        let changes = sheet.plan(&config, allow_large).map_err(fault)?;
+        Ok((sheet, config.revision(), changes))
+    }
+
     fn member(&self, command: &MemberCmd) -> Result<(), RunError> {
         let ops = &self.operator.ops;
         match command {
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -260,6 +260,7 @@
         leads: leader == Some(member.id),
     };
     StatusAnswer {
+        cluster: replies.cluster.clone(),
         host: replies.host.clone(),
         term: status.standing.term,
         revision: status.revision,
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -23,6 +23,7 @@
     ViewerSide, //
 };
 use ids::{
+    ClusterName,
     HostName,
     Ticket, //
 };
@@ -215,6 +216,7 @@
 /// Writes answers.
 pub(crate) struct Replies {
     pub(crate) sealer: Sealer,
+    pub(crate) cluster: ClusterName,
     pub(crate) host: HostName,
 }
 
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -198,6 +198,7 @@
         post: Post::new(id, address, sealer.clone()),
         replies: Replies {
             sealer: sealer.clone(),
+            cluster: common.cluster.clone(),
             host: common.host.clone(),
         },
         waiting: Default::default(),
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod plan;
+mod sheet;
 
 pub use client::{
     Ops,
@@ -12,3 +13,9 @@
     diff,
     read_plan, //
 };
+pub use sheet::{
+    Sheet,
+    SheetError,
+    SheetFault,
+    export_sheet, //
+};
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -9,6 +9,7 @@
 use ids::{
     AccountName,
     ClassName,
+    ClusterName,
     Digest,
     GrantName,
     HostName,
@@ -91,6 +92,8 @@
 /// Where a control host stands.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusAnswer {
+    /// The cluster.
+    pub cluster: ClusterName,
     /// The host asked.
     pub host: HostName,
     /// The current term.
