--- a/cmd/berg-bench/src/flags.rs
+++ b/cmd/berg-bench/src/flags.rs
@@ -17,6 +17,8 @@
     Policy,
     /// What the system costs at several sizes, in real time.
     Capacity,
+    /// Promises under faults, in real time.
+    Soak,
 }
 
 /// What the command line asks for.
@@ -39,13 +41,13 @@
 /// Reads the command line; ends the process for `--help`, `--version` and faults.
 pub(crate) fn parse() -> Flags {
     let flags = xflags::parse_or_exit! {
-        /// `policy` (unless given) or `capacity`.
+        /// `policy` (unless given), `capacity` or `soak`.
         optional what: String
         /// With `capacity`: only this measurement.
         optional --only name: String
         /// Where the report goes; target/bench unless given.
         optional --out folder: PathBuf
-        /// Seconds of virtual time in each run.
+        /// Seconds of each run; virtual time, but for `soak`.
         optional --length seconds: u64
         /// Seeds load and choices.
         optional --seed seed: u64
@@ -63,8 +65,9 @@
     let what = match flags.what.as_deref() {
         None | Some("policy") => What::Policy,
         Some("capacity") => What::Capacity,
+        Some("soak") => What::Soak,
         Some(other) => {
-            eprintln!("berg-bench: {other:?} is neither policy nor capacity");
+            eprintln!("berg-bench: {other:?} is neither policy nor capacity nor soak");
             std::process::exit(2);
         }
     };
--- a/cmd/berg-bench/src/main.rs
+++ b/cmd/berg-bench/src/main.rs
@@ -25,8 +25,10 @@
 
 fn main() -> ExitCode {
     let flags = flags::parse();
-    if flags.what == What::Capacity {
-        return capacity(&flags);
+    match flags.what {
+        What::Capacity => return capacity(&flags),
+        What::Soak => return soak(&flags),
+        What::Policy => {}
     }
     let rows = measure(&flags);
     match write_report(&flags.out, &rows) {
@@ -80,6 +82,43 @@
     }
 }
 
+/// Runs a soak and shows what it saw.
+fn soak(flags: &Flags) -> ExitCode {
+    let soak = match gauge::soak(flags.length, flags.seed) {
+        Ok(soak) => soak,
+        Err(fault) => {
+            eprintln!("berg-bench: soak: {fault}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!(
+        "model calls served {}, refused or broken {}",
+        soak.served, soak.refused
+    );
+    println!(
+        "bookings run {}, replayed {}, turned away {}",
+        soak.booked, soak.replayed, soak.turned_away
+    );
+    println!("faults {}, keys withdrawn {}", soak.faults, soak.withdrawn);
+    for series in &soak.memory {
+        let fit = series.fit();
+        println!(
+            "{}: {:.1} + {:.4} a second",
+            series.name, fit.base, fit.slope
+        );
+    }
+    println!("violations {}", soak.violations.len());
+    soak.violations
+        .iter()
+        .take(20)
+        .for_each(|violation| println!("  {violation}"));
+    if soak.violations.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
 fn measure(flags: &Flags) -> Vec<Row> {
     println!(
         "{:<11} {:>4} {:<10} {:<18} {:>6} {:>6} {:>6} {:>6} {:>7} {:>7} {:>7} {:>6} {:>6} {:>5}",
--- a/crates/agent/src/events.rs
+++ b/crates/agent/src/events.rs
@@ -9,7 +9,8 @@
 const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
 
 /// Tokens as an engine counts them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub(crate) struct EngineUsage {
     #[serde(default)]
     pub(crate) prompt_tokens: u64,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,7 +10,6 @@
 
 pub use role::{
     Handle,
-    RunError,
     run, //
 };
 pub use settings::{
--- a/crates/agent/src/role.rs
+++ b/crates/agent/src/role.rs
@@ -1,6 +1,5 @@
 //! Starts and stops an agent.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{
     AtomicU64,
@@ -68,26 +67,6 @@
 };
 use crate::work::Worker;
 
-/// Why an agent cannot run.
-#[derive(Debug)]
-pub enum RunError {
-    /// Its edge cannot start.
-    Edge(EdgeError),
-    /// A thread cannot be started.
-    Thread(std::io::Error),
-}
-
-impl fmt::Display for RunError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Edge(fault) => fault.fmt(f),
-            Self::Thread(fault) => write!(f, "cannot start a thread: {fault}"),
-        }
-    }
-}
-
-impl std::error::Error for RunError {}
-
 /// A running agent.
 pub struct Handle {
     server: Server,
@@ -152,8 +131,8 @@
 ///
 /// # Errors
 ///
-/// [`RunError`]; nothing keeps running then.
-pub fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, RunError> {
+/// [`EdgeError`]; nothing keeps running then.
+pub fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, EdgeError> {
     let common = &settings.common;
     let run = Incarnation(rand::random());
     let clock = Monotonic::start();
@@ -169,12 +148,12 @@
         peers.clone(),
         log.clone(),
     );
-    let reporter = reporter.map_err(RunError::Thread)?;
+    let reporter = reporter.map_err(EdgeError::Thread)?;
     let (jobs, pool_jobs) = crossbeam::channel::unbounded();
     let core = Agent::new(settings.endpoint.clone(), Tiered::default());
     let effects = AgentEffects::new(run, jobs, counters.clone(), log.clone());
     let control = step::Control::start("agent-control", core, effects, clock);
-    let control = control.map_err(RunError::Thread)?;
+    let control = control.map_err(EdgeError::Thread)?;
     let inbox = control.inbox();
     let worker = Worker {
         kind: settings.kind,
@@ -188,10 +167,10 @@
         let worker = worker.clone();
         move |job| worker.run(job)
     });
-    let pool = pool.map_err(RunError::Thread)?;
+    let pool = pool.map_err(EdgeError::Thread)?;
     let watch = match settings.kind {
         settings::Kind::Engine => Some(
-            Watch::start(settings.backend, inbox.clone(), log.clone()).map_err(RunError::Thread)?,
+            Watch::start(settings.backend, inbox.clone(), log.clone()).map_err(EdgeError::Thread)?,
         ),
         settings::Kind::Service => None,
     };
@@ -210,7 +189,7 @@
         counters.clone(),
         deliver,
     );
-    let follower = follower.map_err(RunError::Thread)?;
+    let follower = follower.map_err(EdgeError::Thread)?;
     let front = Front {
         sealer,
         inbox,
@@ -223,8 +202,7 @@
         body: common.limits.body.saturating_mul(2),
         ..common.limits
     };
-    let server = Server::start("agent-edge", common.listen, limits, front);
-    let server = server.map_err(RunError::Edge)?;
+    let server = Server::start("agent-edge", common.listen, limits, front)?;
     event!(log, Started, "listen" => server.address().to_string());
     Ok(Handle {
         server,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -21,7 +21,8 @@
 const DEFAULT_REPORT_MS: u64 = 2000;
 
 /// What stands beside the agent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     /// A model engine.
--- a/crates/agree/src/log.rs
+++ b/crates/agree/src/log.rs
@@ -12,7 +12,8 @@
 use crate::member::Member;
 
 /// What an entry holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Body {
     /// Nothing; opens a leader's term.
     Barrier,
@@ -23,7 +24,8 @@
 }
 
 /// One entry of the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// Its position.
     pub index: Index,
--- a/crates/agree/src/member.rs
+++ b/crates/agree/src/member.rs
@@ -10,7 +10,8 @@
 };
 
 /// The identity of a member, bound to its disk. A wiped disk gets a new one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct MemberId(pub u64);
 
@@ -21,7 +22,8 @@
 }
 
 /// How far a member takes part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Stage {
     /// Receives the log and has no vote yet.
@@ -31,7 +33,8 @@
 }
 
 /// A member of the group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// The member's identity.
     pub id: MemberId,
@@ -44,7 +47,8 @@
 }
 
 /// A change of the group, one member at a time.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum MemberChange {
     /// Adds a learner; it becomes a voter by itself once it has caught up.
     Add(Member),
--- a/crates/agree/src/message.rs
+++ b/crates/agree/src/message.rs
@@ -13,7 +13,8 @@
 use crate::record::SnapshotMeta;
 
 /// A message from one member to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Message {
     /// Asks for a vote, or whether one would be given.
     Vote {
--- a/crates/agree/src/record.rs
+++ b/crates/agree/src/record.rs
@@ -16,7 +16,8 @@
 };
 
 /// What a snapshot covers.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SnapshotMeta {
     /// The last entry covered.
     pub index: Index,
@@ -27,7 +28,8 @@
 }
 
 /// One durable step. The fields apply in order: vote, truncation, entries.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// The term and the vote given in it.
     pub vote: Option<(Term, Option<MemberId>)>,
--- a/crates/bench/src/score.rs
+++ b/crates/bench/src/score.rs
@@ -57,7 +57,8 @@
 }
 
 /// One line of the table.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// The deployment.
     pub site: String,
--- a/crates/conf/src/change.rs
+++ b/crates/conf/src/change.rs
@@ -25,7 +25,8 @@
 };
 
 /// One change of the configuration. `Put` creates a record or replaces it by name.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Change {
     /// Creates or replaces a zone.
@@ -95,7 +96,8 @@
 }
 
 /// Why a change breaks the configuration's rules.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ChangeError {
     /// The record named does not exist: kind and name.
--- a/crates/conf/src/record.rs
+++ b/crates/conf/src/record.rs
@@ -30,7 +30,8 @@
 };
 
 /// An availability zone.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ZoneSpec {
     /// The zone's name.
@@ -46,7 +47,8 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AccountSpec {
     /// The account's name.
@@ -58,7 +60,8 @@
 
 /// A request class.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClassSpec {
     /// The class's name.
@@ -79,7 +82,8 @@
 }
 
 /// What a route serves.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Serves {
     /// Calls that name this model.
@@ -95,7 +99,8 @@
 }
 
 /// Who may use a route.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Access {
     /// Every account, with its key.
@@ -108,7 +113,8 @@
 }
 
 /// A route: what callers ask for and the class it has by default.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RouteSpec {
     /// The route's name.
@@ -123,7 +129,8 @@
 }
 
 /// An endpoint, reached through the agent beside it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointSpec {
     /// The endpoint's name.
@@ -142,7 +149,8 @@
 }
 
 /// The record of one caller key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GrantSpec {
     /// The grant's name; not secret.
@@ -169,9 +177,8 @@
 }
 
 /// An HTTP method.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(SerializeDisplay, DeserializeFromStr)]
 pub enum Method {
     /// `GET`
     Get,
@@ -236,7 +243,8 @@
 }
 
 /// The beginning of a path: `/` and one or more segments, without a trailing `/`.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(SerializeDisplay, DeserializeFromStr)]
 pub struct Prefix(String);
 
 /// Why a text is not a route prefix.
--- a/crates/conf/src/registry.rs
+++ b/crates/conf/src/registry.rs
@@ -31,7 +31,8 @@
 const DECIDED_LEN: usize = 16_384;
 
 /// A request to change the configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Proposal {
     /// Names the request, so that a resend gets the first answer.
     pub name: ProposalName,
@@ -45,7 +46,8 @@
 }
 
 /// An accepted proposal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Accepted {
     /// The revision it made.
     pub revision: Revision,
@@ -56,7 +58,8 @@
 }
 
 /// The answer to a proposal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// In the configuration from this revision on.
@@ -74,7 +77,8 @@
     NameReused(ProposalName),
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Decided {
     proposal: Proposal,
     verdict: Verdict,
@@ -90,7 +94,8 @@
 }
 
 /// A [`Registry`] as a snapshot holds it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RegistryState {
     revision: Revision,
     changes: Vec<Change>,
--- a/crates/conf/src/update.rs
+++ b/crates/conf/src/update.rs
@@ -16,7 +16,8 @@
 use crate::registry::Accepted;
 
 /// What brings a follower to a revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Update {
     /// The revision reached.
     pub revision: Revision,
@@ -25,7 +26,8 @@
 }
 
 /// The content of an [`Update`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Content {
     /// The follower has that revision already.
--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -1,44 +1,15 @@
-//! How commands, snapshots and journal records are written.
+//! How journal records and snapshot files are written.
 
 use agree::{
     Record,
     SnapshotMeta, //
 };
-use govern::{
-    Codec,
-    Command,
-    MachineState, //
-};
 use wire::{
     WireError,
     decode,
     encode, //
 };
 
-/// `rmp-serde` for commands and snapshots.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Packed;
-
-impl Codec for Packed {
-    type Fault = WireError;
-
-    fn command(&self, command: &Command) -> Result<Vec<u8>, WireError> {
-        encode(command)
-    }
-
-    fn read_command(&self, bytes: &[u8]) -> Result<Command, WireError> {
-        decode(bytes)
-    }
-
-    fn state(&self, state: &MachineState) -> Result<Vec<u8>, WireError> {
-        encode(state)
-    }
-
-    fn read_state(&self, bytes: &[u8]) -> Result<MachineState, WireError> {
-        decode(bytes)
-    }
-}
-
 /// One frame of the journal: the records that were synced together.
 pub(crate) fn frame(records: &[Record]) -> Result<Vec<u8>, WireError> {
     encode(&records)
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -49,15 +49,13 @@
     Vault, //
 };
 use wire::{
+    Packed,
     Sealer,
     WireError, //
 };
 
 use crate::admin::Operators;
-use crate::codec::{
-    self,
-    Packed, //
-};
+use crate::codec;
 use crate::disk::{
     self,
     Disk, //
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -28,7 +28,8 @@
 const SETTLE_PATIENCE: Duration = Duration::from_secs(5);
 
 /// A whole answer as a claim records it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Recorded {
     pub(crate) status: u16,
     pub(crate) headers: Vec<(String, String)>,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,7 +13,6 @@
 
 pub use role::{
     Handle,
-    RunError,
     run, //
 };
 pub use settings::Settings;
--- a/crates/entry/src/role.rs
+++ b/crates/entry/src/role.rs
@@ -1,6 +1,5 @@
 //! Starts and stops an entry.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -56,26 +55,6 @@
 use crate::settings::Settings;
 use crate::settle::Settler;
 
-/// Why an entry cannot run.
-#[derive(Debug)]
-pub enum RunError {
-    /// The callers' edge cannot start.
-    Edge(EdgeError),
-    /// A thread cannot be started.
-    Thread(std::io::Error),
-}
-
-impl fmt::Display for RunError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Edge(fault) => fault.fmt(f),
-            Self::Thread(fault) => write!(f, "cannot start a thread: {fault}"),
-        }
-    }
-}
-
-impl std::error::Error for RunError {}
-
 /// A running entry.
 pub struct Handle {
     server: Server,
@@ -108,8 +87,8 @@
 ///
 /// # Errors
 ///
-/// [`RunError`]; nothing keeps running then.
-pub fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, RunError> {
+/// [`EdgeError`]; nothing keeps running then.
+pub fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, EdgeError> {
     let common = &settings.common;
     let run = Incarnation(rand::random());
     let seed = Seed {
@@ -121,10 +100,10 @@
     let core = Entry::new(seed, Weighted);
     let effects = EntryEffects::new(counters.clone());
     let control = step::Control::start("entry-control", core, effects, clock);
-    let control = control.map_err(RunError::Thread)?;
+    let control = control.map_err(EdgeError::Thread)?;
     let sealer = Sealer::new(common.cluster.clone(), &common.secret);
     let peers = Control::new(sealer.clone(), settings.control.clone());
-    let settler = Settler::start(peers.clone(), log.clone()).map_err(RunError::Thread)?;
+    let settler = Settler::start(peers.clone(), log.clone()).map_err(EdgeError::Thread)?;
     let service = Arc::new(Service {
         inbox: control.inbox(),
         control: peers.clone(),
@@ -145,7 +124,7 @@
         let service = Arc::clone(&worker);
         move |exchange| service.serve(exchange)
     });
-    let pool = pool.map_err(RunError::Thread)?;
+    let pool = pool.map_err(EdgeError::Thread)?;
     let identity = Identity {
         host: common.host.clone(),
         side: Side::Entry,
@@ -154,10 +133,9 @@
     let inbox = control.inbox();
     let deliver = move |viewed| deliver(&inbox, viewed);
     let follower = Follower::start(identity, peers, clock, log.clone(), counters, deliver);
-    let follower = follower.map_err(RunError::Thread)?;
+    let follower = follower.map_err(EdgeError::Thread)?;
     let front = Front { jobs, service };
-    let server = Server::start("entry-edge", common.listen, common.limits, front);
-    let server = server.map_err(RunError::Edge)?;
+    let server = Server::start("entry-edge", common.listen, common.limits, front)?;
     event!(log, Started, "listen" => server.address().to_string());
     Ok(Handle {
         server,
--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -34,7 +34,8 @@
 const LIST_LAG: Duration = Duration::from_millis(500);
 
 /// An order as the platform took it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// Names the order; a second one with the same name changes nothing.
     pub id: String,
--- a/crates/fake/src/transcript.rs
+++ b/crates/fake/src/transcript.rs
@@ -1,4 +1,4 @@
-//! Everything a stand-in saw, for tests that look for what must not be there.
+//! What a stand-in saw, for tests that look for what must not be there.
 
 use std::sync::{
     Arc,
@@ -8,7 +8,10 @@
 
 use edge::Exchange;
 
-/// The bytes of all requests, header fields and bodies.
+/// Bytes kept; beyond that the older half is dropped.
+const MAX_BYTES: usize = 2 * 1024 * 1024;
+
+/// The bytes of the latest requests, header fields and bodies.
 #[derive(Clone, Debug, Default)]
 pub struct Transcript(Arc<Mutex<Vec<u8>>>);
 
@@ -25,9 +28,13 @@
         }
         bytes.extend_from_slice(&exchange.body);
         bytes.push(b'\n');
+        if bytes.len() > MAX_BYTES {
+            let half = bytes.len() / 2;
+            bytes.drain(..half);
+        }
     }
 
-    /// A copy of everything seen.
+    /// A copy of what is kept.
     pub fn bytes(&self) -> Vec<u8> {
         self.0
             .lock()
--- a/crates/gauge/src/lib.rs
+++ b/crates/gauge/src/lib.rs
@@ -11,6 +11,7 @@
 mod process;
 mod recovery;
 mod sample;
+mod soak;
 mod state;
 mod streams;
 mod views;
@@ -22,6 +23,11 @@
     write_csv, //
 };
 
+pub use soak::{
+    Soak,
+    soak, //
+};
+
 /// A measurement that can be asked for by name.
 pub type Measure = (&'static str, fn() -> Result<Vec<Series>, String>);
 
--- a/crates/govern/src/command.rs
+++ b/crates/govern/src/command.rs
@@ -23,7 +23,8 @@
 use crate::machine::MachineState;
 
 /// One command.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Command {
     /// Changes the configuration.
     Propose(Proposal),
--- a/crates/govern/src/machine.rs
+++ b/crates/govern/src/machine.rs
@@ -29,7 +29,8 @@
 }
 
 /// A [`Machine`] as a snapshot holds it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MachineState {
     registry: RegistryState,
     ledger: Ledger,
--- a/crates/ids/src/digest.rs
+++ b/crates/ids/src/digest.rs
@@ -84,7 +84,8 @@
 
 /// The keyed digest of a clear key.
 #[serde_as]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Digest(#[serde_as(as = "Hex")] pub [u8; 32]);
 
 impl fmt::Display for Digest {
--- a/crates/ids/src/unit.rs
+++ b/crates/ids/src/unit.rs
@@ -28,7 +28,8 @@
 impl std::error::Error for UnitError {}
 
 /// A service tier; 0 is the highest, 3 the lowest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "u8", into = "u8")]
 pub struct Tier(u8);
 
@@ -70,7 +71,8 @@
 }
 
 /// A percentage from 0 to 100.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "u8", into = "u8")]
 pub struct Percent(u8);
 
@@ -135,7 +137,8 @@
 }
 
 /// Names one attempt across processes: the entry's incarnation and a number unique within it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptId {
     /// The run of the entry that made the attempt.
     pub entry: Incarnation,
--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -28,7 +28,8 @@
 const MAX_ANSWER_BYTES: usize = 256 * 1024;
 
 /// How far a claimed request got.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Stage {
     /// The attempt named may be running.
     Running,
@@ -39,7 +40,8 @@
 }
 
 /// One claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Claim {
     /// What was asked.
     pub fingerprint: Fingerprint,
@@ -52,7 +54,8 @@
 }
 
 /// The answer to a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Claimed {
     /// The attempt may run.
     Granted,
@@ -67,7 +70,8 @@
 }
 
 /// What became of a claimed attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Settlement {
     /// It ran and gave this answer.
     Answered(#[serde(with = "serde_bytes")] Vec<u8>),
@@ -80,7 +84,8 @@
 type Key = (AccountName, RequestKey);
 
 /// All claims of the cluster.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Ledger {
     claims: BTreeMap<Key, Claim>,
     order: VecDeque<(u64, Key)>,
--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -38,7 +38,8 @@
 impl std::error::Error for RequestKeyError {}
 
 /// The caller's name for a request, from the `idempotency-key` header.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, SerializeDisplay, DeserializeFromStr)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(SerializeDisplay, DeserializeFromStr)]
 pub struct RequestKey(String);
 
 impl FromStr for RequestKey {
@@ -63,5 +64,6 @@
 
 /// A digest of a request's method, target and body.
 #[serde_as]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Fingerprint(#[serde_as(as = "Hex")] pub [u8; 32]);
--- a/crates/obs/src/logger.rs
+++ b/crates/obs/src/logger.rs
@@ -26,7 +26,8 @@
 const QUEUE_LINES: usize = 4096;
 
 /// How log lines look.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogFormat {
     /// For people.
--- a/crates/script/src/control.rs
+++ b/crates/script/src/control.rs
@@ -8,42 +8,9 @@
     SnapshotMeta,
     Timing, //
 };
-use govern::{
-    Codec,
-    Command,
-    Govern,
-    MachineState, //
-};
+use govern::Govern;
 use ids::Tick;
-use wire::{
-    WireError,
-    decode,
-    encode, //
-};
-
-/// Encodes as the product does.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Packed;
-
-impl Codec for Packed {
-    type Fault = WireError;
-
-    fn command(&self, command: &Command) -> Result<Vec<u8>, WireError> {
-        encode(command)
-    }
-
-    fn read_command(&self, bytes: &[u8]) -> Result<Command, WireError> {
-        decode(bytes)
-    }
-
-    fn state(&self, state: &MachineState) -> Result<Vec<u8>, WireError> {
-        encode(state)
-    }
-
-    fn read_state(&self, bytes: &[u8]) -> Result<MachineState, WireError> {
-        decode(bytes)
-    }
-}
+use wire::Packed;
 
 /// What a host has on its disk.
 #[derive(Clone, Debug, Default)]
--- a/crates/setting/src/common.rs
+++ b/crates/setting/src/common.rs
@@ -17,7 +17,8 @@
 const MIN_SECRET_BYTES: usize = 16;
 
 /// Bounds on what callers may send, as written.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawLimits {
     /// Most bytes before a body.
@@ -46,7 +47,8 @@
 }
 
 /// Log and counter output, as written.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RawLog {
     /// How log lines look.
@@ -56,7 +58,8 @@
 }
 
 /// The shared part as written. Each role's file has these fields beside its own.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub struct RawCommon {
     /// The host's name.
     pub host: String,
--- a/crates/usage/src/book.rs
+++ b/crates/usage/src/book.rs
@@ -21,7 +21,8 @@
 const KEPT_WINDOWS: usize = 1000;
 
 /// Whether a sealed window has reached the billing interface.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Delivery {
     /// Not yet accepted.
@@ -31,7 +32,8 @@
 }
 
 /// A sealed window; its figures never change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Window {
     /// The window's number; rises by one.
     pub number: u64,
@@ -44,7 +46,8 @@
 }
 
 /// Everything counted, by window.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Book {
     sources: BTreeMap<Source, BTreeMap<Line, Counts>>,
     open: BTreeMap<Line, Counts>,
--- a/crates/usage/src/count.rs
+++ b/crates/usage/src/count.rs
@@ -15,7 +15,8 @@
 };
 
 /// Who counts: one run of one endpoint's agent.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Source {
     /// The endpoint.
     pub endpoint: EndpointName,
@@ -24,7 +25,8 @@
 }
 
 /// What is counted separately.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Line {
     /// The account billed.
     pub account: AccountName,
@@ -33,7 +35,8 @@
 }
 
 /// Amounts consumed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Requests that ran.
     pub runs: u64,
@@ -71,7 +74,8 @@
 }
 
 /// Cumulative counts of one source. Lines left out did not change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Who counted.
     pub source: Source,
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -24,7 +24,8 @@
 };
 
 /// An operator as the control hosts' settings name one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
     /// The operator's name.
@@ -34,7 +35,8 @@
 }
 
 /// Proposes a change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Propose {
     /// Names the request; a resend gets the first answer.
@@ -46,14 +48,16 @@
 }
 
 /// The answer to a proposal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ProposeAnswer {
     /// What was decided.
     pub verdict: Verdict,
 }
 
 /// The whole configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigAnswer {
     /// Its revision.
     pub revision: Revision,
@@ -62,7 +66,8 @@
 }
 
 /// A member of the control group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRow {
     /// Its identity.
     pub id: String,
@@ -77,7 +82,8 @@
 }
 
 /// A process that follows the configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ViewerRow {
     /// Its host.
     pub host: HostName,
@@ -90,7 +96,8 @@
 }
 
 /// Where a control host stands.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StatusAnswer {
     /// The cluster.
     pub cluster: ClusterName,
@@ -111,7 +118,8 @@
 }
 
 /// One line of a usage window.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UsageRow {
     /// The account billed.
     pub account: AccountName,
@@ -126,7 +134,8 @@
 }
 
 /// A usage window.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SealedRow {
     /// The window's number.
     pub number: u64,
@@ -139,14 +148,16 @@
 }
 
 /// All usage windows kept.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct UsageAnswer {
     /// The windows, oldest first; the last one is open.
     pub windows: Vec<SealedRow>,
 }
 
 /// Creates a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NewKey {
     /// The key's name; not secret.
@@ -159,7 +170,8 @@
 }
 
 /// A key just created. The clear text is shown here and nowhere else.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyAnswer {
     /// The key's name.
     pub name: GrantName,
@@ -170,7 +182,8 @@
 }
 
 /// Adds a member to the control group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NewMember {
     /// The identity that the new host's folder has, in hexadecimal.
@@ -182,7 +195,8 @@
 }
 
 /// A refusal in plain words.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorAnswer {
     /// One sentence.
     pub error: String,
--- a/crates/wire/src/attempt.rs
+++ b/crates/wire/src/attempt.rs
@@ -27,7 +27,8 @@
 
 /// What an agent decides by.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptHead {
     /// The attempt.
     pub attempt: AttemptId,
@@ -56,7 +57,8 @@
 }
 
 /// The request as the endpoint gets it; no caller key is in it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Call {
     /// The method.
     pub method: Method,
@@ -70,7 +72,8 @@
 }
 
 /// One attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Attempt {
     /// What the agent decides by.
     pub head: AttemptHead,
@@ -79,7 +82,8 @@
 }
 
 /// What an agent says of its load with every answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Advert {
     /// The run of the agent.
     pub run: Incarnation,
@@ -90,7 +94,8 @@
 }
 
 /// What an attempt consumed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Served {
     /// Tokens read.
     pub input: Tokens,
@@ -100,7 +105,8 @@
 
 /// A frame of the answer to an attempt. An answer without [`Frame::Ended`] or
 /// [`Frame::Failed`] broke off.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Frame {
     /// The attempt did not run.
     Bounced(Kind, Advert),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod admin;
 mod attempt;
 mod codec;
+mod packed;
 mod peer;
 
 pub use admin::{
@@ -49,3 +50,4 @@
     ViewAsk,
     paths, //
 };
+pub use packed::Packed;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -50,7 +50,8 @@
 }
 
 /// Messages from one control host to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Mail {
     /// The sender.
     pub from: MemberId,
@@ -63,7 +64,8 @@
 }
 
 /// The part of the system a follower of the configuration plays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Side {
     /// An entry.
@@ -74,7 +76,8 @@
 
 /// Asks for a configuration newer than the one held.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ViewAsk {
     /// The host that asks.
     pub host: HostName,
@@ -91,7 +94,8 @@
 
 /// What brings a follower up to date.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ViewAnswer {
     /// The changes.
     pub update: Update,
@@ -103,7 +107,8 @@
 }
 
 /// Claims a request that may not be repeated.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimAsk {
     /// The account.
     pub account: AccountName,
@@ -116,7 +121,8 @@
 }
 
 /// Notes what became of a claimed request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SettleAsk {
     /// The account.
     pub account: AccountName,
@@ -129,7 +135,8 @@
 }
 
 /// The answer of a control host.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Answer<T> {
     /// Done.
     Done(T),
