--- a/cmd/berg-control/src/main.rs
+++ b/cmd/berg-control/src/main.rs
@@ -4,7 +4,13 @@
 
 use std::process::ExitCode;
 
+use boot::{
+    Role,
+    USAGE, //
+};
 use control::{
+    Handle,
+    RunError,
     Settings,
     Start, //
 };
@@ -19,10 +25,11 @@
     OperatorName,
     Secret, //
 };
-use obs::Counters;
-
-/// Exit code for faults on the command line or in the settings.
-const USAGE: u8 = 2;
+use obs::{
+    Counters,
+    Logger, //
+};
+use setting::Common;
 
 fn main() -> ExitCode {
     let flags = flags::parse();
@@ -71,16 +78,32 @@
     ExitCode::SUCCESS
 }
 
+struct Control;
+
+impl Role for Control {
+    const PROGRAM: &'static str = "berg-control";
+    const ROLE: &'static str = "control";
+    type Settings = Settings;
+    type Handle = Handle;
+    type Fault = RunError;
+
+    fn common(settings: &Settings) -> &Common {
+        &settings.common
+    }
+
+    fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, RunError> {
+        control::run(settings, log, counters)
+    }
+
+    fn close(handle: Handle) {
+        handle.close();
+    }
+}
+
 fn serve(settings: &Settings) -> ExitCode {
-    let common = &settings.common;
-    let log = obs::logger(common.format, "control");
-    let counters = match Counters::new("berg.control", common.statsd) {
-        Ok(counters) => counters,
-        Err(fault) => return fail(fault, USAGE),
-    };
-    let handle = match control::run(settings, log, counters) {
+    let handle = match boot::start::<Control>(settings) {
         Ok(handle) => handle,
-        Err(fault) => return fail(fault, 1),
+        Err(code) => return code,
     };
     select! {
         recv(stop()) -> _ => {
@@ -102,6 +125,5 @@
 }
 
 fn fail(fault: impl std::fmt::Display, code: u8) -> ExitCode {
-    eprintln!("berg-control: {fault}");
-    ExitCode::from(code)
+    boot::fail(Control::PROGRAM, fault, code)
 }
--- a/cmd/berg-entry/src/main.rs
+++ b/cmd/berg-entry/src/main.rs
@@ -1,48 +1,41 @@
 //! Runs one entry.
 
-mod flags;
-
 use std::process::ExitCode;
 
-use entry::Settings;
-use obs::Counters;
+use boot::Role;
+use edge::EdgeError;
+use entry::{
+    Handle,
+    Settings, //
+};
+use obs::{
+    Counters,
+    Logger, //
+};
+use setting::Common;
 
-/// Exit code for faults on the command line or in the settings.
-const USAGE: u8 = 2;
+struct Entry;
 
-fn main() -> ExitCode {
-    let flags = flags::parse();
-    let settings = match Settings::try_from(flags.settings.as_path()) {
-        Ok(settings) => settings,
-        Err(fault) => return fail(fault, USAGE),
-    };
-    if flags.check {
-        println!("{}: valid", flags.settings.display());
-        return ExitCode::SUCCESS;
+impl Role for Entry {
+    const PROGRAM: &'static str = "berg-entry";
+    const ROLE: &'static str = "entry";
+    type Settings = Settings;
+    type Handle = Handle;
+    type Fault = EdgeError;
+
+    fn common(settings: &Settings) -> &Common {
+        &settings.common
     }
-    serve(&settings)
-}
 
-fn serve(settings: &Settings) -> ExitCode {
-    let common = &settings.common;
-    let log = obs::logger(common.format, "entry");
-    let counters = match Counters::new("berg.entry", common.statsd) {
-        Ok(counters) => counters,
-        Err(fault) => return fail(fault, USAGE),
-    };
-    let handle = match entry::run(settings, log, counters) {
-        Ok(handle) => handle,
-        Err(fault) => return fail(fault, 1),
-    };
-    let stopped = obs::wait_for_stop();
-    handle.close();
-    match stopped {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => fail(fault, 1),
+    fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, EdgeError> {
+        entry::run(settings, log, counters)
+    }
+
+    fn close(handle: Handle) {
+        handle.close();
     }
 }
 
-fn fail(fault: impl std::fmt::Display, code: u8) -> ExitCode {
-    eprintln!("berg-entry: {fault}");
-    ExitCode::from(code)
+fn main() -> ExitCode {
+    boot::daemon::<Entry>(env!("CARGO_PKG_VERSION"))
 }
--- a/crates/agent/src/role.rs
+++ b/crates/agent/src/role.rs
@@ -170,7 +170,8 @@
     let pool = pool.map_err(EdgeError::Thread)?;
     let watch = match settings.kind {
         settings::Kind::Engine => Some(
-            Watch::start(settings.backend, inbox.clone(), log.clone()).map_err(EdgeError::Thread)?,
+            Watch::start(settings.backend, inbox.clone(), log.clone())
+                .map_err(EdgeError::Thread)?,
         ),
         settings::Kind::Service => None,
     };
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -9,9 +9,6 @@
 use setting::{
     Check,
     Common,
-    RawCommon,
-    RawLimits,
-    RawLog,
     SettingsError, //
 };
 
@@ -31,27 +28,17 @@
     Service,
 }
 
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Raw {
-    host: String,
-    endpoint: String,
-    kind: Kind,
-    backend: String,
-    cluster: String,
-    secret_file: String,
-    listen: String,
-    #[serde(default)]
-    public: bool,
-    control: Vec<String>,
-    #[serde(default = "default_threads")]
-    threads: u64,
-    #[serde(default = "default_report")]
-    report_ms: u64,
-    #[serde(default)]
-    limits: RawLimits,
-    #[serde(default)]
-    log: RawLog,
+setting::raw_settings! {
+    struct Raw {
+        endpoint: String,
+        kind: Kind,
+        backend: String,
+        control: Vec<String>,
+        #[serde(default = "default_threads")]
+        threads: u64,
+        #[serde(default = "default_report")]
+        report_ms: u64,
+    }
 }
 
 fn default_threads() -> u64 {
@@ -92,16 +79,7 @@
         let control = check.addresses("control", &raw.control);
         let threads = check.within("threads", raw.threads, 1, 65_536);
         let report = check.within("report_ms", raw.report_ms, 100, 60_000);
-        let common = RawCommon {
-            host: raw.host,
-            cluster: raw.cluster,
-            secret_file: raw.secret_file,
-            listen: raw.listen,
-            public: raw.public,
-            limits: raw.limits,
-            log: raw.log,
-        };
-        let common = Common::check(&common, &mut check);
+        let common = Common::check(&raw.common(), &mut check);
         let own = endpoint.zip(backend);
         let settings = common.zip(own).map(|(common, (endpoint, backend))| Self {
             common,
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -11,9 +11,6 @@
 use setting::{
     Check,
     Common,
-    RawCommon,
-    RawLimits,
-    RawLog,
     SettingsError, //
 };
 use wire::Operator;
@@ -28,27 +25,17 @@
     digest: String,
 }
 
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Raw {
-    host: String,
-    cluster: String,
-    secret_file: String,
-    listen: String,
-    #[serde(default)]
-    advertise: Option<String>,
-    #[serde(default)]
-    public: bool,
-    data: PathBuf,
-    operators: Vec<RawOperator>,
-    #[serde(default)]
-    platform: Option<String>,
-    #[serde(default = "default_window")]
-    window_s: u64,
-    #[serde(default)]
-    limits: RawLimits,
-    #[serde(default)]
-    log: RawLog,
+setting::raw_settings! {
+    struct Raw {
+        #[serde(default)]
+        advertise: Option<String>,
+        data: PathBuf,
+        operators: Vec<RawOperator>,
+        #[serde(default)]
+        platform: Option<String>,
+        #[serde(default = "default_window")]
+        window_s: u64,
+    }
 }
 
 fn default_window() -> u64 {
@@ -92,16 +79,7 @@
             check.fault("operators", "[]", "must name at least one operator");
         }
         let data = path.parent().unwrap_or(Path::new("")).join(&raw.data);
-        let common = RawCommon {
-            host: raw.host,
-            cluster: raw.cluster,
-            secret_file: raw.secret_file,
-            listen: raw.listen,
-            public: raw.public,
-            limits: raw.limits,
-            log: raw.log,
-        };
-        let common = Common::check(&common, &mut check);
+        let common = Common::check(&raw.common(), &mut check);
         let settings = common.map(|common| Self {
             common,
             advertise,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,13 +5,9 @@
 use std::time::Duration;
 
 use ids::ZoneName;
-use serde::Deserialize;
 use setting::{
     Check,
     Common,
-    RawCommon,
-    RawLimits,
-    RawLog,
     SettingsError, //
 };
 
@@ -20,25 +16,15 @@
 /// How long a stopping entry serves on unless the settings say otherwise, in milliseconds.
 const DEFAULT_LINGER_MS: u64 = 3000;
 
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Raw {
-    host: String,
-    zone: String,
-    cluster: String,
-    secret_file: String,
-    listen: String,
-    #[serde(default)]
-    public: bool,
-    control: Vec<String>,
-    #[serde(default = "default_threads")]
-    threads: u64,
-    #[serde(default = "default_linger")]
-    linger_ms: u64,
-    #[serde(default)]
-    limits: RawLimits,
-    #[serde(default)]
-    log: RawLog,
+setting::raw_settings! {
+    struct Raw {
+        zone: String,
+        control: Vec<String>,
+        #[serde(default = "default_threads")]
+        threads: u64,
+        #[serde(default = "default_linger")]
+        linger_ms: u64,
+    }
 }
 
 fn default_threads() -> u64 {
@@ -74,16 +60,7 @@
         let control = check.addresses("control", &raw.control);
         let threads = check.within("threads", raw.threads, 1, 65_536);
         let linger = check.within("linger_ms", raw.linger_ms, 0, 600_000);
-        let common = RawCommon {
-            host: raw.host,
-            cluster: raw.cluster,
-            secret_file: raw.secret_file,
-            listen: raw.listen,
-            public: raw.public,
-            limits: raw.limits,
-            log: raw.log,
-        };
-        let common = Common::check(&common, &mut check);
+        let common = Common::check(&raw.common(), &mut check);
         let settings = common.zip(zone).map(|(common, zone)| Self {
             common,
             zone,
--- a/crates/setting/src/common.rs
+++ b/crates/setting/src/common.rs
@@ -57,9 +57,8 @@
     pub statsd: Option<String>,
 }
 
-/// The shared part as written. Each role's file has these fields beside its own.
+/// The shared part as written; see [`raw_settings!`](crate::raw_settings!).
 #[derive(Clone, Debug)]
-#[derive(Deserialize)]
 pub struct RawCommon {
     /// The host's name.
     pub host: String,
@@ -70,13 +69,10 @@
     /// Where the process listens.
     pub listen: String,
     /// Whether it may listen on an address other than loopback.
-    #[serde(default)]
     pub public: bool,
     /// Bounds on what callers may send.
-    #[serde(default)]
     pub limits: RawLimits,
     /// Log and counter output.
-    #[serde(default)]
     pub log: RawLog,
 }
 
@@ -139,3 +135,45 @@
         upload: Duration::from_secs(check.within("limits.upload_s", raw.upload_s, 1, 3600)),
     }
 }
+
+/// Declares a role's raw settings: the fields all roles have, and the role's own.
+///
+/// The struct gets a method `common`, which gives the shared part.
+#[macro_export]
+macro_rules! raw_settings {
+    ($(#[$meta:meta])* struct $name:ident {
+        $($(#[$field_meta:meta])* $field:ident: $kind:ty,)*
+    }) => {
+        $(#[$meta])*
+        #[derive(::serde::Deserialize)]
+        #[serde(deny_unknown_fields)]
+        struct $name {
+            host: String,
+            cluster: String,
+            secret_file: String,
+            listen: String,
+            #[serde(default)]
+            public: bool,
+            #[serde(default)]
+            limits: $crate::RawLimits,
+            #[serde(default)]
+            log: $crate::RawLog,
+            $($(#[$field_meta])* $field: $kind,)*
+        }
+
+        impl $name {
+            /// The part that all roles have.
+            fn common(&self) -> $crate::RawCommon {
+                $crate::RawCommon {
+                    host: self.host.clone(),
+                    cluster: self.cluster.clone(),
+                    secret_file: self.secret_file.clone(),
+                    listen: self.listen.clone(),
+                    public: self.public,
+                    limits: self.limits.clone(),
+                    log: self.log.clone(),
+                }
+            }
+        }
+    };
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -40,6 +40,7 @@
     encode,
     read_frame, //
 };
+pub use packed::Packed;
 pub use peer::{
     Answer,
     ClaimAsk,
@@ -50,4 +51,3 @@
     ViewAsk,
     paths, //
 };
-pub use packed::Packed;
