--- a/crates/gauge/src/soak.rs
+++ b/crates/gauge/src/soak.rs
@@ -16,17 +16,14 @@
     Instant, //
 };
 
-use edge::{
-    CallError,
-    Link,
-    Target, //
-};
+use edge::CallError;
 use fake::{
     Input as Disturb,
     Profile, //
 };
 use ids::Secret;
 use local::{
+    Answer,
     Local,
     Options, //
 };
@@ -45,8 +42,6 @@
 const FAULT_PAUSE: std::ops::Range<u64> = 1500..4000;
 /// How long a control host stays away, in milliseconds.
 const AWAY: std::ops::Range<u64> = 500..4000;
-/// How long an answer may take.
-const PATIENCE: Duration = Duration::from_secs(60);
 /// Pause between two looks at the memory.
 const LOOK: Duration = Duration::from_secs(5);
 
@@ -203,7 +198,7 @@
     let (name, key) = local.new_key("sur").map_err(|f| f.to_string())?;
     local.withdraw(&name).map_err(|f| f.to_string())?;
     for entry in entries {
-        match post(*entry, "/v1/chat/completions", &key, None, chat(3, false)) {
+        match send(*entry, "/v1/chat/completions", &key, None, chat(3, false)) {
             Ok(answer) if answer.status == 401 || answer.run == "not-run" => {}
             Ok(answer) => tally.violation(format!("withdrawn key got {}", answer.status)),
             Err(fault) => tally.violation(format!("withdrawn key got no answer: {fault}")),
@@ -243,7 +238,7 @@
 }
 
 fn ask(entry: SocketAddr, key: &Secret, stream: bool, tally: &Tally) {
-    match post(entry, "/v1/chat/completions", key, None, chat(20, stream)) {
+    match send(entry, "/v1/chat/completions", key, None, chat(20, stream)) {
         Ok(answer) if answer.status == 200 => {
             let whole = answer.complete
                 && (if stream {
@@ -279,7 +274,7 @@
     };
     let mut first = None;
     for entry in entries {
-        let answer = post(
+        let answer = send(
             *entry,
             "/permits/book",
             key,
@@ -340,13 +335,6 @@
     }
 }
 
-struct Answer {
-    status: u16,
-    run: String,
-    body: String,
-    complete: bool,
-}
-
 fn chat(tokens: u64, stream: bool) -> String {
     format!(
         r#"{{"model":"crew-assistant","stream":{stream},"max_tokens":{tokens},
@@ -354,43 +342,16 @@
     )
 }
 
-fn post(
+/// Posts with a key, and with a request key if there is one.
+fn send(
     entry: SocketAddr,
     path: &str,
     key: &Secret,
     request: Option<&str>,
     body: String,
 ) -> Result<Answer, CallError> {
-    let mut fields = vec![(
-        "authorization".to_owned(),
-        format!("Bearer {}", key.reveal()),
-    )];
-    fields.extend(request.map(|key| ("idempotency-key".to_owned(), key.to_owned())));
-    let request = edge::request(entry, "POST", path, &fields, body.into_bytes())?;
-    let target = Target {
-        address: entry,
-        connect: PATIENCE,
-        first: PATIENCE,
-    };
-    let mut link = Link::open(target, request)?;
-    let run = link
-        .headers
-        .get("berg-run")
-        .and_then(|value| value.to_str().ok());
-    let run = run.unwrap_or_default().to_owned();
-    let status = link.status;
-    let mut body = Vec::new();
-    let complete = loop {
-        match link.piece() {
-            Ok(Some(piece)) => body.extend_from_slice(&piece),
-            Ok(None) => break true,
-            Err(_) => break false,
-        }
-    };
-    Ok(Answer {
-        status,
-        run,
-        body: String::from_utf8_lossy(&body).into_owned(),
-        complete,
-    })
+    let bearer = format!("Bearer {}", key.reveal());
+    let mut fields = vec![("authorization", bearer.as_str())];
+    fields.extend(request.map(|key| ("idempotency-key", key)));
+    local::post(entry, path, &fields, body)
 }
--- a/crates/local/src/demo.rs
+++ b/crates/local/src/demo.rs
@@ -1,26 +1,20 @@
 //! The demo: one call of each kind, and what each got.
 
-use std::net::SocketAddr;
-use std::time::Duration;
-
-use edge::{
-    CallError,
-    Link,
-    Target, //
-};
+use edge::CallError;
 use ids::Secret;
 use obs::Logger;
 use serde_json::Value;
 
+use crate::caller::{
+    Answer,
+    post, //
+};
 use crate::local::{
     Local,
     LocalError,
     Options, //
 };
 
-/// How long each answer may take.
-const PATIENCE: Duration = Duration::from_secs(20);
-
 /// One row of the demo's table.
 #[derive(Clone, Debug)]
 pub struct Check {
@@ -32,14 +26,6 @@
     pub good: bool,
 }
 
-/// What came back to a call.
-struct Answer {
-    status: u16,
-    run: String,
-    body: String,
-    pieces: usize,
-}
-
 /// Starts everything, makes the calls, stops everything.
 ///
 /// # Errors
@@ -68,42 +54,6 @@
     )
 }
 
-fn post(
-    entry: SocketAddr,
-    path: &str,
-    fields: &[(&str, &str)],
-    body: String,
-) -> Result<Answer, CallError> {
-    let fields: Vec<_> = fields
-        .iter()
-        .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
-        .collect();
-    let request = edge::request(entry, "POST", path, &fields, body.into_bytes())?;
-    let target = Target {
-        address: entry,
-        connect: PATIENCE,
-        first: PATIENCE,
-    };
-    let mut link = Link::open(target, request)?;
-    let run = link
-        .headers
-        .get("berg-run")
-        .and_then(|value| value.to_str().ok());
-    let run = run.unwrap_or_default().to_owned();
-    let status = link.status;
-    let (mut body, mut pieces) = (Vec::new(), 0);
-    while let Some(piece) = link.piece()? {
-        body.extend_from_slice(&piece);
-        pieces += 1;
-    }
-    Ok(Answer {
-        status,
-        run,
-        body: String::from_utf8_lossy(&body).into_owned(),
-        pieces,
-    })
-}
-
 fn check(
     name: &'static str,
     answer: Result<Answer, CallError>,
@@ -135,7 +85,7 @@
     check(
         "streamed call",
         answer,
-        |a| a.status == 200 && a.pieces >= 12 && a.body.ends_with("data: [DONE]\n\n"),
+        |a| a.status == 200 && a.complete && a.pieces >= 12 && a.body.ends_with("data: [DONE]\n\n"),
         |a| format!("{} in {} pieces", a.status, a.pieces),
     )
 }
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -1,8 +1,13 @@
 //! All roles and the stand-ins in one process on loopback: the quick start and the demo.
 
+mod caller;
 mod demo;
 mod local;
 
+pub use caller::{
+    Answer,
+    post, //
+};
 pub use demo::{
     Check,
     demo, //
--- /dev/null
+++ b/crates/script/src/setup.rs
@@ -0,0 +1,118 @@
+//! The nodes and the configuration that a scenario begins with.
+
+use std::net::SocketAddr;
+
+use agree::{
+    Member,
+    MemberId,
+    Stage, //
+};
+use conf::{
+    Change,
+    Verdict as Judged, //
+};
+use fault::Kind;
+use ids::{
+    Digest,
+    Incarnation, //
+};
+use ledger::Claimed;
+use route::{
+    Advert,
+    ClaimResult,
+    Entry,
+    Weighted, //
+};
+
+/// Port of the first agent; only tells agents apart.
+pub(crate) const BASE_PORT: u16 = 9000;
+
+pub(crate) fn entry(n: usize) -> Result<Entry<Weighted>, String> {
+    let seed = route::Seed {
+        run: Incarnation(n as u64 + 1),
+        zone: "zone-0"
+            .try_into()
+            .map_err(|f: ids::NameError| f.to_string())?,
+        random: n as u64,
+    };
+    Ok(Entry::new(seed, Weighted))
+}
+
+pub(crate) fn member(n: usize) -> Result<Member, String> {
+    Ok(Member {
+        id: MemberId(n as u64 + 1),
+        host: format!("c{n}")
+            .as_str()
+            .try_into()
+            .map_err(|f: ids::NameError| f.to_string())?,
+        address: address(n),
+        stage: Stage::Voter,
+    })
+}
+
+pub(crate) fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7000 + n as u16))
+}
+
+pub(crate) fn digest(text: &str) -> Digest {
+    let mut bytes = [0; 32];
+    for (i, byte) in text.bytes().enumerate() {
+        bytes[i % 32] ^= byte.rotate_left(i as u32 / 32);
+    }
+    Digest(bytes)
+}
+
+pub(crate) fn first_configuration(agents: usize) -> Result<Vec<Change>, String> {
+    use serde_json::json;
+    let zones =
+        (0..2).map(|n| json!({"put-zone": {"name": format!("zone-{n}"), "region": "home"}}));
+    let fixed = [
+        json!({"put-class": {"name": "field", "tier": 0, "first_ms": 650, "gap_ms": 66}}),
+        json!({"put-account": {"name": "norte"}}),
+        json!({"put-account": {"name": "sur"}}),
+        json!({"put-route": {"name": "crew", "class": "field", "serves": {"model": "crew"}}}),
+        json!({"put-route": {"name": "permits", "class": "field",
+            "serves": {"service": {"prefix": "/permits"}}}}),
+        json!({"put-grant": {"name": "k-norte", "account": "norte", "digest": digest("k-norte")}}),
+        json!({"put-grant": {"name": "k-sur", "account": "sur", "digest": digest("k-sur")}}),
+    ];
+    let endpoints = (0..agents).map(|n| {
+        json!({"put-endpoint": {"name": format!("agent-{n}"), "zone": format!("zone-{}", n % 2),
+            "routes": ["crew", "permits"], "slots": 4,
+            "agent": format!("127.0.0.1:{}", BASE_PORT + n as u16)}})
+    });
+    let rows = zones.chain(fixed).chain(endpoints);
+    rows.map(|row| serde_json::from_value(row).map_err(|f| f.to_string()))
+        .collect()
+}
+
+pub(crate) fn advert(load: admit::Load) -> Advert {
+    Advert {
+        run: Incarnation(1),
+        busy: load.busy,
+        limit: load.limit,
+    }
+}
+
+pub(crate) fn claim_result(claimed: Claimed) -> ClaimResult {
+    match claimed {
+        Claimed::Granted => ClaimResult::Granted,
+        Claimed::Running => ClaimResult::Refused(Kind::ClaimRunning),
+        Claimed::Answered(answer) => ClaimResult::Answered(answer),
+        Claimed::Unknown => ClaimResult::Refused(Kind::ClaimUnknown),
+        Claimed::Conflict => ClaimResult::Refused(Kind::ClaimConflict),
+    }
+}
+
+pub(crate) fn verdict_text(verdict: &Judged) -> String {
+    match verdict {
+        Judged::Accepted(revision) => format!("accepted as revision {revision}"),
+        Judged::Conflict { current, since } => {
+            let changes = since.iter().flat_map(|accepted| &accepted.changes);
+            let changes: Vec<_> = changes.map(ToString::to_string).collect();
+            format!("conflict, revision {current} has {}", changes.join(", "))
+        }
+        Judged::Invalid(fault) => format!("invalid: {fault}"),
+        Judged::NameReused(_) => "name reused".to_owned(),
+    }
+}
--- a/crates/wire/src/packed.rs
+++ b/crates/wire/src/packed.rs
@@ -1,8 +1,16 @@
 //! How commands and snapshots of the replicated state machine are written.
 
-use govern::{Codec, Command, MachineState};
-
-use crate::codec::{WireError, decode, encode};
+use govern::{
+    Codec,
+    Command,
+    MachineState, //
+};
+
+use crate::codec::{
+    WireError,
+    decode,
+    encode, //
+};
 
 /// `rmp-serde` for commands and snapshots.
 #[derive(Clone, Copy, Debug)]
