--- a/crates/admit/tests/agent.rs
+++ b/crates/admit/tests/agent.rs
@@ -124,6 +124,12 @@
         self.arrive_with(route, account, Duration::from_secs(60))
     }
 
+    fn fill(&mut self, count: u32, route: &str, account: &str) {
+        for _ in 0..count {
+            self.arrive(route, account);
+        }
+    }
+
     fn arrive_with(&mut self, route: &str, account: &str, slack: Duration) -> u64 {
         self.serial += 1;
         let arrival = Arrival {
@@ -180,7 +186,7 @@
     let (mut field, mut batch) = (0, 0);
     let mut batches = std::collections::BTreeSet::new();
     // From the first moment on there is no slot that the highest tier does not want.
-    (0..SLOTS).for_each(|_| drop(rig.arrive("field", "large")));
+    rig.fill(SLOTS, "field", "large");
     for _ in 0..6000 {
         rig.pass(ms(100));
         for _ in 0..3 {
@@ -206,7 +212,7 @@
 
 fn queue_of_low_gives_way() {
     let mut rig = Rig::warm(0);
-    (0..SLOTS).for_each(|_| drop(rig.arrive("field", "large")));
+    rig.fill(SLOTS, "field", "large");
     let waiting: Vec<_> = (0..SLOTS * 4)
         .map(|_| rig.arrive("batch", "large"))
         .collect();
@@ -220,14 +226,14 @@
 
 fn high_never_gives_way() {
     let mut rig = Rig::warm(0);
-    (0..SLOTS * 5).for_each(|_| drop(rig.arrive("field", "large")));
+    rig.fill(SLOTS * 5, "field", "large");
     let low = rig.arrive("batch", "small");
     assert_eq!(rig.bounced, [(low, Kind::Overloaded)]);
 }
 
 fn shares() -> (usize, usize) {
     let mut rig = Rig::warm(0);
-    (0..SLOTS).for_each(|_| drop(rig.arrive("field", "large")));
+    rig.fill(SLOTS, "field", "large");
     let large: Vec<_> = (0..8).map(|_| rig.arrive("field", "large")).collect();
     let small: Vec<_> = (0..8).map(|_| rig.arrive("field", "small")).collect();
     (0..8).for_each(|n| rig.done(rig.started[n]));
@@ -237,7 +243,7 @@
 
 fn withdrawn_while_waiting() {
     let mut rig = Rig::warm(0);
-    (0..SLOTS).for_each(|_| drop(rig.arrive("field", "small")));
+    rig.fill(SLOTS, "field", "small");
     let waits = rig.arrive("field", "large");
     rig.change(r#"[{"withdraw-grant": "k-large"}]"#);
     rig.done(rig.started[0]);
@@ -279,7 +285,7 @@
 
 fn many_entries_at_once() -> usize {
     let mut rig = Rig::cold(0);
-    (0..30).for_each(|_| drop(rig.arrive("field", "large")));
+    rig.fill(30, "field", "large");
     rig.started.len()
 }
 
@@ -312,13 +318,13 @@
     full_queue_of_the_highest_gives_way_to_none: high_never_gives_way();
     overdraft_for_the_highest_while_lower_ones_run: {
         let mut rig = Rig::warm(0);
-        (0..SLOTS).for_each(|_| drop(rig.arrive("batch", "large")));
+        rig.fill(SLOTS, "batch", "large");
         let high = rig.arrive("field", "small");
         assert!(rig.started.contains(&high));
     };
     no_overdraft_among_equals: {
         let mut rig = Rig::warm(0);
-        (0..SLOTS).for_each(|_| drop(rig.arrive("field", "large")));
+        rig.fill(SLOTS, "field", "large");
         let next = rig.arrive("field", "small");
         assert!(!rig.started.contains(&next));
     };
@@ -363,7 +369,7 @@
     );
     waiting_too_long_is_not_run: {
         let mut rig = Rig::warm(0);
-        (0..SLOTS).for_each(|_| drop(rig.arrive("field", "large")));
+        rig.fill(SLOTS, "field", "large");
         let waits = rig.arrive_with("field", "large", ms(500));
         rig.pass(ms(600));
         assert_eq!(rig.kind_of(waits), Some(Kind::DeadlinePassed));
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -16,3 +16,16 @@
     Kind,
     Settings, //
 };
+
+/// Splits bytes into an engine's events and drops them. For tests with generated input.
+pub fn try_events(bytes: &[u8]) {
+    let mut splitter = events::Splitter::default();
+    for piece in bytes.chunks(7) {
+        if splitter.push(piece).is_err() {
+            return;
+        }
+        while let Some(event) = splitter.next() {
+            events::classify(&event);
+        }
+    }
+}
--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -79,9 +79,22 @@
     }
 }
 
-fn model_ask(exchange: &Exchange) -> Result<Ask, Kind> {
+/// The body of a model call, free of the fields in which a key may come.
+pub(crate) struct ModelBody {
+    model: ModelName,
+    prompt: String,
+    stream: bool,
+    text: Vec<u8>,
+}
+
+/// Reads the body of a model call.
+///
+/// # Errors
+///
+/// [`Kind::BodyInvalid`], or [`Kind::RouteUnknown`] for a model that cannot be.
+pub(crate) fn read_model_body(bytes: &[u8]) -> Result<ModelBody, Kind> {
     let mut body: Map<String, Value> =
-        serde_json::from_slice(&exchange.body).map_err(|_| Kind::BodyInvalid)?;
+        serde_json::from_slice(bytes).map_err(|_| Kind::BodyInvalid)?;
     KEY_FIELDS.iter().for_each(|name| {
         body.remove(*name);
     });
@@ -97,6 +110,23 @@
     let prompt = prompt.to_string();
     let stream = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
     let text = serde_json::to_vec(&body).map_err(|_| Kind::BodyInvalid)?;
+    credential::refuse_key(&text)?;
+    refuse_escaped_key(&text)?;
+    Ok(ModelBody {
+        model,
+        prompt,
+        stream,
+        text,
+    })
+}
+
+fn model_ask(exchange: &Exchange) -> Result<Ask, Kind> {
+    let ModelBody {
+        model,
+        prompt,
+        stream,
+        text,
+    } = read_model_body(&exchange.body)?;
     let call = call(exchange, Method::Post, text)?;
     Ok(Ask {
         asked: Asked::Model(model),
