--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -7,11 +7,14 @@
 mod agent;
 mod fair;
 mod fcfs;
+mod message;
 mod queue;
 mod window;
 
-pub use agent::{
-    Agent,
+pub use agent::Agent;
+pub use fair::Tiered;
+pub use fcfs::Fcfs;
+pub use message::{
     Arrival,
     Engine,
     Input,
@@ -20,8 +23,6 @@
     Output,
     Trace, //
 };
-pub use fair::Tiered;
-pub use fcfs::Fcfs;
 pub use queue::{
     Queueing,
     Waiting, //
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -7,6 +7,7 @@
 mod command;
 mod govern;
 mod machine;
+mod message;
 mod viewers;
 
 pub use command::{
@@ -14,8 +15,12 @@
     Command,
     Outcome, //
 };
-pub use govern::{
-    Govern,
+pub use govern::Govern;
+pub use machine::{
+    Machine,
+    MachineState, //
+};
+pub use message::{
     Input,
     Mail,
     Output,
@@ -25,10 +30,6 @@
     Status,
     Trace, //
 };
-pub use machine::{
-    Machine,
-    MachineState, //
-};
 pub use viewers::{
     FRESH,
     Viewer,
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -13,8 +13,7 @@
     Config,
     Method,
     Permit,
-    Serves,
-    Update, //
+    Serves, //
 };
 use fault::Kind;
 use ids::{
@@ -22,16 +21,13 @@
     ClassId,
     Digest,
     EndpointId,
-    Incarnation,
     ModelName,
     RequestId,
-    Revision,
     RouteId,
     Tick,
     Ticket,
     Tier,
-    Tokens,
-    ZoneName, //
+    Tokens, //
 };
 use ledger::{
     Fingerprint,
@@ -50,6 +46,12 @@
 
 use crate::budget::Budgets;
 use crate::health::Health;
+use crate::message::{
+    Input,
+    Output,
+    Seed,
+    Trace, //
+};
 use crate::place::{
     Candidate,
     Nearness,
@@ -84,64 +86,6 @@
 /// Attempts at one request, over all endpoints.
 const MAX_ATTEMPTS: usize = 6;
 
-/// What makes an entry.
-#[derive(Clone, Debug)]
-pub struct Seed {
-    /// This run of the entry.
-    pub run: Incarnation,
-    /// The zone the entry runs in.
-    pub zone: ZoneName,
-    /// Seeds the random choices.
-    pub random: u64,
-}
-
-/// What the core is told.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A newer view of the configuration, good until a moment.
-    View(Update, Tick),
-    /// A request.
-    Arrive(Arrival),
-    /// What the control group said to a claim.
-    Claimed(RequestId, ClaimResult),
-    /// The first byte of an attempt's answer came.
-    First(RequestId),
-    /// An attempt ended.
-    Ended(RequestId, Ended),
-    /// A question for the models that a key may use.
-    Models(Ticket, Option<Digest>),
-    /// A question whether this entry serves; [`Verdict::Close`] says that it does.
-    Ready(Ticket),
-    /// Say from now on that this entry does not serve. Requests that still come are served.
-    Drain,
-}
-
-/// What is worth counting.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Trace {
-    /// Another attempt follows a bounce.
-    RetriedBounced,
-    /// Another attempt follows one that was never sent.
-    RetriedUnreached,
-    /// Another attempt follows a failure before the answer began.
-    RetriedFailed,
-    /// The account's retry budget is spent.
-    BudgetSpent,
-    /// An endpoint is left out for a while.
-    Ejected,
-}
-
-/// What the core asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Tells the traffic thread of a request what to do next.
-    Verdict(Ticket, Verdict),
-    /// The revision held after [`Input::View`].
-    Viewed(Revision),
-    /// Count something.
-    Trace(Trace),
-}
-
 #[derive(Clone, Debug)]
 struct Request {
     ticket: Ticket,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,18 +6,19 @@
 mod budget;
 mod entry;
 mod health;
+mod message;
 mod place;
 mod request;
 mod shares;
 
-pub use entry::{
-    Entry,
+pub use entry::Entry;
+pub use health::Advert;
+pub use message::{
     Input,
     Output,
     Seed,
     Trace, //
 };
-pub use health::Advert;
 pub use place::{
     Candidate,
     LeastOutstanding,
--- /dev/null
+++ b/crates/route/src/message.rs
@@ -0,0 +1,77 @@
+//! What goes in and out of the entry's core.
+
+use conf::Update;
+use ids::{
+    Digest,
+    Incarnation,
+    RequestId,
+    Revision,
+    Tick,
+    Ticket,
+    ZoneName, //
+};
+
+use crate::request::{
+    Arrival,
+    ClaimResult,
+    Ended,
+    Verdict, //
+};
+
+/// What makes an entry.
+#[derive(Clone, Debug)]
+pub struct Seed {
+    /// This run of the entry.
+    pub run: Incarnation,
+    /// The zone the entry runs in.
+    pub zone: ZoneName,
+    /// Seeds the random choices.
+    pub random: u64,
+}
+
+/// What the core is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A newer view of the configuration, good until a moment.
+    View(Update, Tick),
+    /// A request.
+    Arrive(Arrival),
+    /// What the control group said to a claim.
+    Claimed(RequestId, ClaimResult),
+    /// The first byte of an attempt's answer came.
+    First(RequestId),
+    /// An attempt ended.
+    Ended(RequestId, Ended),
+    /// A question for the models that a key may use.
+    Models(Ticket, Option<Digest>),
+    /// A question whether this entry serves; [`Verdict::Close`] says that it does.
+    Ready(Ticket),
+    /// Say from now on that this entry does not serve. Requests that still come are served.
+    Drain,
+}
+
+/// What is worth counting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trace {
+    /// Another attempt follows a bounce.
+    RetriedBounced,
+    /// Another attempt follows one that was never sent.
+    RetriedUnreached,
+    /// Another attempt follows a failure before the answer began.
+    RetriedFailed,
+    /// The account's retry budget is spent.
+    BudgetSpent,
+    /// An endpoint is left out for a while.
+    Ejected,
+}
+
+/// What the core asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Tells the traffic thread of a request what to do next.
+    Verdict(Ticket, Verdict),
+    /// The revision held after [`Input::View`].
+    Viewed(Revision),
+    /// Count something.
+    Trace(Trace),
+}
