--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -328,6 +328,11 @@
         Ok(())
     }
 
+    /// Stops an entry gracefully.
+    pub fn stop_entry(&mut self, n: usize) {
+        self.entries.remove(n).close();
+    }
+
     /// Stops an agent gracefully.
     pub fn stop_agent(&mut self, n: usize) {
         self.agents.remove(n).close();
--- a/crates/local/tests/path.rs
+++ b/crates/local/tests/path.rs
@@ -318,7 +318,39 @@
     local.close();
 }
 
+/// A planned stop of a role under a running stream cuts nothing of it.
+fn stop_under_a_stream(stop: impl Fn(&mut Local)) {
+    let options = Options {
+        engines: 1,
+        ..Options::default()
+    };
+    let mut local = Local::start(&options, &obs::discard()).unwrap();
+    let (_, key) = local.new_key("norte").unwrap();
+    let bearer = format!("Bearer {}", key.reveal());
+    let fields = [("authorization", bearer.as_str())];
+    let body = chat(60, true);
+    let mut link = open(local.entry(), "/v1/chat/completions", &fields, &body);
+    let first = link.piece().unwrap().unwrap();
+    let reader = std::thread::spawn(move || {
+        let mut seen = first.to_vec();
+        while let Some(piece) = link.piece().unwrap() {
+            seen.extend_from_slice(&piece);
+        }
+        String::from_utf8(seen).unwrap()
+    });
+    stop(&mut local);
+    let seen = reader.join().unwrap();
+    assert!(
+        seen.contains(" w59") && seen.ends_with("data: [DONE]\n\n"),
+        "{seen}"
+    );
+    local.close();
+}
+
 case::cases! {
+    stop_of_the_agent_cuts_nothing: stop_under_a_stream(|local| local.stop_agent(0));
+    stop_of_the_entry_cuts_nothing: stop_under_a_stream(|local| local.stop_entry(0));
+    stop_of_the_control_host_cuts_nothing: stop_under_a_stream(|local| local.stop_control(0));
     demo_is_as_it_must_be: {
         let checks = local::demo(&Options::default(), &obs::discard()).unwrap();
         let wrong: Vec<_> = checks.iter().filter(|check| !check.good).collect();
