--- a/crates/agent/src/role.rs
+++ b/crates/agent/src/role.rs
@@ -56,8 +56,7 @@
 use crate::control::{
     AgentEffects,
     AgentInbox,
-    Attachment,
-    Job, //
+    Attachment, //
 };
 use crate::engine::Watch;
 use crate::report::Reporter;
@@ -70,7 +69,7 @@
 /// A running agent.
 pub struct Handle {
     server: Server,
-    pool: Pool<Job>,
+    pool: Pool,
     follower: Follower,
     watch: Option<Watch>,
     reporter: Reporter,
--- a/crates/conf/src/update.rs
+++ b/crates/conf/src/update.rs
@@ -79,7 +79,6 @@
         if update.revision < held {
             return Err(StaleUpdate::Older(update.revision, held));
         }
-        let before = held;
         match &update.content {
             Content::Same if update.revision != held => {
                 return Err(StaleUpdate::Gap(update.revision, held));
@@ -91,7 +90,7 @@
             }
             Content::Delta(accepted) => self.follow_delta(update.revision, accepted)?,
         }
-        Ok(self.revision() != before)
+        Ok(self.revision() != held)
     }
 
     fn follow_delta(&mut self, to: Revision, accepted: &[Accepted]) -> Result<(), StaleUpdate> {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -7,25 +7,23 @@
 };
 
 use crossbeam::channel::Receiver;
-use std::marker::PhantomData;
-
-/// A fixed number of threads that run jobs of one type.
-pub struct Pool<J> {
-    jobs: PhantomData<fn(J)>,
-    threads: Vec<JoinHandle<()>>,
-}
 
 /// Stack of a traffic thread, in bytes; the deepest path, a JSON body, stays well below.
 const STACK_BYTES: usize = 512 * 1024;
 
-impl<J: Send + 'static> Pool<J> {
-    /// Starts threads that take their jobs from a channel. They end when its senders are gone.
+/// A fixed number of threads that take their jobs from a channel.
+pub struct Pool(Vec<JoinHandle<()>>);
+
+impl Pool {
+    /// Starts `size` threads named `name`, each with a worker of its own. They end when no sender
+    /// of jobs is left.
     ///
     /// # Errors
     ///
     /// The operating system's, if a thread cannot be started.
-    pub fn fed<W, F>(name: &str, size: usize, jobs: Receiver<J>, worker: W) -> io::Result<Self>
+    pub fn fed<J, W, F>(name: &str, size: usize, jobs: Receiver<J>, worker: W) -> io::Result<Self>
     where
+        J: Send + 'static,
         W: Fn() -> F,
         F: FnMut(J) + Send + 'static,
     {
@@ -33,20 +31,16 @@
         for i in 0..size {
             let rx = jobs.clone();
             let mut run = worker();
-            let builder = thread::Builder::new()
-                .name(format!("{name}-{i}"))
-                .stack_size(STACK_BYTES);
+            let builder = thread::Builder::new().name(format!("{name}-{i}"));
+            let builder = builder.stack_size(STACK_BYTES);
             threads.push(builder.spawn(move || rx.iter().for_each(&mut run))?);
         }
-        Ok(Self {
-            jobs: PhantomData,
-            threads,
-        })
+        Ok(Self(threads))
     }
 
-    /// Waits for the threads to end, which they do once no sender of jobs is left.
+    /// Waits for the threads to end.
     pub fn close(self) {
-        for thread in self.threads {
+        for thread in self.0 {
             let _ = thread.join();
         }
     }
--- a/crates/entry/src/role.rs
+++ b/crates/entry/src/role.rs
@@ -58,7 +58,7 @@
 /// A running entry.
 pub struct Handle {
     server: Server,
-    pool: Pool<Exchange>,
+    pool: Pool,
     follower: Follower,
     settler: Settler,
     control: step::Control<Input, Attachment>,
--- a/crates/fake/src/service.rs
+++ b/crates/fake/src/service.rs
@@ -50,7 +50,7 @@
 /// A running plain service.
 pub struct ServiceHost {
     server: Server,
-    pool: Pool<Exchange>,
+    pool: Pool,
     runs: Runs,
     transcript: Transcript,
 }
