Let the stand-ins' transcript keep everything again

A bound of 2 MiB had been put on it for the soak, so in a long run a key could have been seen and dropped unnoticed. The soak now takes the transcript out every few seconds and at its end, and looks for a key in all of it.

--- a/crates/fake/src/transcript.rs
+++ b/crates/fake/src/transcript.rs
@@ -1,4 +1,4 @@
-//! What a stand-in saw, for tests that look for what must not be there.
+//! Everything a stand-in saw, for tests that look for what must not be there.
 
 use std::sync::{
     Arc,
@@ -8,10 +8,7 @@
 
 use edge::Exchange;
 
-/// Bytes kept; beyond that the older half is dropped.
-const MAX_BYTES: usize = 2 * 1024 * 1024;
-
-/// The bytes of the latest requests, header fields and bodies.
+/// The bytes of all requests, header fields and bodies.
 #[derive(Clone, Debug, Default)]
 pub struct Transcript(Arc<Mutex<Vec<u8>>>);
 
@@ -28,13 +25,14 @@
         }
         bytes.extend_from_slice(&exchange.body);
         bytes.push(b'\n');
-        if bytes.len() > MAX_BYTES {
-            let half = bytes.len() / 2;
-            bytes.drain(..half);
-        }
     }
 
-    /// A copy of what is kept.
+    /// Takes everything seen so far out, for runs that are too long to keep it.
+    pub fn take(&self) -> Vec<u8> {
+        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// A copy of everything seen.
     pub fn bytes(&self) -> Vec<u8> {
         self.0
             .lock()
--- a/crates/gauge/src/soak.rs
+++ b/crates/gauge/src/soak.rs
@@ -134,6 +134,7 @@
         result
     });
     check_windows(&local, &tally);
+    check_transcripts(&local, &tally);
     local.close();
     result?;
     let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
@@ -186,6 +187,7 @@
         }
         if looked.elapsed() >= LOOK {
             looked = Instant::now();
+            check_transcripts(local, tally);
             let mib = memory() as f64 / (1024.0 * 1024.0);
             series.push(began.elapsed().as_secs_f64(), mib);
         }
@@ -323,6 +325,16 @@
     }
 }
 
+/// No endpoint saw a key since the last look.
+fn check_transcripts(local: &Local, tally: &Tally) {
+    let engines = local.engines.iter().map(|engine| engine.transcript());
+    for transcript in engines.chain([local.service.transcript()]) {
+        if Secret::find(&transcript.take()).is_some() {
+            tally.violation("an endpoint saw a key".to_owned());
+        }
+    }
+}
+
 /// No window was reported with two figures.
 fn check_windows(local: &Local, tally: &Tally) {
     let windows = local.platform.windows();
