--- a/cmd/berg-control/src/main.rs
+++ b/cmd/berg-control/src/main.rs
@@ -27,8 +27,10 @@
 };
 use obs::{
     Counters,
-    Logger, //
+    Logger,
+    event, //
 };
+use platform::Platform;
 use setting::Common;
 
 fn main() -> ExitCode {
@@ -92,7 +94,7 @@
     }
 
     fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, RunError> {
-        control::run(settings, log, counters)
+        control::run_with(settings, Platform, log, counters)
     }
 
     fn close(handle: Handle) {
@@ -101,12 +103,12 @@
 }
 
 fn serve(settings: &Settings) -> ExitCode {
-    let handle = match boot::start::<Control>(settings) {
-        Ok(handle) => handle,
+    let (handle, log) = match boot::start::<Control>(settings) {
+        Ok(started) => started,
         Err(code) => return code,
     };
     select! {
-        recv(stop()) -> _ => {
+        recv(stop(log)) -> _ => {
             handle.close();
             ExitCode::SUCCESS
         }
@@ -115,10 +117,10 @@
     }
 }
 
-fn stop() -> Receiver<()> {
+fn stop(log: Logger) -> Receiver<()> {
     let (tx, rx) = bounded(1);
     std::thread::spawn(move || {
-        let _ = obs::wait_for_stop();
+        let _ = obs::wait_for_stop(|| event!(log, Reloaded));
         let _ = tx.send(());
     });
     rx
--- a/cmd/berg-local/src/main.rs
+++ b/cmd/berg-local/src/main.rs
@@ -75,7 +75,7 @@
         local.entry(),
         key.reveal()
     );
-    let stopped = obs::wait_for_stop();
+    let stopped = obs::wait_for_stop(|| {});
     local.close();
     stopped.map_err(|fault| LocalError::Part("signals", fault.to_string()))
 }
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -28,6 +28,7 @@
     Entry, //
 };
 pub use member::{
+    MAX_MEMBERS,
     Member,
     MemberChange,
     MemberError,
@@ -39,6 +40,7 @@
     Node,
     NotLeader,
     Output,
+    Promotion,
     Seed,
     Standing,
     Timing, //
--- a/crates/agree/src/member.rs
+++ b/crates/agree/src/member.rs
@@ -89,7 +89,7 @@
 impl std::error::Error for MemberError {}
 
 /// Most members a group may have.
-pub(crate) const MAX_MEMBERS: usize = 7;
+pub const MAX_MEMBERS: usize = 7;
 
 /// The group as one log entry holds it.
 pub(crate) fn apply(group: &[Member], change: &MemberChange) -> Result<Vec<Member>, MemberError> {
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// Which learners that have caught up become voters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Promotion {
+    /// Each of them, one after the other.
+    Each,
+    /// As many as keep the number of voters odd; the others stand by to replace a lost voter.
+    Odd,
+}
+
 /// What makes one member's node.
 #[derive(Clone, Copy, Debug)]
 pub struct Seed {
@@ -72,6 +81,8 @@
     pub id: MemberId,
     /// The group's time constants.
     pub timing: Timing,
+    /// Which learners become voters.
+    pub promotion: Promotion,
     /// Seeds the election timeout and the tokens of questions; another number for each run.
     pub random: u64,
 }
@@ -159,6 +170,7 @@
 pub struct Node {
     pub(crate) id: MemberId,
     pub(crate) timing: Timing,
+    promotion: Promotion,
     rng: Pcg32,
     pub(crate) term: Term,
     pub(crate) voted: Option<MemberId>,
@@ -194,6 +206,7 @@
         let mut node = Self {
             id: seed.id,
             timing: seed.timing,
+            promotion: seed.promotion,
             rng: Pcg32::seed_from_u64(seed.random),
             term: saved.term,
             voted: saved.voted,
@@ -255,6 +268,43 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// Whether this member votes.
+    pub fn votes(&self) -> bool {
+        self.is_voter()
+    }
+
+    /// How long ago a leader was heard, or the node started. Zero for a leader.
+    pub fn unled_for(&self, now: Tick) -> Duration {
+        if self.leads() {
+            Duration::ZERO
+        } else {
+            now.since(self.heard)
+        }
+    }
+
+    /// When a leader was heard last, or the node started.
+    pub fn heard_at(&self) -> Tick {
+        self.heard
+    }
+
+    /// How long a leader has not heard another member; none if this node does not lead it.
+    pub fn silence(&self, now: Tick, id: MemberId) -> Option<Duration> {
+        let Role::Leader(leader) = &self.role else {
+            return None;
+        };
+        let peer = leader.peers.get(&id)?;
+        Some(now.since(peer.acked.unwrap_or_default().max(leader.since)))
+    }
+
+    /// Whether a learner holds everything committed, as its leader knows.
+    pub fn caught_up(&self, member: &Member) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let matched = leader.peers.get(&member.id).map(|peer| peer.matched);
+        member.stage == Stage::Learner && matched >= Some(self.commit)
+    }
+
     /// Adds a command to the log.
     ///
     /// # Errors
@@ -504,13 +554,16 @@
         if self.commit < leader.barrier || self.commit < self.group_at {
             return;
         }
-        let caught_up = |m: &Member| {
-            let matched = leader.peers.get(&m.id).map(|peer| peer.matched);
-            m.stage == Stage::Learner && matched >= Some(self.commit)
-        };
-        let Some(at) = self.group.iter().position(caught_up) else {
+        let ready: Vec<_> = (0..self.group.len())
+            .filter(|at| self.caught_up(&self.group[*at]))
+            .collect();
+        let Some(at) = ready.first().copied() else {
             return;
         };
+        let voters = member::voters(&self.group).count();
+        if self.promotion == Promotion::Odd && voters % 2 == 1 && ready.len() < 2 {
+            return;
+        }
         let mut group = self.group.clone();
         group[at].stage = Stage::Voter;
         self.lead_append(now, Body::Members(group), out);
--- a/crates/agree/tests/world/mod.rs
+++ b/crates/agree/tests/world/mod.rs
@@ -19,6 +19,7 @@
     Message,
     Node,
     Output,
+    Promotion,
     Record,
     Saved,
     Seed,
@@ -207,7 +208,12 @@
         host.paused = false;
         host.late.clear();
         host.asked.clear();
-        let seed = Seed { id, timing, random };
+        let seed = Seed {
+            id,
+            timing,
+            promotion: Promotion::Each,
+            random,
+        };
         host.node = Some(Node::new(now, seed, saved));
         self.schedule_wake(id);
     }
--- a/crates/boot/src/lib.rs
+++ b/crates/boot/src/lib.rs
@@ -9,7 +9,8 @@
 
 use obs::{
     Counters,
-    Logger, //
+    Logger,
+    event, //
 };
 use setting::{
     Common,
@@ -67,11 +68,11 @@
         println!("{}: valid", flags.settings.display());
         return ExitCode::SUCCESS;
     }
-    let handle = match start::<R>(&settings) {
-        Ok(handle) => handle,
+    let (handle, log) = match start::<R>(&settings) {
+        Ok(started) => started,
         Err(code) => return code,
     };
-    let stopped = obs::wait_for_stop();
+    let stopped = obs::wait_for_stop(|| event!(log, Reloaded));
     R::close(handle);
     match stopped {
         Ok(()) => ExitCode::SUCCESS,
@@ -84,12 +85,15 @@
 /// # Errors
 ///
 /// The exit code, after the fault was printed.
-pub fn start<R: Role>(settings: &R::Settings) -> Result<R::Handle, ExitCode> {
+pub fn start<R: Role>(settings: &R::Settings) -> Result<(R::Handle, Logger), ExitCode> {
     let common = R::common(settings);
     let log = obs::logger(common.format, R::ROLE);
     let counters = Counters::new(&format!("berg.{}", R::ROLE), common.statsd);
     let counters = counters.map_err(|fault| fail(R::PROGRAM, fault, USAGE))?;
-    R::run(settings, log, counters).map_err(|fault| fail(R::PROGRAM, fault, 1))
+    match R::run(settings, log.clone(), counters) {
+        Ok(handle) => Ok((handle, log)),
+        Err(fault) => Err(fail(R::PROGRAM, fault, 1)),
+    }
 }
 
 /// Prints a fault and gives the exit code back.
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -28,6 +28,8 @@
     self,
     Form, //
 };
+use crate::join::Seeking;
+use crate::order;
 use crate::post::Post;
 use crate::report::Due;
 
@@ -44,6 +46,7 @@
 pub(crate) struct ControlEffects {
     pub(crate) disk: Sender<Job>,
     pub(crate) deliver: Sender<Due>,
+    pub(crate) seek: Sender<Seeking>,
     pub(crate) post: Post,
     pub(crate) replies: front::Replies,
     pub(crate) waiting: BTreeMap<Ticket, (Exchange, Form)>,
@@ -60,6 +63,7 @@
         match form {
             Form::Peer(kind) => self.replies.peer(exchange, kind, reply),
             Form::Admin(kind) => admin::reply(exchange, kind, reply, &self.replies),
+            Form::Order(kind) => order::reply(exchange, kind, reply, self.replies.port),
         }
     }
 
@@ -116,7 +120,15 @@
             Output::Send(to, address, message) => self.post.send(to, address, message),
             Output::Reply(ticket, reply) => self.reply(ticket, reply),
             Output::Deliver(window, authority) => {
-                let _ = self.deliver.try_send((window, authority));
+                let _ = self.deliver.try_send(Due::Window(window, authority));
+            }
+            Output::Bill(statement, authority) => {
+                let _ = self.deliver.try_send(Due::Statement(statement, authority));
+            }
+            Output::Seek(member, hosts) => {
+                if self.seek.try_send((member, hosts)).is_ok() {
+                    event!(self.log, Seeking);
+                }
             }
             Output::Trace(trace) => self.trace(trace),
         }
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -1,10 +1,12 @@
 //! The HTTP fronts: messages from the system's own processes, and the operators' interface.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{
     AtomicU64,
     Ordering, //
 };
+use std::time::Duration;
 
 use agree::MemberId;
 use edge::{
@@ -25,6 +27,7 @@
 use ids::{
     ClusterName,
     HostName,
+    Incarnation,
     Ticket, //
 };
 use ledger::Claimed;
@@ -40,11 +43,14 @@
 use usage::Report;
 use wire::{
     Answer,
+    BoardAnswer,
+    BoardAsk,
     ClaimAsk,
     Mail,
     Sealer,
     SettleAsk,
     Side,
+    TallyAsk,
     ViewAnswer,
     ViewAsk,
     paths, //
@@ -59,6 +65,7 @@
     ControlInbox,
     Waiting, //
 };
+use crate::order::OrderKind;
 
 /// What an answer to one of the system's own processes holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +74,9 @@
     Claim,
     Settle,
     Usage,
+    Board,
+    Join,
+    Tally,
 }
 
 /// The form an answer takes.
@@ -76,6 +86,8 @@
     Peer(PeerKind),
     /// JSON, for an operator.
     Admin(AdminKind),
+    /// For an operator of the plan.
+    Order(OrderKind),
 }
 
 /// Takes requests on the event loop.
@@ -85,7 +97,7 @@
     pub(crate) sealer: Sealer,
     pub(crate) operators: Operators,
     pub(crate) inbox: ControlInbox,
-    pub(crate) tickets: AtomicU64,
+    pub(crate) tickets: Arc<AtomicU64>,
     pub(crate) counters: Counters,
     pub(crate) log: Logger,
 }
@@ -104,6 +116,12 @@
                 let usage = |report: Report| Question::Run(Command::Usage(report));
                 self.peer(exchange, paths::USAGE, PeerKind::Usage, usage);
             }
+            paths::BOARD => self.peer(exchange, paths::BOARD, PeerKind::Board, board),
+            paths::JOIN => self.peer(exchange, paths::JOIN, PeerKind::Join, Question::Join),
+            paths::TALLY => {
+                self.counters.count(Counter::UsageMerged);
+                self.peer(exchange, paths::TALLY, PeerKind::Tally, tally);
+            }
             "/counters" => admin::counters(exchange, &self.counters),
             _ => self.admin(exchange),
         }
@@ -195,6 +213,22 @@
     Question::View(id, ask.revision, ask.wait)
 }
 
+fn board(ask: BoardAsk) -> Question {
+    Question::Board(follower(ask.host, ask.run), ask.edition, ask.wait)
+}
+
+fn tally(ask: TallyAsk) -> Question {
+    Question::Tally(follower(ask.host, ask.run), ask.windows)
+}
+
+fn follower(host: HostName, run: Incarnation) -> ViewerId {
+    ViewerId {
+        host,
+        side: ViewerSide::Entry,
+        run,
+    }
+}
+
 fn claim(ask: ClaimAsk) -> Question {
     Question::Run(Command::Claim {
         key: (ask.account, ask.key),
@@ -218,6 +252,10 @@
     pub(crate) sealer: Sealer,
     pub(crate) cluster: ClusterName,
     pub(crate) host: HostName,
+    /// How long followers of the board may go by an answer.
+    pub(crate) fresh: Duration,
+    /// Where control hosts take orders about the plan.
+    pub(crate) port: u16,
 }
 
 impl Replies {
@@ -241,6 +279,20 @@
             (PeerKind::Usage, Reply::Outcome(Outcome::Noted)) => {
                 self.seal(exchange, &Answer::Done(()));
             }
+            (PeerKind::Board, Reply::Board(copy, hosts, followers, wall)) => {
+                let answer = BoardAnswer {
+                    copy,
+                    fresh: self.fresh,
+                    hosts,
+                    followers: followers as u64,
+                    wall,
+                };
+                self.seal(exchange, &Answer::Done(answer));
+            }
+            (PeerKind::Join, Reply::Member(_)) => self.seal(exchange, &Answer::Done(())),
+            (PeerKind::Tally, Reply::Tallied(last)) => {
+                self.seal(exchange, &Answer::Done(last));
+            }
             (kind, Reply::Elsewhere(leader)) => self.elsewhere(exchange, kind, leader),
             (kind, _) => self.unavailable(exchange, kind),
         }
@@ -251,7 +303,11 @@
             PeerKind::View => self.seal(exchange, &Answer::<ViewAnswer>::Elsewhere(leader)),
             PeerKind::Claim => self.seal(exchange, &Answer::<Claimed>::Elsewhere(leader)),
             PeerKind::Settle => self.seal(exchange, &Answer::<bool>::Elsewhere(leader)),
-            PeerKind::Usage => self.seal(exchange, &Answer::<()>::Elsewhere(leader)),
+            PeerKind::Board => self.seal(exchange, &Answer::<BoardAnswer>::Elsewhere(leader)),
+            PeerKind::Tally => self.seal(exchange, &Answer::<Option<u64>>::Elsewhere(leader)),
+            PeerKind::Usage | PeerKind::Join => {
+                self.seal(exchange, &Answer::<()>::Elsewhere(leader));
+            }
         }
     }
 
@@ -260,7 +316,11 @@
             PeerKind::View => self.seal(exchange, &Answer::<ViewAnswer>::Unavailable),
             PeerKind::Claim => self.seal(exchange, &Answer::<Claimed>::Unavailable),
             PeerKind::Settle => self.seal(exchange, &Answer::<bool>::Unavailable),
-            PeerKind::Usage => self.seal(exchange, &Answer::<()>::Unavailable),
+            PeerKind::Board => self.seal(exchange, &Answer::<BoardAnswer>::Unavailable),
+            PeerKind::Tally => self.seal(exchange, &Answer::<Option<u64>>::Unavailable),
+            PeerKind::Usage | PeerKind::Join => {
+                self.seal(exchange, &Answer::<()>::Unavailable);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/control/src/join.rs
@@ -0,0 +1,98 @@
+//! Asks the control group to take this host in, on a thread of its own.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::thread::{
+    self,
+    JoinHandle, //
+};
+use std::time::Duration;
+
+use agree::Member;
+use crossbeam::channel::{
+    Receiver,
+    Sender,
+    bounded, //
+};
+use obs::{
+    Logger,
+    event, //
+};
+use peer::Control;
+use wire::{
+    Answer,
+    paths, //
+};
+
+use crate::settings::Settings;
+
+/// How long one host may take. A host that was cut off silently must not hold up the others.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// A request to join, and the hosts of the group as far as they are known.
+pub(crate) type Seeking = (Member, Vec<SocketAddr>);
+
+/// The channel to a joining thread; a request that finds one under way is dropped.
+pub(crate) fn channel() -> (Sender<Seeking>, Receiver<Seeking>) {
+    bounded(1)
+}
+
+/// A running joining thread.
+pub(crate) struct Joiner {
+    thread: JoinHandle<()>,
+}
+
+impl Joiner {
+    /// Starts the thread; it ends when the sender is gone.
+    pub(crate) fn start(
+        settings: PathBuf,
+        control: Control,
+        requests: Receiver<Seeking>,
+        log: Logger,
+    ) -> std::io::Result<Self> {
+        let join = move || {
+            for (member, hosts) in requests {
+                control.add(&hosts);
+                // The seeds may have been exchanged since this process started.
+                match Settings::try_from(settings.as_path()) {
+                    Ok(settings) => control.add(&settings.seeds()),
+                    Err(fault) => {
+                        event!(log, SettingsRefused, "fault" => fault.to_string());
+                    }
+                }
+                ask(&control, &member);
+            }
+        };
+        let thread = thread::Builder::new()
+            .name("control-join".to_owned())
+            .spawn(join)?;
+        Ok(Self { thread })
+    }
+
+    pub(crate) fn close(self) {
+        let _ = self.thread.join();
+    }
+}
+
+/// Asks one host after the other until a leader has heard it.
+fn ask(control: &Control, member: &Member) {
+    let Ok(body) = control.seal(paths::JOIN, member) else {
+        return;
+    };
+    let call = |host| control.call_one::<()>(host, paths::JOIN, body.clone(), PATIENCE);
+    for host in control.order(None) {
+        if host == member.address {
+            continue;
+        }
+        match call(host) {
+            Ok(Answer::Done(())) => return control.prefer(host),
+            Ok(Answer::Elsewhere(Some(leader))) if leader != member.address => {
+                if let Ok(Answer::Done(())) = call(leader) {
+                    return control.prefer(leader);
+                }
+            }
+            // The next request comes in a moment.
+            Ok(_) | Err(_) => {}
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,22 +2,34 @@
 
 mod admin;
 mod codec;
+mod desk;
 mod disk;
 mod effects;
 mod front;
+mod join;
+mod order;
 mod post;
 mod report;
 mod role;
 mod settings;
 
+pub use desk::{
+    Bill,
+    Desk,
+    NoDesk,
+    Order,
+    Refusal, //
+};
 pub use role::{
     Handle,
     RunError,
     Start,
     init,
-    run, //
+    run,
+    run_with, //
 };
 pub use settings::{
+    PlanSettings,
     Settings,
     read_secret, //
 };
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -24,44 +24,57 @@
     event, //
 };
 use serde_json::json;
-use usage::Window;
+use usage::{
+    Statement,
+    Window, //
+};
 
+use crate::desk::{
+    Bill,
+    Desk, //
+};
 use crate::effects::ControlInbox;
 
 /// What must be left of the lease when a delivery begins; the delivery's time-out is half of it.
 const LEAST_LEFT: Duration = Duration::from_millis(200);
 
-/// A window to be delivered, and the right to do so.
-pub(crate) type Due = (Window, Authority);
+/// Figures to be delivered, and the right to do so.
+pub(crate) enum Due {
+    /// A window of the book.
+    Window(Window, Authority),
+    /// A window of the wall clock.
+    Statement(Statement, Authority),
+}
 
 /// A running delivery thread.
 pub(crate) struct Deliverer {
     thread: JoinHandle<()>,
 }
 
-/// The channel to a delivery thread; the core has one window on its way at most.
+/// The channel to a delivery thread; the core has one window of each kind on its way at most.
 pub(crate) fn channel() -> (Sender<Due>, Receiver<Due>) {
-    bounded(1)
+    bounded(2)
+}
+
+/// Where and as whom windows are delivered.
+pub(crate) struct Delivery<D> {
+    pub(crate) desk: D,
+    pub(crate) platform: Option<SocketAddr>,
+    pub(crate) holder: String,
+    pub(crate) inbox: ControlInbox,
+    pub(crate) clock: Monotonic,
+    pub(crate) log: Logger,
 }
 
 impl Deliverer {
     /// Starts the thread; it ends when the sender is gone.
-    pub(crate) fn start(
-        platform: Option<SocketAddr>,
+    pub(crate) fn start<D: Desk>(
+        delivery: Delivery<D>,
         windows: Receiver<Due>,
-        inbox: ControlInbox,
-        clock: Monotonic,
-        log: Logger,
     ) -> std::io::Result<Self> {
         let deliver = move || {
-            for (window, authority) in windows {
-                let accepted = platform
-                    .is_some_and(|platform| deliver(platform, &window, authority, clock, &log));
-                let number = window.number;
-                if accepted {
-                    event!(log, WindowDelivered, "window" => number);
-                }
-                if inbox.send(Input::Delivered(number, accepted)).is_err() {
+            for due in windows {
+                if delivery.inbox.send(delivery.carry(due)).is_err() {
                     return;
                 }
             }
@@ -77,13 +90,58 @@
     }
 }
 
-fn deliver(
-    platform: SocketAddr,
-    window: &Window,
-    authority: Authority,
-    clock: Monotonic,
-    log: &Logger,
-) -> bool {
+impl<D: Desk> Delivery<D> {
+    /// Delivers figures and says what became of them.
+    fn carry(&self, due: Due) -> Input {
+        match due {
+            Due::Window(window, authority) => {
+                let (number, call) = (window.number, plain(&window, authority));
+                Input::Delivered(number, self.deliver(number, &call, authority))
+            }
+            Due::Statement(statement, authority) => {
+                let fence = authority.term.0;
+                let call = self.desk.bill(&statement, &self.holder, fence);
+                let number = statement.window;
+                Input::Billed(number, self.deliver(number, &call, authority))
+            }
+        }
+    }
+
+    fn deliver(&self, number: u64, call: &Bill, authority: Authority) -> bool {
+        let Some(platform) = self.platform else {
+            return false;
+        };
+        let headers: Vec<_> = call
+            .headers
+            .iter()
+            .map(|(name, value)| (name.as_str(), value.as_str()))
+            .collect();
+        // The last thing before the write: whoever was paused until now must not write.
+        let left = authority.until.since(self.clock.now());
+        if left < LEAST_LEFT {
+            return false;
+        }
+        let client = Client::new(left.min(Duration::from_secs(1)) / 2);
+        let body = call.body.clone();
+        match client.call(platform, "POST", &call.target, &headers, body) {
+            Ok(reply) if reply.status == 200 => {
+                event!(self.log, WindowDelivered, "window" => number);
+                true
+            }
+            Ok(reply) => {
+                event!(self.log, WindowHeld, "window" => number, "status" => reply.status);
+                false
+            }
+            Err(fault) => {
+                event!(self.log, WindowHeld, "window" => number, "fault" => fault.to_string());
+                false
+            }
+        }
+    }
+}
+
+/// The report of a window of the book.
+fn plain(window: &Window, authority: Authority) -> Bill {
     let lines: Vec<_> = window
         .lines
         .iter()
@@ -97,23 +155,9 @@
     let body = json!({
         "window": window.number, "end": window.end, "fence": authority.term, "lines": lines,
     });
-    let body = body.to_string().into_bytes();
-    // The last thing before the write: whoever was paused until now must not write.
-    let left = authority.until.since(clock.now());
-    if left < LEAST_LEFT {
-        return false;
-    }
-    let client = Client::new(left.min(Duration::from_secs(1)) / 2);
-    let headers = [("content-type", "application/json")];
-    match client.call(platform, "POST", "/usage", &headers, body) {
-        Ok(reply) if reply.status == 200 => true,
-        Ok(reply) => {
-            event!(log, WindowHeld, "window" => window.number, "status" => reply.status);
-            false
-        }
-        Err(fault) => {
-            event!(log, WindowHeld, "window" => window.number, "fault" => fault.to_string());
-            false
-        }
+    Bill {
+        target: "/usage".to_owned(),
+        headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+        body: body.to_string().into_bytes(),
     }
 }
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -3,8 +3,10 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{
+    Duration,
     SystemTime,
     UNIX_EPOCH, //
 };
@@ -14,6 +16,7 @@
     Entry,
     Member,
     MemberId,
+    Promotion,
     Record,
     Saved,
     Stage,
@@ -25,16 +28,23 @@
 };
 use edge::{
     EdgeError,
+    Exchange,
+    Handler,
     Server, //
 };
+use fault::Kind;
 use govern::{
+    FRESH,
     Govern,
     Input,
+    PlanSeed,
     Seed, //
 };
 use ids::{
     Clock,
+    ClusterName,
     DigestKey,
+    HostName,
     Index,
     Monotonic,
     Term, //
@@ -44,6 +54,7 @@
     Logger,
     event, //
 };
+use peer::Control;
 use store::{
     StoreError,
     Vault, //
@@ -54,8 +65,15 @@
     WireError, //
 };
 
-use crate::admin::Operators;
+use crate::admin::{
+    self,
+    Operators, //
+};
 use crate::codec;
+use crate::desk::{
+    Desk,
+    NoDesk, //
+};
 use crate::disk::{
     self,
     Disk, //
@@ -68,12 +86,24 @@
     Front,
     Replies, //
 };
+use crate::join::{
+    self,
+    Joiner, //
+};
+use crate::order::Orders;
 use crate::post::Post;
 use crate::report::{
     self,
-    Deliverer, //
+    Deliverer,
+    Delivery, //
 };
-use crate::settings::Settings;
+use crate::settings::{
+    PlanSettings,
+    Settings, //
+};
+
+/// How long a stopping host answers what came.
+const LAST_ANSWERS: Duration = Duration::from_millis(500);
 
 /// Why a control host cannot run.
 #[derive(Debug)]
@@ -159,6 +189,8 @@
 /// A running control host.
 pub struct Handle {
     server: Server,
+    orders: Vec<Server>,
+    joiner: Option<Joiner>,
     control: step::Control<Input, Waiting>,
     disk: Disk,
     deliverer: Deliverer,
@@ -172,32 +204,68 @@
 ///
 /// [`RunError`]; nothing keeps running then.
 pub fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, RunError> {
+    run_with(settings, NoDesk, log, counters)
+}
+
+/// Starts a control host that serves a plan in the language of a desk. A data folder without
+/// state is initialised.
+///
+/// # Errors
+///
+/// [`RunError`]; nothing keeps running then.
+pub fn run_with<D: Desk>(
+    settings: &Settings,
+    desk: D,
+    log: Logger,
+    counters: Counters,
+) -> Result<Handle, RunError> {
+    if let Some(plan) = &settings.plan {
+        prepare(settings, plan)?;
+    }
     let common = &settings.common;
     let (vault, id, saved) = open(&settings.data, &log)?;
-    let address = settings.advertise.unwrap_or(common.listen);
+    let address = settings.address();
     let clock = Monotonic::start();
     let seed = Seed {
         node: agree::Seed {
             id,
             timing: Timing::default(),
+            promotion: match settings.plan {
+                Some(_) => Promotion::Odd,
+                None => Promotion::Each,
+            },
             random: rand::random(),
         },
         wall: unix_millis(),
         window: settings.window,
+        plan: settings.plan.as_ref().map(|plan| PlanSeed {
+            member: Member {
+                id,
+                host: common.host.clone(),
+                address,
+                stage: Stage::Learner,
+            },
+            window: settings.window,
+            settle: plan.settle,
+        }),
     };
     let core = Govern::new(clock.now(), seed, Packed, saved).map_err(RunError::State)?;
     let sealer = Sealer::new(common.cluster.clone(), &common.secret);
     let (jobs, disk_jobs) = disk::channel();
     let (windows, deliveries) = report::channel();
+    let (seek, requests) = join::channel();
     let (failed, failure) = bounded(2);
     let effects = ControlEffects {
         disk: jobs,
         deliver: windows,
+        seek,
         post: Post::new(id, address, sealer.clone()),
         replies: Replies {
             sealer: sealer.clone(),
             cluster: common.cluster.clone(),
             host: common.host.clone(),
+            fresh: settings.plan.as_ref().map_or(FRESH, |plan| plan.fresh),
+            port: settings.plan.as_ref().map_or(0, |plan| plan.listen.port()),
         },
         waiting: Default::default(),
         counters: counters.clone(),
@@ -209,14 +277,39 @@
     let inbox = control.inbox();
     let disk = Disk::start(vault, disk_jobs, inbox.clone(), failed, log.clone());
     let disk = disk.map_err(RunError::Thread)?;
-    let deliverer = Deliverer::start(
-        settings.platform,
-        deliveries,
-        inbox.clone(),
+    let delivery = Delivery {
+        desk: desk.clone(),
+        platform: settings.platform,
+        holder: common.host.to_string(),
+        inbox: inbox.clone(),
         clock,
-        log.clone(),
-    );
-    let deliverer = deliverer.map_err(RunError::Thread)?;
+        log: log.clone(),
+    };
+    let deliverer = Deliverer::start(delivery, deliveries).map_err(RunError::Thread)?;
+    let tickets = Arc::new(AtomicU64::new(0));
+    let (orders, joiner) = match &settings.plan {
+        None => (Vec::new(), None),
+        Some(plan) => {
+            let peers = Control::new(sealer.clone(), plan.seeds.clone());
+            let path = plan.path.clone();
+            let joiner = Joiner::start(path, peers, requests, log.clone());
+            let orders = Orders {
+                desk,
+                inbox: inbox.clone(),
+                tickets: Arc::clone(&tickets),
+                counters: counters.clone(),
+                log: log.clone(),
+            };
+            let server = Server::start("control-orders", plan.listen, common.limits, orders);
+            let mut servers = vec![server.map_err(RunError::Edge)?];
+            if let Some(at) = plan.metrics {
+                let shown = Shown(counters.clone());
+                let server = Server::start("control-metrics", at, common.limits, shown);
+                servers.push(server.map_err(RunError::Edge)?);
+            }
+            (servers, Some(joiner.map_err(RunError::Thread)?))
+        }
+    };
     let front = Front {
         id,
         host: common.host.clone(),
@@ -226,7 +319,7 @@
             digests: DigestKey::derive(&common.secret),
         },
         inbox,
-        tickets: AtomicU64::new(0),
+        tickets,
         counters,
         log: log.clone(),
     };
@@ -235,6 +328,8 @@
     event!(log, Started, "listen" => server.address().to_string(), "member" => id.to_string());
     Ok(Handle {
         server,
+        orders,
+        joiner,
         control,
         disk,
         deliverer,
@@ -243,6 +338,64 @@
     })
 }
 
+/// Initialises a data folder without state: as one of the hosts that found the group, if it is
+/// founded with this start and this host is a seed, else as a host that will ask to join.
+fn prepare(settings: &Settings, plan: &PlanSettings) -> Result<(), RunError> {
+    if Vault::exists(&settings.data) {
+        return Ok(());
+    }
+    let own = settings.address();
+    if !plan.founding || !plan.seeds.contains(&own) {
+        return init(settings, Start::Join).map(|_| ());
+    }
+    let cluster = &settings.common.cluster;
+    let mut seeds = plan.seeds.clone();
+    seeds.sort_unstable();
+    seeds.dedup();
+    let members = seeds.iter().map(|seed| founder(cluster, *seed));
+    let members = members.collect::<Result<Vec<_>, _>>()?;
+    // Every seed begins with this same entry, so that they agree on it without a leader.
+    let first = Record {
+        vote: Some((Term(1), None)),
+        truncate: None,
+        entries: vec![Entry {
+            index: Index(1),
+            term: Term(1),
+            body: Body::Members(members),
+        }],
+    };
+    let id = founder(cluster, own)?.id;
+    Vault::init(&settings.data, id.0, &codec::frame(&[first])?)?;
+    Ok(())
+}
+
+/// A seed as a founding member. All seeds derive the same identity from its address.
+fn founder(cluster: &ClusterName, address: SocketAddr) -> Result<Member, RunError> {
+    let digest = blake3::hash(format!("{cluster} {address}").as_bytes());
+    let (id, _) = digest.as_bytes().split_at(8);
+    let id = id.iter().fold(0, |id, byte| id << 8 | u64::from(*byte));
+    let host = HostName::try_from(format!("seed-{}", address.ip()).as_str());
+    Ok(Member {
+        id: MemberId(id),
+        host: host.map_err(|fault| RunError::State(fault.to_string()))?,
+        address,
+        stage: Stage::Voter,
+    })
+}
+
+/// Shows the counters.
+struct Shown(Counters);
+
+impl Handler for Shown {
+    fn handle(&self, exchange: Exchange) {
+        admin::counters(exchange, &self.0);
+    }
+
+    fn refuse(&self, exchange: Exchange, kind: Kind) {
+        admin::refuse(exchange, kind.answer().status, kind.answer().text, None);
+    }
+}
+
 fn open(data: &Path, log: &Logger) -> Result<(Vault, MemberId, Saved), RunError> {
     let (vault, recovered) = Vault::open(data)?;
     if recovered.torn > 0 {
@@ -280,9 +433,15 @@
     pub fn close(self) {
         event!(self.log, Stopping);
         let _ = self.control.inbox().send(Input::HandOver);
-        self.server.close();
+        for server in self.orders {
+            server.close_within(LAST_ANSWERS);
+        }
+        self.server.close_within(LAST_ANSWERS);
         let _ = self.control.close();
         self.deliverer.close();
+        if let Some(joiner) = self.joiner {
+            joiner.close();
+        }
         self.disk.close();
         event!(self.log, Stopped);
     }
--- a/crates/control/tests/restart.rs
+++ b/crates/control/tests/restart.rs
@@ -58,6 +58,7 @@
         }],
         platform: None,
         window: std::time::Duration::from_secs(60),
+        plan: None,
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,8 +31,13 @@
 };
 pub use pool::Pool;
 pub use server::{
+    Door,
     EdgeError,
     Handler,
     Limits,
-    Server, //
+    Loop,
+    Server,
+    Service,
+    Unanswered,
+    read_body, //
 };
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -1,13 +1,10 @@
 //! The server: accepts connections, bounds what callers may send, and hands requests over.
 
+use std::cell::Cell;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{
-    AtomicUsize,
-    Ordering, //
-};
+use std::rc::Rc;
 use std::thread::{
     self,
     JoinHandle, //
@@ -41,7 +38,7 @@
     TcpStream, //
 };
 use smol::{
-    Executor,
+    LocalExecutor,
     Timer, //
 };
 use smol_hyper::rt::{
@@ -55,6 +52,9 @@
     Head, //
 };
 
+/// How often a server that is being closed is looked at.
+const CLOSE_POLL: Duration = Duration::from_millis(20);
+
 /// Takes requests. Called on the event loop, so it must not block.
 pub trait Handler: Send + Sync + 'static {
     /// Takes one request, to be answered now or later from any thread.
@@ -64,6 +64,29 @@
     fn refuse(&self, exchange: Exchange, kind: Kind);
 }
 
+/// Answers requests on the event loop itself.
+pub trait Service: 'static {
+    /// The body of its answers.
+    type Body: http_body::Body<Data = Bytes, Error: Into<BoxedFault>> + 'static;
+
+    /// Answers one request. Dropped when the caller hangs up.
+    fn call(
+        &self,
+        request: Request<Incoming>,
+        door: Door,
+    ) -> impl Future<Output = Result<Response<Self::Body>, Unanswered>>;
+}
+
+/// The event loop of a server.
+pub type Loop = Rc<LocalExecutor<'static>>;
+
+/// The one of a server's listening addresses that a request came in by, in the order given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Door(pub usize);
+
+/// A body's error as the HTTP library wants it.
+type BoxedFault = Box<dyn std::error::Error + Send + Sync>;
+
 /// Bounds on what callers may send.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -113,15 +136,15 @@
 
 /// A running server.
 pub struct Server {
-    address: SocketAddr,
+    addresses: Vec<SocketAddr>,
     stop: Sender<()>,
     thread: JoinHandle<()>,
 }
 
-struct Shared<H> {
-    handler: H,
+struct Shared<S> {
+    service: S,
     limits: Limits,
-    open: AtomicUsize,
+    open: Cell<usize>,
     stop: Receiver<()>,
 }
 
@@ -137,30 +160,51 @@
         limits: Limits,
         handler: H,
     ) -> Result<Self, EdgeError> {
-        let fault = |fault| EdgeError::Listen(listen, fault);
-        let listener = smol::block_on(TcpListener::bind(listen)).map_err(fault)?;
-        let address = listener.local_addr().map_err(fault)?;
-        let (stop, stopped) = bounded(1);
-        let shared = Arc::new(Shared {
+        Self::host(name, &[listen], limits, move |_| Handled {
             handler,
             limits,
-            open: AtomicUsize::new(0),
-            stop: stopped,
-        });
+        })
+    }
+
+    /// Listens on several addresses and answers on an event loop of its own, by a service that is
+    /// made on it.
+    ///
+    /// # Errors
+    ///
+    /// [`EdgeError`], if an address or a thread is not to be had.
+    pub fn host<S, F>(
+        name: &str,
+        listen: &[SocketAddr],
+        limits: Limits,
+        make: F,
+    ) -> Result<Self, EdgeError>
+    where
+        S: Service,
+        F: FnOnce(&Loop) -> S + Send + 'static,
+    {
+        let mut listeners = Vec::with_capacity(listen.len());
+        let mut addresses = Vec::with_capacity(listen.len());
+        for at in listen {
+            let fault = |fault| EdgeError::Listen(*at, fault);
+            let listener = smol::block_on(TcpListener::bind(at)).map_err(fault)?;
+            addresses.push(listener.local_addr().map_err(fault)?);
+            listeners.push(listener);
+        }
+        let (stop, stopped) = bounded(1);
         let thread = thread::Builder::new()
             .name(name.to_owned())
-            .spawn(move || serve(&listener, &shared))
+            .spawn(move || serve(listeners, limits, stopped, make))
             .map_err(EdgeError::Thread)?;
         Ok(Self {
-            address,
+            addresses,
             stop,
             thread,
         })
     }
 
-    /// Where the server listens.
+    /// Where the server listens; the first address if there are several.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.addresses[0]
     }
 
     /// Stops listening, answers what was received, and ends.
@@ -168,48 +212,87 @@
         drop(self.stop);
         let _ = self.thread.join();
     }
+
+    /// Stops listening, answers what was received within a span, and breaks off the rest.
+    pub fn close_within(self, span: Duration) {
+        let Self { stop, thread, .. } = self;
+        drop(stop);
+        let end = std::time::SystemTime::now() + span;
+        while !thread.is_finished() && std::time::SystemTime::now() < end {
+            thread::sleep(CLOSE_POLL);
+        }
+    }
 }
 
-fn serve<H: Handler>(listener: &TcpListener, shared: &Arc<Shared<H>>) {
-    let executor = Executor::new();
+fn serve<S: Service>(
+    listeners: Vec<TcpListener>,
+    limits: Limits,
+    stop: Receiver<()>,
+    make: impl FnOnce(&Loop) -> S,
+) {
+    let executor: Loop = Rc::new(LocalExecutor::new());
+    let shared = Rc::new(Shared {
+        service: make(&executor),
+        limits,
+        open: Cell::new(0),
+        stop,
+    });
+    let doors = listeners.into_iter().enumerate().map(|(at, listener)| {
+        let shared = Rc::clone(&shared);
+        let tasks = Rc::clone(&executor);
+        executor.spawn(async move { listen(&tasks, &shared, &listener, Door(at)).await })
+    });
+    let doors: Vec<_> = doors.collect();
     smol::block_on(executor.run(async {
-        loop {
-            let next = async { Some(listener.accept().await) };
-            let stop = async {
-                let _ = shared.stop.recv().await;
-                None
-            };
-            match stop.or(next).await {
-                None => break,
-                Some(Ok((stream, _))) => accept(&executor, shared, stream),
-                // Out of descriptors, most likely; wait for some to be closed.
-                Some(Err(_)) => {
-                    Timer::after(Duration::from_millis(50)).await;
-                }
-            }
+        for door in doors {
+            door.await;
         }
-        while shared.open.load(Ordering::Acquire) > 0 {
+        while shared.open.get() > 0 {
             Timer::after(Duration::from_millis(5)).await;
         }
     }));
 }
 
-fn accept<'a, H: Handler>(executor: &Executor<'a>, shared: &Arc<Shared<H>>, stream: TcpStream) {
-    if shared.open.load(Ordering::Acquire) >= shared.limits.connections {
+/// Accepts connections until the server is stopped.
+async fn listen<S: Service>(
+    executor: &Loop,
+    shared: &Rc<Shared<S>>,
+    listener: &TcpListener,
+    door: Door,
+) {
+    loop {
+        let next = async { Some(listener.accept().await) };
+        let stop = async {
+            let _ = shared.stop.recv().await;
+            None
+        };
+        match stop.or(next).await {
+            None => return,
+            Some(Ok((stream, _))) => accept(executor, shared, stream, door),
+            // Out of descriptors, most likely; wait for some to be closed.
+            Some(Err(_)) => {
+                Timer::after(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+fn accept<S: Service>(executor: &Loop, shared: &Rc<Shared<S>>, stream: TcpStream, door: Door) {
+    if shared.open.get() >= shared.limits.connections {
         return;
     }
-    shared.open.fetch_add(1, Ordering::AcqRel);
-    let shared = Arc::clone(shared);
+    shared.open.set(shared.open.get() + 1);
+    let shared = Rc::clone(shared);
     let task = async move {
         let _ = stream.set_nodelay(true);
-        connection(&shared, stream).await;
-        shared.open.fetch_sub(1, Ordering::AcqRel);
+        connection(&shared, stream, door).await;
+        shared.open.set(shared.open.get() - 1);
     };
     executor.spawn(task).detach();
 }
 
-async fn connection<H: Handler>(shared: &Arc<Shared<H>>, stream: TcpStream) {
-    let service = service_fn(|request| answer(shared, request));
+async fn connection<S: Service>(shared: &Rc<Shared<S>>, stream: TcpStream, door: Door) {
+    let service = service_fn(|request| shared.service.call(request, door));
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(shared.limits.idle)
@@ -231,29 +314,43 @@
     let _ = connection.await;
 }
 
-async fn answer<H: Handler>(
-    shared: &Arc<Shared<H>>,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, Gone> {
-    let (parts, body) = request.into_parts();
-    let head = Head {
-        method: parts.method,
-        uri: parts.uri,
-        headers: parts.headers,
-    };
-    let (tx, rx) = bounded(1);
-    match read(body, shared.limits).await {
-        Ok(body) => shared
-            .handler
-            .handle(Exchange::new(head, body.to_vec(), tx)),
-        Err(kind) => shared
-            .handler
-            .refuse(Exchange::new(head, Vec::new(), tx), kind),
+/// Hands whole requests to a handler, which may answer from any thread.
+struct Handled<H> {
+    handler: H,
+    limits: Limits,
+}
+
+impl<H: Handler> Service for Handled<H> {
+    type Body = Body;
+
+    async fn call(
+        &self,
+        request: Request<Incoming>,
+        _: Door,
+    ) -> Result<Response<Body>, Unanswered> {
+        let (parts, body) = request.into_parts();
+        let head = Head {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+        };
+        let (tx, rx) = bounded(1);
+        match read_body(body, self.limits).await {
+            Ok(body) => self.handler.handle(Exchange::new(head, body.to_vec(), tx)),
+            Err(kind) => self
+                .handler
+                .refuse(Exchange::new(head, Vec::new(), tx), kind),
+        }
+        rx.recv().await.map_err(|_| Unanswered)
     }
-    rx.recv().await.map_err(|_| Gone)
 }
 
-async fn read(body: Incoming, limits: Limits) -> Result<Bytes, Kind> {
+/// Reads a request's body within the limits.
+///
+/// # Errors
+///
+/// The kind to be answered with, if it is too large, too slow or broken off.
+pub async fn read_body(body: Incoming, limits: Limits) -> Result<Bytes, Kind> {
     let whole = async {
         let collected = Limited::new(body, limits.body).collect().await;
         collected
@@ -273,14 +370,14 @@
     whole.or(late).await
 }
 
-/// The exchange was dropped unanswered; the connection is closed.
+/// The request is not answered; its connection is closed.
 #[derive(Debug)]
-struct Gone;
+pub struct Unanswered;
 
-impl fmt::Display for Gone {
+impl fmt::Display for Unanswered {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("no answer")
     }
 }
 
-impl std::error::Error for Gone {}
+impl std::error::Error for Unanswered {}
--- /dev/null
+++ b/crates/front/src/bill.rs
@@ -0,0 +1,89 @@
+//! Sends the usage of ended windows to the control group until they are sealed.
+
+use std::thread;
+use std::time::Duration;
+
+use ids::{
+    HostName,
+    Incarnation,
+    Ticket, //
+};
+use obs::{
+    Logger,
+    event, //
+};
+use peer::Control;
+use relay::Input;
+use smol::channel::bounded;
+use usage::Runs;
+use wire::{
+    TallyAsk,
+    paths, //
+};
+
+use crate::control::{
+    Attachment,
+    FrontInbox, //
+};
+
+/// How often ended windows are looked for.
+const EVERY: Duration = Duration::from_secs(1);
+/// How long the control group may take.
+const PATIENCE: Duration = Duration::from_millis(900);
+/// The ticket of questions for usage; there is one at a time.
+const TICKET: Ticket = Ticket(u64::MAX);
+
+/// Sends the usage.
+pub(crate) struct Sender {
+    pub(crate) host: HostName,
+    pub(crate) run: Incarnation,
+    pub(crate) control: Control,
+    pub(crate) inbox: FrontInbox,
+    pub(crate) log: Logger,
+    pub(crate) sealed: Option<u64>,
+    pub(crate) reached: bool,
+}
+
+impl Sender {
+    /// Sends what has ended and waits. None once the core has ended.
+    pub(crate) fn turn(&mut self) -> Option<()> {
+        thread::park_timeout(EVERY);
+        self.send(false)
+    }
+
+    /// Sends the windows that are not sealed; with `open`, also the one that has not ended.
+    pub(crate) fn send(&mut self, open: bool) -> Option<()> {
+        let windows = self.ask(open)?;
+        if windows.is_empty() {
+            return Some(());
+        }
+        let ask = TallyAsk {
+            host: self.host.clone(),
+            run: self.run,
+            windows,
+        };
+        match self
+            .control
+            .call::<_, Option<u64>>(paths::TALLY, &ask, PATIENCE)
+        {
+            Ok(sealed) => {
+                self.reached = true;
+                self.sealed = self.sealed.max(sealed);
+            }
+            Err(fault) => {
+                if std::mem::replace(&mut self.reached, false) {
+                    event!(self.log, UsageHeld, "fault" => fault.to_string());
+                }
+            }
+        }
+        Some(())
+    }
+
+    fn ask(&self, open: bool) -> Option<Vec<(u64, Runs)>> {
+        let (tx, rx) = bounded(1);
+        let input = Input::Usage(TICKET, self.sealed, open);
+        let attachment = Attachment::Usage(TICKET, tx);
+        self.inbox.call(attachment, input).ok()?;
+        rx.recv_blocking().ok()
+    }
+}
--- /dev/null
+++ b/crates/front/src/control.rs
@@ -0,0 +1,153 @@
+//! The control thread's side: answers go back to the tasks and threads that asked.
+
+use std::collections::HashMap;
+
+use ids::Ticket;
+use obs::{
+    Counter,
+    Counters,
+    Logger,
+    event, //
+};
+use relay::{
+    Input,
+    Output,
+    Trace,
+    Verdict, //
+};
+use smol::channel::Sender;
+use step::{
+    Effects,
+    Inbox, //
+};
+use usage::Runs;
+
+/// What comes with a question to the core.
+pub(crate) enum Attachment {
+    /// Where the verdict on a request goes.
+    Verdict(Ticket, Sender<Verdict>),
+    /// Where the usage goes.
+    Usage(Ticket, Sender<Vec<(u64, Runs)>>),
+    /// Where the answer to a probe goes.
+    Ready(Ticket, Sender<bool>),
+}
+
+/// Sends inputs to the front's core.
+pub(crate) type FrontInbox = Inbox<Input, Attachment>;
+
+/// Carries out what the core asks for.
+pub(crate) struct FrontEffects {
+    verdicts: HashMap<Ticket, Sender<Verdict>>,
+    usage: HashMap<Ticket, Sender<Vec<(u64, Runs)>>>,
+    ready: HashMap<Ticket, Sender<bool>>,
+    counters: Counters,
+    log: Logger,
+}
+
+impl FrontEffects {
+    pub(crate) fn new(counters: Counters, log: Logger) -> Self {
+        Self {
+            verdicts: HashMap::new(),
+            usage: HashMap::new(),
+            ready: HashMap::new(),
+            counters,
+            log,
+        }
+    }
+
+    fn trace(&self, trace: Trace) {
+        match trace {
+            Trace::Sent {
+                request,
+                route,
+                instance,
+                attempt,
+                edition,
+                age,
+            } => {
+                self.counters.count(Counter::Attempted);
+                event!(self.log, AttemptSent, "request" => request, "route" => route,
+                    "endpoint" => instance, "attempt" => attempt, "edition" => edition,
+                    "view_ms" => millis(age));
+            }
+            Trace::Retried(request, failure) => {
+                self.counters.count(match failure {
+                    relay::Failure::Full => Counter::RetriedBounced,
+                    relay::Failure::Unreached => Counter::RetriedUnreached,
+                    relay::Failure::Misdirected => Counter::RetriedMisdirected,
+                    relay::Failure::Broken => Counter::RetriedBroken,
+                    relay::Failure::Garbled => Counter::RetriedGarbled,
+                    relay::Failure::Silent => Counter::RetriedSilent,
+                    relay::Failure::Errored => Counter::RetriedFailed,
+                });
+                event!(self.log, AttemptRetried, "request" => request,
+                    "failure" => format!("{failure:?}"));
+            }
+            Trace::GivenUp(request, failure) => {
+                event!(self.log, AttemptFailed, "request" => request,
+                    "failure" => format!("{failure:?}"));
+            }
+            Trace::BudgetSpent(request) => {
+                self.counters.count(Counter::RetryBudget);
+                event!(self.log, RetryRefused, "request" => request);
+            }
+            Trace::Ejected(instance) => {
+                self.counters.count(Counter::Ejected);
+                event!(self.log, EndpointEjected, "endpoint" => instance);
+            }
+            Trace::Advanced(edition) => {
+                self.counters.count(Counter::ViewAdvanced);
+                event!(self.log, ViewAdvanced, "edition" => edition);
+            }
+            Trace::Fresh(true) => event!(self.log, ViewRegained),
+            Trace::Fresh(false) => event!(self.log, ViewStale),
+            Trace::Relisted(all, leaving) => {
+                event!(self.log, EndpointsListed, "endpoints" => all, "leaving" => leaving);
+            }
+        }
+    }
+}
+
+fn millis(span: std::time::Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Effects<Output> for FrontEffects {
+    type Attachment = Attachment;
+
+    fn attach(&mut self, attachment: Attachment) {
+        match attachment {
+            Attachment::Verdict(ticket, to) => {
+                self.verdicts.insert(ticket, to);
+            }
+            Attachment::Usage(ticket, to) => {
+                self.usage.insert(ticket, to);
+            }
+            Attachment::Ready(ticket, to) => {
+                self.ready.insert(ticket, to);
+            }
+        }
+    }
+
+    fn perform(&mut self, output: Output) {
+        // A task whose caller left takes no answer any more.
+        match output {
+            Output::Reply(ticket, verdict) => {
+                if let Some(to) = self.verdicts.remove(&ticket) {
+                    let _ = to.try_send(verdict);
+                }
+            }
+            Output::Usage(ticket, windows) => {
+                if let Some(to) = self.usage.remove(&ticket) {
+                    let _ = to.try_send(windows);
+                }
+            }
+            Output::Ready(ticket, ready) => {
+                if let Some(to) = self.ready.remove(&ticket) {
+                    let _ = to.try_send(ready);
+                }
+            }
+            Output::Trace(trace) => self.trace(trace),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/follow.rs
@@ -0,0 +1,200 @@
+//! Follows the board by long poll, on a thread of its own.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
+use std::thread::{
+    self,
+    JoinHandle, //
+};
+use std::time::Duration;
+
+use ids::{
+    Clock,
+    HostName,
+    Incarnation,
+    Monotonic,
+    Tick, //
+};
+use obs::{
+    Counter,
+    Counters,
+    Logger,
+    event, //
+};
+use peer::{
+    Control,
+    PeerError, //
+};
+use plan::{
+    BoardCopy,
+    Plan, //
+};
+use relay::{
+    Input,
+    View, //
+};
+use wire::{
+    Answer,
+    BoardAnswer,
+    BoardAsk,
+    paths, //
+};
+
+use crate::control::FrontInbox;
+use crate::dialect::Dialect;
+use crate::settings::Settings;
+
+/// How long a question may stay open at the control host.
+const POLL_WAIT: Duration = Duration::from_millis(800);
+/// How long the whole call may take: the wait, and what a loaded control host needs.
+const POLL_PATIENCE: Duration = Duration::from_millis(1300);
+/// Pause after a round in which no control host answered.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+
+/// Who follows, and by what.
+pub(crate) struct Follow<D> {
+    pub(crate) host: HostName,
+    pub(crate) run: Incarnation,
+    pub(crate) control: Control,
+    /// The settings file, read again when no control host answers.
+    pub(crate) settings: PathBuf,
+    pub(crate) dialect: D,
+    pub(crate) inbox: FrontInbox,
+    pub(crate) clock: Monotonic,
+    pub(crate) counters: Counters,
+    pub(crate) log: Logger,
+    pub(crate) edition: u64,
+    pub(crate) reached: bool,
+}
+
+/// A thread that repeats its turn until it is told to end.
+pub(crate) struct Turning {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Turning {
+    /// Starts a thread that repeats `turn` until it is stopped or `turn` says that it is over.
+    pub(crate) fn start(
+        name: &str,
+        mut turn: impl FnMut() -> Option<()> + Send + 'static,
+    ) -> io::Result<Self> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&stop);
+        let run = move || {
+            while !stopped.load(Ordering::Acquire) {
+                if turn().is_none() {
+                    return;
+                }
+            }
+        };
+        let thread = thread::Builder::new().name(name.to_owned()).spawn(run)?;
+        Ok(Self { stop, thread })
+    }
+
+    /// Ends the thread after its turn, without waiting for it.
+    pub(crate) fn close(self) {
+        self.stop.store(true, Ordering::Release);
+        self.thread.thread().unpark();
+    }
+}
+
+impl<D: Dialect> Follow<D> {
+    /// Asks one control host after the other until one answers. None once the core has ended.
+    pub(crate) fn turn(&mut self) -> Option<()> {
+        for host in self.control.order(None) {
+            let asked = self.clock.now();
+            match self.ask(host) {
+                Ok(answer) => {
+                    self.control.prefer(host);
+                    return self.take(asked, answer);
+                }
+                Err(fault) => self.miss(host, &fault),
+            }
+        }
+        self.reseed();
+        thread::park_timeout(ROUND_PAUSE);
+        Some(())
+    }
+
+    fn ask(&mut self, host: SocketAddr) -> Result<BoardAnswer, PeerError> {
+        self.counters.count(Counter::ViewAsked);
+        let ask = BoardAsk {
+            host: self.host.clone(),
+            run: self.run,
+            edition: self.edition,
+            wait: POLL_WAIT,
+        };
+        let body = self.control.seal(paths::BOARD, &ask)?;
+        let answer = self
+            .control
+            .call_one(host, paths::BOARD, body, POLL_PATIENCE)?;
+        match answer {
+            Answer::Done(answer) => Ok(answer),
+            Answer::Elsewhere(_) | Answer::Unavailable => Err(PeerError::Unavailable),
+        }
+    }
+
+    fn take(&mut self, asked: Tick, answer: BoardAnswer) -> Option<()> {
+        if !std::mem::replace(&mut self.reached, true) {
+            event!(self.log, ControlReached);
+        }
+        self.control.learn(answer.hosts);
+        let content = match answer.copy.map(|copy| self.decode(copy)) {
+            None => None,
+            Some(Some((edition, content))) => {
+                self.edition = edition;
+                Some(content)
+            }
+            // What does not decode is not followed; the view runs out.
+            Some(None) => {
+                thread::park_timeout(ROUND_PAUSE);
+                return Some(());
+            }
+        };
+        let view = View {
+            edition: self.edition,
+            content,
+            fresh: asked + answer.fresh,
+            fronts: usize::try_from(answer.followers).unwrap_or(usize::MAX),
+            wall: answer.wall,
+            at: asked,
+        };
+        self.inbox.send(Input::View(Box::new(view))).ok()
+    }
+
+    fn decode(&self, copy: BoardCopy) -> Option<(u64, relay::Content)> {
+        let plan = copy.document.map(|document| {
+            let spec = self.dialect.plan(&document.bytes)?;
+            Plan::try_from(spec).map_err(|fault| fault.to_string())
+        });
+        match plan.transpose() {
+            Ok(plan) => Some((copy.edition, (plan.map(Arc::new), copy.closed))),
+            Err(fault) => {
+                event!(self.log, ViewRefused, "edition" => copy.edition, "fault" => fault);
+                None
+            }
+        }
+    }
+
+    fn miss(&mut self, host: SocketAddr, fault: &PeerError) {
+        if std::mem::replace(&mut self.reached, false) {
+            event!(self.log, ControlUnreachable,
+                "host" => host.to_string(), "fault" => fault.to_string());
+        }
+    }
+
+    /// Adds the control hosts that the settings name now.
+    fn reseed(&mut self) {
+        match Settings::try_from(self.settings.as_path()) {
+            Ok(settings) => self.control.add(&settings.control),
+            Err(fault) => event!(self.log, SettingsRefused, "fault" => fault.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/role.rs
@@ -0,0 +1,192 @@
+//! Starts and stops a front.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU64,
+    Ordering, //
+};
+use std::time::Duration;
+
+use edge::{
+    EdgeError,
+    Server, //
+};
+use ids::{
+    Incarnation,
+    Monotonic, //
+};
+use obs::{
+    Counters,
+    Logger,
+    event, //
+};
+use peer::Control;
+use relay::{
+    Input,
+    Predicted,
+    Relay,
+    Seed, //
+};
+use wire::Sealer;
+
+use crate::attempt::Attempts;
+use crate::bill::Sender;
+use crate::control::{
+    Attachment,
+    FrontEffects, //
+};
+use crate::dialect::Dialect;
+use crate::follow::{
+    Follow,
+    Turning, //
+};
+use crate::link::Links;
+use crate::list::Reader;
+use crate::metrics::Metrics;
+use crate::serve::{
+    Desk,
+    front, //
+};
+use crate::settings::Settings;
+
+/// Time kept at the end of a stop for what is not a request.
+const LAST_MOMENTS: Duration = Duration::from_millis(400);
+
+/// A running front.
+pub struct Handle {
+    server: Server,
+    follow: Turning,
+    reader: Turning,
+    sender: Turning,
+    last: Sender,
+    control: step::Control<Input, Attachment>,
+    leaving: Arc<AtomicBool>,
+    linger: Duration,
+    grace: Duration,
+    log: Logger,
+}
+
+/// Starts a front.
+///
+/// # Errors
+///
+/// [`EdgeError`]; nothing keeps running then.
+pub fn run<D: Dialect + Send + 'static>(
+    settings: &Settings,
+    dialect: D,
+    log: Logger,
+    counters: Counters,
+) -> Result<Handle, EdgeError> {
+    let common = &settings.common;
+    let run = Incarnation(rand::random());
+    let seed = Seed {
+        zone: settings.zone.clone(),
+        window: settings.window,
+        ratio: settings.ratio,
+        extra: settings.extra,
+        span: settings.retry,
+        random: run.0,
+    };
+    let clock = Monotonic::start();
+    let effects = FrontEffects::new(counters.clone(), log.clone());
+    let core = Relay::new(seed, Predicted);
+    let control = step::Control::start("front-control", core, effects, clock);
+    let control = control.map_err(EdgeError::Thread)?;
+    let inbox = control.inbox();
+    let sealer = Sealer::new(common.cluster.clone(), &common.secret);
+    let peers = Control::new(sealer, settings.control.clone());
+    peers.turn(run.0);
+    let mut follow = Follow {
+        host: common.host.clone(),
+        run,
+        control: peers.clone(),
+        settings: settings.path.clone(),
+        dialect: dialect.clone(),
+        inbox: inbox.clone(),
+        clock,
+        counters: counters.clone(),
+        log: log.clone(),
+        edition: 0,
+        reached: true,
+    };
+    let follow = Turning::start("front-follow", move || follow.turn());
+    let mut reader = Reader {
+        address: settings.list,
+        dialect: dialect.clone(),
+        inbox: inbox.clone(),
+        log: log.clone(),
+        reached: true,
+        skipped: 0,
+    };
+    let reader = Turning::start("front-list", move || reader.turn());
+    let sender = || Sender {
+        host: common.host.clone(),
+        run,
+        control: peers.clone(),
+        inbox: inbox.clone(),
+        log: log.clone(),
+        sealed: None,
+        reached: true,
+    };
+    let (mut regular, last) = (sender(), sender());
+    let sender = Turning::start("front-usage", move || regular.turn());
+    let leaving = Arc::new(AtomicBool::new(false));
+    let desk = Desk {
+        inbox,
+        tickets: Arc::new(AtomicU64::new(0)),
+        counters,
+        metrics: Metrics::default(),
+        log: log.clone(),
+        limits: common.limits,
+        leaving: Arc::clone(&leaving),
+    };
+    let mut doors = vec![common.listen, settings.ready];
+    doors.extend(settings.metrics);
+    let server = Server::host("front-edge", &doors, common.limits, move |tasks| {
+        let attempts = Attempts {
+            dialect,
+            links: Links::new(tasks.clone(), clock),
+            clock,
+        };
+        front(desk, attempts, tasks)
+    })?;
+    event!(log, Started, "listen" => server.address().to_string());
+    Ok(Handle {
+        server,
+        follow: follow.map_err(EdgeError::Thread)?,
+        reader: reader.map_err(EdgeError::Thread)?,
+        sender: sender.map_err(EdgeError::Thread)?,
+        last,
+        control,
+        leaving,
+        linger: settings.linger,
+        grace: settings.grace,
+        log,
+    })
+}
+
+impl Handle {
+    /// Where callers come in.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops gracefully: says that it is not ready, serves on for the time that the balancer
+    /// needs to notice, answers what came within the grace, and ends.
+    pub fn close(mut self) {
+        event!(self.log, Stopping);
+        let _ = self.control.inbox().send(Input::Drain);
+        self.leaving.store(true, Ordering::Relaxed);
+        std::thread::sleep(self.linger);
+        let left = self.grace.saturating_sub(self.linger + LAST_MOMENTS);
+        self.server.close_within(left);
+        let _ = self.last.send(true);
+        self.follow.close();
+        self.reader.close();
+        self.sender.close();
+        let _ = self.control.close();
+        event!(self.log, Stopped);
+    }
+}
--- /dev/null
+++ b/crates/front/src/serve.rs
@@ -0,0 +1,434 @@
+//! One request from its head to its answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU64,
+    Ordering, //
+};
+use std::time::Duration;
+
+use edge::{
+    Door,
+    Head,
+    Limits,
+    Loop,
+    Service,
+    Unanswered,
+    read_body, //
+};
+use fault::Kind;
+use hyper::body::{
+    Bytes,
+    Incoming, //
+};
+use hyper::{
+    Request,
+    Response, //
+};
+use ids::{
+    Clock,
+    RequestId,
+    Tick,
+    Ticket, //
+};
+use obs::{
+    Counter,
+    Counters,
+    Logger,
+    event, //
+};
+use relay::{
+    Ask,
+    Failure,
+    Go,
+    Input,
+    Load,
+    Verdict, //
+};
+use smol::channel::bounded;
+
+use crate::answer::{
+    close_after,
+    passed_on,
+    refusal,
+    whole,
+    with_body, //
+};
+use crate::attempt::{
+    Attempts,
+    Opened,
+    Parcel,
+    Whole,
+    next, //
+};
+use crate::control::{
+    Attachment,
+    FrontInbox, //
+};
+use crate::dialect::Dialect;
+use crate::event::Events;
+use crate::flow::{
+    Flow,
+    PIECES,
+    Piece, //
+};
+use crate::metrics::{
+    Metrics,
+    Stage, //
+};
+use crate::stream::Carrier;
+
+/// The door of callers.
+pub(crate) const CALLERS: Door = Door(0);
+/// The door of the balancer's probes.
+pub(crate) const PROBES: Door = Door(1);
+
+/// What comes after an attempt that failed.
+pub(crate) enum Next {
+    /// Another attempt.
+    Go(Box<Go>),
+    /// The end: a kind and when to come back, or none to pass the endpoint's answer on.
+    End(Option<(Kind, Duration)>),
+}
+
+/// The way to the core. Dropping it ends the request that it was opened for.
+pub(crate) struct Office {
+    inbox: FrontInbox,
+    tickets: Arc<AtomicU64>,
+    pub(crate) counters: Counters,
+    open: Cell<Option<RequestId>>,
+}
+
+impl Office {
+    fn ticket(&self) -> Ticket {
+        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Brings a request before the core.
+    async fn arrive(&self, ask: Ask) -> Next {
+        let verdict = self
+            .verdict(|ticket| Input::Arrive(ticket, Box::new(ask)))
+            .await;
+        if let Next::Go(go) = &verdict {
+            self.open.set(Some(go.request));
+        }
+        verdict
+    }
+
+    /// Tells that an attempt failed.
+    pub(crate) async fn failed(&self, request: RequestId, failure: Failure) -> Next {
+        let next = self
+            .verdict(|ticket| Input::Failed(ticket, request, failure))
+            .await;
+        if let Next::End(_) = &next {
+            self.open.set(None);
+        }
+        next
+    }
+
+    async fn verdict(&self, input: impl FnOnce(Ticket) -> Input) -> Next {
+        let ticket = self.ticket();
+        let (tx, rx) = bounded(1);
+        let sent = self
+            .inbox
+            .call(Attachment::Verdict(ticket, tx), input(ticket));
+        let verdict = match sent {
+            Ok(()) => rx.recv().await.ok(),
+            Err(_) => None,
+        };
+        match verdict {
+            Some(Verdict::Go(go)) => Next::Go(go),
+            Some(Verdict::Refuse(kind, wait)) => Next::End(Some((kind, wait))),
+            Some(Verdict::Pass) => Next::End(None),
+            None => Next::End(Some((Kind::Draining, Duration::ZERO))),
+        }
+    }
+
+    fn began(&self, request: RequestId, load: Option<Load>) {
+        let _ = self.inbox.send(Input::Began(request, load));
+    }
+
+    pub(crate) fn done(&self, request: RequestId) {
+        self.open.set(None);
+        let _ = self.inbox.send(Input::Done(request));
+    }
+
+    async fn ready(&self) -> bool {
+        let ticket = self.ticket();
+        let (tx, rx) = bounded(1);
+        let sent = self
+            .inbox
+            .call(Attachment::Ready(ticket, tx), Input::Ready(ticket));
+        sent.is_ok() && rx.recv().await.unwrap_or(false)
+    }
+}
+
+impl Drop for Office {
+    fn drop(&mut self) {
+        if let Some(request) = self.open.get() {
+            let _ = self.inbox.send(Input::Gone(request));
+        }
+    }
+}
+
+/// What every request needs.
+#[derive(Clone)]
+pub(crate) struct Desk {
+    pub(crate) inbox: FrontInbox,
+    pub(crate) tickets: Arc<AtomicU64>,
+    pub(crate) counters: Counters,
+    pub(crate) metrics: Metrics,
+    pub(crate) log: Logger,
+    pub(crate) limits: Limits,
+    /// Set once the front is told to stop.
+    pub(crate) leaving: Arc<AtomicBool>,
+}
+
+/// Answers callers and probes.
+pub(crate) struct Front<D> {
+    pub(crate) desk: Desk,
+    pub(crate) attempts: Attempts<D>,
+    pub(crate) tasks: Loop,
+}
+
+/// A request whose head and body are read.
+struct Visit {
+    head: Head,
+    body: Bytes,
+    arrived: Tick,
+    name: String,
+}
+
+impl<D: Dialect> Service for Front<D> {
+    type Body = Flow;
+
+    async fn call(
+        &self,
+        request: Request<Incoming>,
+        door: Door,
+    ) -> Result<Response<Flow>, Unanswered> {
+        let mut response = match door {
+            CALLERS => self.serve(request).await,
+            PROBES => self.probe().await,
+            _ => self.show(),
+        };
+        if self.desk.leaving.load(Ordering::Relaxed) {
+            close_after(&mut response);
+        }
+        Ok(response)
+    }
+}
+
+impl<D: Dialect> Front<D> {
+    async fn probe(&self) -> Response<Flow> {
+        let status = if self.office().ready().await {
+            200
+        } else {
+            503
+        };
+        whole(status, Default::default(), Bytes::new())
+    }
+
+    fn show(&self) -> Response<Flow> {
+        let text = self.desk.metrics.text(&self.desk.counters);
+        whole(200, Default::default(), text.into())
+    }
+
+    fn office(&self) -> Office {
+        Office {
+            inbox: self.desk.inbox.clone(),
+            tickets: Arc::clone(&self.desk.tickets),
+            counters: self.desk.counters.clone(),
+            open: Cell::new(None),
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Response<Flow> {
+        let arrived = self.attempts.clock.now();
+        self.desk.counters.count(Counter::Received);
+        let (parts, body) = request.into_parts();
+        let head = Head {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+        };
+        let mut ask = match self.attempts.dialect.ask(&head) {
+            Ok(ask) => ask,
+            Err(kind) => return self.refuse("", kind, Duration::ZERO, arrived),
+        };
+        let body = match read_body(body, self.desk.limits).await {
+            Ok(body) => body,
+            Err(kind) => return self.refuse(&ask.name, kind, Duration::ZERO, arrived),
+        };
+        let visit = Visit {
+            head,
+            body,
+            arrived,
+            name: ask.name.clone(),
+        };
+        // The caller's patience runs from its first byte.
+        let read = self.attempts.clock.now().since(arrived);
+        ask.patience = ask.patience.map(|patience| patience.saturating_sub(read));
+        self.dispatch(visit, ask).await
+    }
+
+    async fn dispatch(&self, visit: Visit, ask: Ask) -> Response<Flow> {
+        let office = self.office();
+        let mut next = office.arrive(ask).await;
+        let mut kept: Option<Whole> = None;
+        loop {
+            let go = match next {
+                Next::Go(go) => go,
+                Next::End(Some((kind, wait))) => {
+                    return self.refuse(&visit.name, kind, wait, visit.arrived);
+                }
+                Next::End(None) => return self.pass(&visit, kept),
+            };
+            let request = go.request;
+            let failure = match self.attempt(&go, &visit, &office).await {
+                Ok(Attempted::Whole(answer)) if answer.status >= 500 => {
+                    kept = Some(answer);
+                    Failure::Errored
+                }
+                Ok(Attempted::Whole(answer)) => {
+                    office.done(request);
+                    return self.pass(&visit, Some(answer));
+                }
+                Ok(Attempted::Stream(opened, events, first)) => {
+                    return self.stream(visit, *go, office, *opened, events, first);
+                }
+                Err(failure) => failure,
+            };
+            next = office.failed(request, failure).await;
+        }
+    }
+
+    /// One attempt, up to the whole answer or the first event of a stream.
+    async fn attempt(&self, go: &Go, visit: &Visit, office: &Office) -> Result<Attempted, Failure> {
+        let parcel = Parcel {
+            head: &visit.head,
+            body: &visit.body,
+            after: None,
+        };
+        let mut opened = self.attempts.open(go, &parcel).await?;
+        if opened.fresh {
+            self.desk.counters.count(Counter::LinkOpened);
+        }
+        let load = opened.load;
+        if !go.repeat.streams() || opened.status != 200 {
+            let answer = self.attempts.whole(go, opened).await?;
+            if answer.status < 500 {
+                office.began(go.request, load);
+            }
+            return Ok(Attempted::Whole(answer));
+        }
+        let mut events = Events::default();
+        let mut first = Vec::new();
+        let end = go.patience.unwrap_or(go.until);
+        while first.is_empty() {
+            match self.attempts.by(end, next(&mut opened.body)).await? {
+                Some(bytes) => first = events.push(&bytes),
+                None => {
+                    // A stream without a whole event is passed on as it is.
+                    first = events.rest();
+                    break;
+                }
+            }
+        }
+        office.began(go.request, load);
+        Ok(Attempted::Stream(Box::new(opened), events, first))
+    }
+
+    /// Begins a streamed answer and leaves the rest to a task of its own.
+    fn stream(
+        &self,
+        visit: Visit,
+        go: Go,
+        office: Office,
+        opened: Opened,
+        events: Events,
+        first: Vec<u8>,
+    ) -> Response<Flow> {
+        self.observe(Stage::First, visit.arrived);
+        let headers = passed_on(&opened.headers);
+        let status = opened.status;
+        let (tx, rx) = bounded(PIECES);
+        // The channel is empty and has room for the first piece.
+        let _ = tx.try_send(Piece::Data(first.into()));
+        let carrier = Carrier {
+            attempts: self.attempts.clone(),
+            office,
+            head: visit.head,
+            body: visit.body,
+            events,
+            pieces: tx,
+        };
+        let (metrics, clock) = (self.desk.metrics.clone(), self.attempts.clock);
+        let (log, arrived, name) = (self.desk.log.clone(), visit.arrived, visit.name);
+        let task = self.tasks.spawn(async move {
+            let whole = carrier.carry(go, opened).await;
+            let spent = clock.now().since(arrived);
+            metrics.observe(Stage::Whole, spent);
+            let spent = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+            if whole {
+                event!(log, StreamEnded, "request" => name, "ms" => spent);
+            } else {
+                event!(log, StreamBroken, "request" => name, "ms" => spent);
+            }
+        });
+        self.desk.counters.count(Counter::Answered);
+        let body = Flow::Pieces {
+            pieces: Box::pin(rx),
+            _carrier: task,
+        };
+        with_body(status, headers, body)
+    }
+
+    /// Passes an endpoint's whole answer on.
+    fn pass(&self, visit: &Visit, answer: Option<Whole>) -> Response<Flow> {
+        let Some(answer) = answer else {
+            return self.refuse(&visit.name, Kind::Internal, Duration::ZERO, visit.arrived);
+        };
+        self.desk.counters.count(Counter::Answered);
+        self.observe(Stage::Whole, visit.arrived);
+        let spent = self.attempts.clock.now().since(visit.arrived);
+        let spent = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+        event!(self.desk.log, RequestAnswered, "request" => visit.name.clone(),
+            "status" => answer.status, "ms" => spent);
+        whole(answer.status, passed_on(&answer.headers), answer.body)
+    }
+
+    fn refuse(&self, name: &str, kind: Kind, wait: Duration, arrived: Tick) -> Response<Flow> {
+        self.desk.counters.refuse(kind);
+        let spent = self.attempts.clock.now().since(arrived);
+        let spent = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+        event!(self.desk.log, RequestRefused, "request" => name.to_owned(),
+            "kind" => kind.to_string(), "ms" => spent);
+        refusal(kind, wait)
+    }
+
+    fn observe(&self, stage: Stage, arrived: Tick) {
+        let spent = self.attempts.clock.now().since(arrived);
+        self.desk.metrics.observe(stage, spent);
+    }
+}
+
+/// What an attempt brought.
+enum Attempted {
+    /// A whole answer.
+    Whole(Whole),
+    /// A stream, what follows its first events, and these.
+    Stream(Box<Opened>, Events, Vec<u8>),
+}
+
+/// Makes the service of a front on its event loop.
+pub(crate) fn front<D: Dialect>(desk: Desk, attempts: Attempts<D>, tasks: &Loop) -> Front<D> {
+    Front {
+        desk,
+        attempts,
+        tasks: Rc::clone(tasks),
+    }
+}
--- a/crates/gauge/src/group.rs
+++ b/crates/gauge/src/group.rs
@@ -122,6 +122,7 @@
         }],
         platform: None,
         window: Duration::from_secs(60),
+        plan: None,
     })
 }
 
--- a/crates/govern/src/command.rs
+++ b/crates/govern/src/command.rs
@@ -14,11 +14,15 @@
     RequestKey,
     Settlement, //
 };
+use plan::Document;
 use serde::{
     Deserialize,
     Serialize, //
 };
-use usage::Report;
+use usage::{
+    Report,
+    Runs, //
+};
 
 use crate::machine::MachineState;
 
@@ -59,6 +63,21 @@
     },
     /// Notes that a sealed window was accepted by the billing interface.
     Accept(u64),
+    /// Puts a plan in force, if its version is above the one held.
+    Install(Document),
+    /// Closes (true) or opens a zone of the plan.
+    Zone(String, bool),
+    /// Seals a usage window of the wall clock.
+    State {
+        /// The window's number.
+        window: u64,
+        /// The figures.
+        runs: Runs,
+        /// How many sources reported them.
+        sources: usize,
+    },
+    /// Notes that such a window was accepted by the billing interface.
+    Stated(u64),
 }
 
 /// What a command did.
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -8,6 +8,7 @@
     Authority,
     Body,
     Entry,
+    Member,
     MemberChange,
     MemberError,
     MemberId,
@@ -17,6 +18,7 @@
 };
 use ids::{
     Index,
+    Revision,
     Term,
     Tick,
     Ticket, //
@@ -25,7 +27,12 @@
     Core,
     Outbox, //
 };
+use usage::Runs;
 
+use crate::bill::{
+    Biller,
+    Due, //
+};
 use crate::command::{
     Codec,
     Command,
@@ -41,8 +48,10 @@
     Status,
     Trace, //
 };
+use crate::roster::Roster;
 use crate::viewers::{
     FRESH,
+    ViewerId,
     Viewers, //
 };
 
@@ -50,6 +59,8 @@
 const COMPACT_ENTRIES: usize = 8192;
 /// A question that no leader confirmed in this time is asked again.
 pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(150);
+/// A process that asked for the board within this time follows it.
+const FOLLOWING: Duration = Duration::from_secs(3);
 /// How long the delivery of a window waits after it was refused.
 const DELIVER_AGAIN: Duration = Duration::from_secs(2);
 
@@ -74,7 +85,11 @@
     /// Commands on their way through the log, with the term they were proposed in.
     pending: BTreeMap<Index, (Term, Ticket)>,
     group_pending: BTreeMap<Index, Ticket>,
-    viewers: Viewers,
+    viewers: Viewers<Revision>,
+    boards: Viewers<u64>,
+    documents: Vec<Read>,
+    roster: Roster,
+    biller: Biller,
     reads: Vec<Read>,
     led: Option<Term>,
     began: Tick,
@@ -95,15 +110,20 @@
     pub fn new(now: Tick, seed: Seed, codec: K, saved: Saved) -> Result<Self, String> {
         let machine = read_machine(&codec, &saved.state)?;
         let applied = saved.meta.index;
+        let node = Node::new(now, seed.node, saved);
         Ok(Self {
             seed,
             codec,
-            node: Node::new(now, seed.node, saved),
+            node,
             machine,
             applied,
             pending: BTreeMap::new(),
             group_pending: BTreeMap::new(),
             viewers: Viewers::default(),
+            boards: Viewers::default(),
+            documents: Vec::new(),
+            roster: Roster::default(),
+            biller: Biller::default(),
             reads: Vec::new(),
             led: None,
             began: now,
@@ -145,7 +165,19 @@
             Question::View(id, revision, wait) => {
                 self.viewers.ask(now, ticket, id, revision, wait);
             }
-            Question::Config => self.read(now, ticket, out),
+            Question::Board(id, edition, wait) => {
+                self.boards.ask(now, ticket, id, edition, wait);
+            }
+            Question::Config => {
+                let read = self.read(now, ticket, out);
+                self.reads.push(read);
+            }
+            Question::Document => {
+                let read = self.read(now, ticket, out);
+                self.documents.push(read);
+            }
+            Question::Join(member) => self.join(now, ticket, member, out),
+            Question::Tally(source, windows) => self.tally(now, ticket, &source, windows, out),
             Question::Member(change) => self.change_group(now, ticket, &change, out),
             Question::Status => {
                 let status = Box::new(self.status(now));
@@ -221,18 +253,100 @@
         }
     }
 
-    /// Answers a question for the whole configuration once a leader has confirmed it.
-    fn read(&mut self, now: Tick, ticket: Ticket, out: &mut Outbox<Output>) {
+    /// Asks a leader to confirm how far the log is committed, for a read of what is in force.
+    fn read(&mut self, now: Tick, ticket: Ticket, out: &mut Outbox<Output>) -> Read {
         let mut inner = Outbox::default();
         let token = self.node.ask(now, &mut inner);
-        self.reads.push(Read {
+        let mut read = Read {
             token,
             ticket,
             asked: now,
             until: now + FRESH,
             confirmed: None,
-        });
-        self.carry(now, inner, out);
+        };
+        for output in inner.drain() {
+            match output {
+                agree::Output::Confirmed(answered, index) if answered == token => {
+                    read.confirmed = Some(index);
+                }
+                other => self.carry_one(other, out),
+            }
+        }
+        read
+    }
+
+    /// Notes a host that asks to be taken in; the leader acts on it with its next heartbeat.
+    fn join(&mut self, now: Tick, ticket: Ticket, member: Member, out: &mut Outbox<Output>) {
+        if !self.node.leads() {
+            let leader = self.address(self.node.standing().leader);
+            out.push(Output::Reply(ticket, Reply::Elsewhere(leader)));
+            return;
+        }
+        self.roster.note(now, member);
+        out.push(Output::Reply(ticket, Reply::Member(Ok(()))));
+    }
+
+    fn tally(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        source: &ViewerId,
+        windows: Vec<(u64, Runs)>,
+        out: &mut Outbox<Output>,
+    ) {
+        if self.node.authority(now).is_none() {
+            let leader = self.address(self.node.standing().leader);
+            let leader = leader.filter(|_| !self.node.leads());
+            out.push(Output::Reply(ticket, Reply::Elsewhere(leader)));
+            return;
+        }
+        let last = self.machine.statements.last();
+        self.biller.report(last, source, windows);
+        out.push(Output::Reply(ticket, Reply::Tallied(last)));
+    }
+
+    /// Keeps the group whole and the usage reported, as leader under a valid lease. A leader wakes
+    /// for every heartbeat, so this needs no timer of its own.
+    fn govern_plan(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        let Some(plan) = self.seed.plan.clone() else {
+            return;
+        };
+        if let Some(member) = self.roster.seek(now, &self.node, &plan.member) {
+            let group = self.node.group().iter();
+            let hosts = group.map(|member| member.address).collect();
+            out.push(Output::Seek(member, hosts));
+        }
+        let Some(authority) = self.node.authority(now) else {
+            return;
+        };
+        if let Some(change) = self.roster.next(now, &self.node) {
+            let mut inner = Outbox::default();
+            // Refused while an earlier change is pending; asked again at the next heartbeat.
+            if self.node.change_group(now, &change, &mut inner).is_ok() {
+                self.carry(now, inner, out);
+            }
+        }
+        let wall = self.wall(now);
+        let statements = &self.machine.statements;
+        match self.biller.next(now, wall, &plan, statements) {
+            Some(Due::Seal(window, runs, sources)) => {
+                let command = Command::State {
+                    window,
+                    runs,
+                    sources,
+                };
+                self.propose(now, None, &command, out);
+            }
+            Some(Due::Report(statement)) => out.push(Output::Bill(statement, authority)),
+            None => {}
+        }
+    }
+
+    fn billed(&mut self, now: Tick, window: u64, accepted: bool, out: &mut Outbox<Output>) {
+        self.biller.answered(now, accepted);
+        if accepted {
+            self.propose(now, None, &Command::Stated(window), out);
+        }
     }
 
     fn address(&self, id: Option<MemberId>) -> Option<SocketAddr> {
@@ -246,22 +360,26 @@
     /// Carries out what the node asks for.
     fn carry(&mut self, now: Tick, mut inner: Outbox<agree::Output>, out: &mut Outbox<Output>) {
         for output in inner.drain() {
-            match output {
-                agree::Output::Persist(seq, record) => out.push(Output::Persist(seq, record)),
-                agree::Output::Rotate(seq, meta, state, record) => {
-                    out.push(Output::Rotate(seq, meta, state, record));
-                }
-                agree::Output::Send(to, message) => {
-                    if let Some(address) = self.address(Some(to)) {
-                        out.push(Output::Send(to, address, message));
-                    }
+            self.carry_one(output, out);
+        }
+        self.after(now, out);
+    }
+
+    fn carry_one(&mut self, output: agree::Output, out: &mut Outbox<Output>) {
+        match output {
+            agree::Output::Persist(seq, record) => out.push(Output::Persist(seq, record)),
+            agree::Output::Rotate(seq, meta, state, record) => {
+                out.push(Output::Rotate(seq, meta, state, record));
+            }
+            agree::Output::Send(to, message) => {
+                if let Some(address) = self.address(Some(to)) {
+                    out.push(Output::Send(to, address, message));
                 }
-                agree::Output::Commit(entry) => self.commit(entry, out),
-                agree::Output::Restore(meta, state) => self.restore(&meta, &state, out),
-                agree::Output::Confirmed(token, index) => self.confirmed(token, index),
             }
+            agree::Output::Commit(entry) => self.commit(entry, out),
+            agree::Output::Restore(meta, state) => self.restore(&meta, &state, out),
+            agree::Output::Confirmed(token, index) => self.confirmed(token, index),
         }
-        self.after(now, out);
     }
 
     fn commit(&mut self, entry: Entry, out: &mut Outbox<Output>) {
@@ -305,6 +423,11 @@
                 out.push(Output::Trace(Trace::Sealed(*number)));
             }
             Command::Accept(_) => self.delivering = false,
+            Command::State { window, .. } => {
+                self.biller.sealed(*window);
+                out.push(Output::Trace(Trace::Sealed(*window)));
+            }
+            Command::Stated(_) => self.biller.settled(),
             _ => {}
         }
         let outcome = self.machine.apply(command);
@@ -336,7 +459,9 @@
 
     fn confirmed(&mut self, token: u64, index: Index) {
         self.viewers.confirm(token, index);
-        for read in self.reads.iter_mut().filter(|read| read.token == token) {
+        self.boards.confirm(token, index);
+        let reads = self.reads.iter_mut().chain(&mut self.documents);
+        for read in reads.filter(|read| read.token == token) {
             read.confirmed = Some(index);
         }
     }
@@ -344,12 +469,13 @@
     /// Asks again for the reads that no leader has confirmed, since there may be one by now.
     fn ask_reads_again(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let due = |read: &Read| read.confirmed.is_none() && now.since(read.asked) >= ASK_AGAIN;
-        if !self.reads.iter().any(due) {
+        if !self.reads.iter().chain(&self.documents).any(due) {
             return;
         }
         let mut inner = Outbox::default();
         let token = self.node.ask(now, &mut inner);
-        for read in self.reads.iter_mut().filter(|read| due(read)) {
+        let reads = self.reads.iter_mut().chain(&mut self.documents);
+        for read in reads.filter(|read| due(read)) {
             read.token = token;
             read.asked = now;
         }
@@ -367,6 +493,15 @@
             }
             !ready
         });
+        let document = self.machine.board.document();
+        self.documents.retain(|read| {
+            let ready = read.confirmed.is_some_and(|index| index <= applied);
+            if ready {
+                let reply = Reply::Document(document.cloned());
+                out.push(Output::Reply(read.ticket, reply));
+            }
+            !ready
+        });
     }
 
     /// What may have become possible after any step.
@@ -374,6 +509,7 @@
         self.note_lead(out);
         self.answer_reads(out);
         self.answer_views(now, out);
+        self.answer_boards(now, out);
         if self.node.log_len() > COMPACT_ENTRIES && !self.broken {
             self.compact(now, out);
         }
@@ -395,6 +531,7 @@
             }
             self.sealing = false;
             self.delivering = false;
+            self.biller = Biller::default();
         }
         if let Some(new) = leads {
             out.push(Output::Trace(Trace::Elected(new)));
@@ -402,31 +539,45 @@
         self.led = leads;
     }
 
+    fn hosts(&self) -> Vec<SocketAddr> {
+        let group = self.node.group().iter();
+        group.map(|member| member.address).collect()
+    }
+
+    fn answer_boards(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        if self.boards.wants_round(now) {
+            let mut inner = Outbox::default();
+            let token = self.node.ask(now, &mut inner);
+            self.boards.begin_round(now, token);
+            for output in inner.drain() {
+                self.carry_one(output, out);
+            }
+        }
+        let board = &self.machine.board;
+        let edition = board.edition();
+        for (ticket, held) in self.boards.take_ready(now, self.applied, edition) {
+            let copy = (held != edition).then(|| board.copy());
+            // Followers ask any host, so one host sees a part of them; all of them report usage.
+            let here = self.boards.live(now, FOLLOWING);
+            let live = here.max(self.machine.statements.sources());
+            let reply = Reply::Board(copy, self.hosts(), live, self.wall(now));
+            out.push(Output::Reply(ticket, reply));
+        }
+        for (ticket, _) in self.boards.take_late(now) {
+            out.push(Output::Reply(ticket, Reply::Unavailable));
+        }
+    }
+
     fn answer_views(&mut self, now: Tick, out: &mut Outbox<Output>) {
         if self.viewers.wants_round(now) {
             let mut inner = Outbox::default();
             let token = self.node.ask(now, &mut inner);
             self.viewers.begin_round(now, token);
             for output in inner.drain() {
-                match output {
-                    agree::Output::Confirmed(token, index) => {
-                        self.viewers.confirm(token, index);
-                    }
-                    agree::Output::Send(to, message) => {
-                        if let Some(address) = self.address(Some(to)) {
-                            out.push(Output::Send(to, address, message));
-                        }
-                    }
-                    _ => {}
-                }
+                self.carry_one(output, out);
             }
         }
-        let hosts: Vec<_> = self
-            .node
-            .group()
-            .iter()
-            .map(|member| member.address)
-            .collect();
+        let hosts = self.hosts();
         let registry = &self.machine.registry;
         let revision = registry.config().revision();
         for (ticket, held) in self.viewers.take_ready(now, self.applied, revision) {
@@ -451,8 +602,12 @@
     }
 
     /// Seals and delivers usage windows, as leader under a valid lease. A leader wakes for every
-    /// heartbeat, so this needs no timer of its own.
+    /// heartbeat, so this needs no timer of its own. Where a plan is served, the fronts' usage is
+    /// reported in its place.
     fn govern_usage(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        if self.seed.plan.is_some() {
+            return;
+        }
         let Some(authority) = self.node.authority(now) else {
             return;
         };
@@ -509,6 +664,7 @@
             Input::Synced(seq) => self.node.synced(now, seq, &mut inner),
             Input::Ask(ticket, question) => self.ask(now, ticket, question, out),
             Input::Delivered(number, accepted) => self.delivered(now, number, accepted, out),
+            Input::Billed(window, accepted) => self.billed(now, window, accepted, out),
             Input::HandOver => {
                 self.node.hand_over(now, &mut inner);
             }
@@ -519,6 +675,7 @@
         }
         self.carry(now, inner, out);
         self.govern_usage(now, out);
+        self.govern_plan(now, out);
     }
 
     fn wake(&mut self, now: Tick, out: &mut Outbox<Output>) {
@@ -530,13 +687,16 @@
         self.carry(now, inner, out);
         self.ask_reads_again(now, out);
         self.govern_usage(now, out);
-        self.reads.retain(|read| {
-            let late = read.until <= now;
-            if late {
-                out.push(Output::Reply(read.ticket, Reply::Unavailable));
-            }
-            !late
-        });
+        self.govern_plan(now, out);
+        for reads in [&mut self.reads, &mut self.documents] {
+            reads.retain(|read| {
+                let late = read.until <= now;
+                if late {
+                    out.push(Output::Reply(read.ticket, Reply::Unavailable));
+                }
+                !late
+            });
+        }
     }
 
     fn deadline(&self) -> Option<Tick> {
@@ -546,16 +706,28 @@
         let reads = self
             .reads
             .iter()
+            .chain(&self.documents)
             .map(|read| match read.confirmed {
                 Some(_) => read.until,
                 None => read.until.min(read.asked + ASK_AGAIN),
             })
             .min();
         let node = self.node.deadline();
-        [node, self.viewers.deadline(), reads]
-            .into_iter()
-            .flatten()
-            .min()
+        let seek = self
+            .seed
+            .plan
+            .as_ref()
+            .and(self.roster.deadline(&self.node));
+        [
+            node,
+            self.viewers.deadline(),
+            self.boards.deadline(),
+            reads,
+            seek,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
 
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -4,10 +4,12 @@
 //! configuration registry, the ledger of claims and the book of usage. How commands and snapshots
 //! are encoded is the business of a [`Codec`].
 
+mod bill;
 mod command;
 mod govern;
 mod machine;
 mod message;
+mod roster;
 mod viewers;
 
 pub use command::{
@@ -24,6 +26,7 @@
     Input,
     Mail,
     Output,
+    PlanSeed,
     Question,
     Reply,
     Seed,
--- a/crates/govern/src/machine.rs
+++ b/crates/govern/src/machine.rs
@@ -6,11 +6,15 @@
     RegistryState, //
 };
 use ledger::Ledger;
+use plan::Board;
 use serde::{
     Deserialize,
     Serialize, //
 };
-use usage::Book;
+use usage::{
+    Book,
+    Statements, //
+};
 
 use crate::command::{
     Command,
@@ -26,6 +30,10 @@
     pub ledger: Ledger,
     /// The usage windows.
     pub book: Book,
+    /// The plan in force and the closed zones.
+    pub board: Board,
+    /// The usage windows of the wall clock.
+    pub statements: Statements,
 }
 
 /// A [`Machine`] as a snapshot holds it.
@@ -35,6 +43,8 @@
     registry: RegistryState,
     ledger: Ledger,
     book: Book,
+    board: Board,
+    statements: Statements,
 }
 
 impl Machine {
@@ -65,6 +75,26 @@
                 self.book.accept(number);
                 Outcome::Noted
             }
+            Command::Install(document) => {
+                self.board.install(document);
+                Outcome::Noted
+            }
+            Command::Zone(zone, closed) => {
+                self.board.set_zone(&zone, closed);
+                Outcome::Noted
+            }
+            Command::State {
+                window,
+                runs,
+                sources,
+            } => {
+                self.statements.seal(window, runs, sources);
+                Outcome::Noted
+            }
+            Command::Stated(window) => {
+                self.statements.accept(window);
+                Outcome::Noted
+            }
         }
     }
 
@@ -74,6 +104,8 @@
             registry: self.registry.export(),
             ledger: self.ledger.clone(),
             book: self.book.clone(),
+            board: self.board.clone(),
+            statements: self.statements.clone(),
         }
     }
 }
@@ -86,6 +118,8 @@
             registry: state.registry.try_into()?,
             ledger: state.ledger,
             book: state.book,
+            board: state.board,
+            statements: state.statements,
         })
     }
 }
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -25,7 +25,15 @@
     Tick,
     Ticket, //
 };
-use usage::Window;
+use plan::{
+    BoardCopy,
+    Document, //
+};
+use usage::{
+    Runs,
+    Statement,
+    Window, //
+};
 
 use crate::command::{
     Command,
@@ -36,8 +44,20 @@
     ViewerId, //
 };
 
+/// What a control host needs to serve a plan.
+#[derive(Clone, Debug)]
+pub struct PlanSeed {
+    /// This host as a member, for its requests to join.
+    pub member: Member,
+    /// Length of a usage window of the wall clock.
+    pub window: Duration,
+    /// How long a new leader waits before its first report, so that its predecessor's last one is
+    /// older.
+    pub settle: Duration,
+}
+
 /// What makes a control host.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Seed {
     /// The agreement's seed.
     pub node: agree::Seed,
@@ -45,6 +65,8 @@
     pub wall: u64,
     /// Length of a usage window.
     pub window: Duration,
+    /// What the plan needs; none if no plan is served.
+    pub plan: Option<PlanSeed>,
 }
 
 /// A question from outside.
@@ -62,6 +84,14 @@
     Member(MemberChange),
     /// Tell where this host stands.
     Status,
+    /// Tell about a newer edition of the board: who asks, what it holds, how long it waits.
+    Board(ViewerId, u64, Duration),
+    /// Tell the plan's document, confirmed.
+    Document,
+    /// Take a host into the control group.
+    Join(Member),
+    /// Take a source's figures of usage windows: the source, and runs by window.
+    Tally(ViewerId, Vec<(u64, Runs)>),
 }
 
 /// Messages from one member to another.
@@ -88,6 +118,8 @@
     Ask(Ticket, Question),
     /// The billing interface accepted a window, or did not.
     Delivered(u64, bool),
+    /// The billing interface accepted a window of the wall clock, or did not.
+    Billed(u64, bool),
     /// Give the leadership away if it is held.
     HandOver,
     /// The disk failed: do nothing any more, so that the others go on without this host.
@@ -107,6 +139,13 @@
     Member(Result<(), MemberError>),
     /// Where this host stands.
     Status(Box<Status>),
+    /// The board, where the control hosts are, how many processes follow it, and Unix time in
+    /// milliseconds; none if the asker's edition is the newest.
+    Board(Option<BoardCopy>, Vec<SocketAddr>, usize, u64),
+    /// The plan's document; none before the first.
+    Document(Option<Document>),
+    /// The last usage window that is sealed.
+    Tallied(Option<u64>),
     /// The leader must be asked, if one is known.
     Elsewhere(Option<SocketAddr>),
     /// Nobody can say now; a command may yet be carried out.
@@ -170,6 +209,10 @@
     Reply(Ticket, Reply),
     /// Report a window to the billing interface, before the authority ends.
     Deliver(Window, Authority),
+    /// Report a window of the wall clock to the billing interface, before the authority ends.
+    Bill(Statement, Authority),
+    /// Ask the control hosts at these addresses to take this host in.
+    Seek(Member, Vec<SocketAddr>),
     /// Log or count something.
     Trace(Trace),
 }
--- a/crates/govern/src/viewers.rs
+++ b/crates/govern/src/viewers.rs
@@ -57,18 +57,20 @@
 }
 
 #[derive(Clone, Debug)]
-struct Open {
-    revision: Revision,
+struct Open<M> {
+    held: M,
     deadline: Tick,
     /// The commit index confirmed after the question came; none until then.
     confirmed: Option<Index>,
 }
 
 /// All open questions, and the round in which a leader is asked to confirm them.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Viewers {
-    open: BTreeMap<Ticket, Open>,
-    known: BTreeMap<ViewerId, (Revision, Tick)>,
+///
+/// `M` marks how far a follower is.
+#[derive(Clone, Debug)]
+pub(crate) struct Viewers<M> {
+    open: BTreeMap<Ticket, Open<M>>,
+    known: BTreeMap<ViewerId, (M, Tick)>,
     /// Questions that the confirmation under way covers.
     round: BTreeSet<Ticket>,
     /// Questions that came later.
@@ -76,20 +78,25 @@
     token: Option<(u64, Tick)>,
 }
 
-impl Viewers {
-    pub(crate) fn ask(
-        &mut self,
-        now: Tick,
-        ticket: Ticket,
-        id: ViewerId,
-        revision: Revision,
-        wait: Duration,
-    ) {
+impl<M> Default for Viewers<M> {
+    fn default() -> Self {
+        Self {
+            open: BTreeMap::new(),
+            known: BTreeMap::new(),
+            round: BTreeSet::new(),
+            next: BTreeSet::new(),
+            token: None,
+        }
+    }
+}
+
+impl<M: Copy + PartialEq> Viewers<M> {
+    pub(crate) fn ask(&mut self, now: Tick, ticket: Ticket, id: ViewerId, held: M, wait: Duration) {
         self.known
             .retain(|_, (_, asked)| now.since(*asked) < FORGET_AFTER);
-        self.known.insert(id, (revision, now));
+        self.known.insert(id, (held, now));
         let open = Open {
-            revision,
+            held,
             deadline: now + wait.min(MAX_WAIT),
             confirmed: None,
         };
@@ -129,21 +136,16 @@
     }
 
     /// Takes the questions that can be answered: confirmed, and with news or out of time.
-    pub(crate) fn take_ready(
-        &mut self,
-        now: Tick,
-        applied: Index,
-        revision: Revision,
-    ) -> Vec<(Ticket, Revision)> {
-        let ready = |open: &Open| {
+    pub(crate) fn take_ready(&mut self, now: Tick, applied: Index, current: M) -> Vec<(Ticket, M)> {
+        let ready = |open: &Open<M>| {
             let confirmed = open.confirmed.is_some_and(|index| index <= applied);
-            confirmed && (open.revision != revision || open.deadline <= now)
+            confirmed && (open.held != current || open.deadline <= now)
         };
         self.take(ready)
     }
 
     /// Takes the questions that are out of time and unconfirmed.
-    pub(crate) fn take_late(&mut self, now: Tick) -> Vec<(Ticket, Revision)> {
+    pub(crate) fn take_late(&mut self, now: Tick) -> Vec<(Ticket, M)> {
         self.take(|open| open.deadline <= now)
     }
 
@@ -156,19 +158,15 @@
             .min()
     }
 
-    pub(crate) fn known(&self) -> impl Iterator<Item = Viewer> + '_ {
-        self.known.iter().map(|(id, (revision, asked))| Viewer {
-            id: id.clone(),
-            revision: *revision,
-            until: *asked + FRESH,
-        })
+    /// How many followers asked within a span.
+    pub(crate) fn live(&self, now: Tick, span: Duration) -> usize {
+        let asked = self.known.values();
+        asked.filter(|(_, at)| now.since(*at) <= span).count()
     }
 
-    fn take(&mut self, wanted: impl Fn(&Open) -> bool) -> Vec<(Ticket, Revision)> {
+    fn take(&mut self, wanted: impl Fn(&Open<M>) -> bool) -> Vec<(Ticket, M)> {
         let tickets = self.open.iter().filter(|(_, open)| wanted(open));
-        let tickets: Vec<_> = tickets
-            .map(|(ticket, open)| (*ticket, open.revision))
-            .collect();
+        let tickets: Vec<_> = tickets.map(|(ticket, open)| (*ticket, open.held)).collect();
         for (ticket, _) in &tickets {
             self.open.remove(ticket);
             self.round.remove(ticket);
@@ -177,3 +175,13 @@
         tickets
     }
 }
+
+impl Viewers<Revision> {
+    pub(crate) fn known(&self) -> impl Iterator<Item = Viewer> + '_ {
+        self.known.iter().map(|(id, (revision, asked))| Viewer {
+            id: id.clone(),
+            revision: *revision,
+            until: *asked + FRESH,
+        })
+    }
+}
--- a/crates/ids/src/key.rs
+++ b/crates/ids/src/key.rs
@@ -13,6 +13,8 @@
     pub struct ZoneId;
     /// Refers to a route.
     pub struct RouteId;
+    /// Refers to a service.
+    pub struct ServiceId;
     /// Refers to an endpoint.
     pub struct EndpointId;
     /// Refers to a request that has not been answered yet.
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -21,6 +21,7 @@
     GrantId,
     RequestId,
     RouteId,
+    ServiceId,
     ZoneId, //
 };
 pub use name::{
--- a/crates/ids/src/tick.rs
+++ b/crates/ids/src/tick.rs
@@ -4,9 +4,11 @@
     Add,
     Sub, //
 };
-use std::time::{
-    Duration,
-    Instant, //
+use std::time::Duration;
+
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
 };
 
 /// A reading of a monotonic clock, in microseconds since an origin private to the process.
@@ -44,19 +46,28 @@
     fn now(&self) -> Tick;
 }
 
-/// The operating system's monotonic clock.
+/// The operating system's clock since boot. It counts the time that a host is suspended, so that
+/// leases and freshness bounds run out meanwhile.
 #[derive(Clone, Copy, Debug)]
-pub struct Monotonic(Instant);
+pub struct Monotonic(Duration);
 
 impl Monotonic {
     /// Starts a clock whose origin is this moment.
     pub fn start() -> Self {
-        Self(Instant::now())
+        Self(since_boot())
     }
 }
 
 impl Clock for Monotonic {
     fn now(&self) -> Tick {
-        Tick::default() + self.0.elapsed()
+        Tick::default() + since_boot().saturating_sub(self.0)
     }
 }
+
+fn since_boot() -> Duration {
+    // The kernel counts both fields up from zero, so they are never negative.
+    let time = clock_gettime(ClockId::Boottime);
+    let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(secs, nanos)
+}
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -444,6 +444,7 @@
             }],
             platform: Some(platform),
             window: options.window,
+            plan: None,
         };
         if !settings.data.exists() {
             let start = if n == 0 {
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -45,8 +45,13 @@
     Attempted "attempt.sent" "attempts sent to an agent";
     RetriedBounced "retry.bounced" "attempts repeated because an agent had no room";
     RetriedUnreached "retry.unreached" "attempts repeated because an agent could not be reached";
+    RetriedMisdirected "retry.misdirected" "attempts repeated because another instance had the address";
+    RetriedBroken "retry.broken" "attempts repeated because a connection broke";
+    RetriedGarbled "retry.garbled" "attempts repeated because what came was no answer";
+    RetriedSilent "retry.silent" "attempts repeated because nothing came in time";
     RetriedFailed "retry.failed" "attempts repeated because an endpoint failed before its answer began";
     RetryBudget "retry.budget" "retries not made because the account's retry budget was spent";
+    LinkOpened "endpoint.connected" "requests for which a connection to an endpoint was opened";
     Ejected "endpoint.ejected" "endpoints left out after repeated failures";
     Admitted "admit.started" "requests handed to the engine";
     Queued "admit.queued" "requests that waited in the agent";
--- a/crates/obs/src/logger.rs
+++ b/crates/obs/src/logger.rs
@@ -37,17 +37,17 @@
     Json,
 }
 
-/// Starts a logger that writes to standard error from a thread of its own.
+/// Starts a logger that writes to standard output from a thread of its own.
 pub fn logger(format: LogFormat, role: &'static str) -> Logger {
     let fields = o!("role" => role);
     match format {
         LogFormat::Terminal => {
-            let plain = slog_term::PlainSyncDecorator::new(io::stderr());
+            let plain = slog_term::PlainSyncDecorator::new(io::stdout());
             let drain = slog_term::FullFormat::new(plain).build().fuse();
             Logger::root(spool(drain), fields)
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(io::stderr()).fuse();
+            let drain = slog_json::Json::default(io::stdout()).fuse();
             Logger::root(spool(std::sync::Mutex::new(drain).map(slog::Fuse)), fields)
         }
     }
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -151,13 +151,36 @@
     /// Takes over the hosts that the group itself names.
     pub fn learn(&self, hosts: Vec<SocketAddr>) {
         let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
-        if !hosts.is_empty() && known.hosts != hosts {
-            *known = Known { hosts, first: 0 };
+        if hosts.is_empty() || known.hosts == hosts {
+            return;
         }
+        let preferred = known.hosts.get(known.first).copied();
+        let first = hosts.iter().position(|host| Some(*host) == preferred);
+        *known = Known {
+            hosts,
+            first: first.unwrap_or_default(),
+        };
+    }
+
+    /// Adds hosts that the settings name now.
+    pub fn add(&self, hosts: &[SocketAddr]) {
+        let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+        for host in hosts {
+            if !known.hosts.contains(host) {
+                known.hosts.push(*host);
+            }
+        }
+    }
+
+    /// Begins with another host than other processes do.
+    pub fn turn(&self, random: u64) {
+        let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+        let hosts = known.hosts.len().max(1) as u64;
+        known.first = usize::try_from(random % hosts).unwrap_or_default();
     }
 
     /// The hosts to be asked, the hinted or last useful one first.
-    pub(crate) fn order(&self, hint: Option<SocketAddr>) -> Vec<SocketAddr> {
+    pub fn order(&self, hint: Option<SocketAddr>) -> Vec<SocketAddr> {
         let known = self.known.read().unwrap_or_else(PoisonError::into_inner);
         let first = known.first.min(known.hosts.len());
         let turned = known.hosts[first..]
@@ -168,7 +191,8 @@
         hint.into_iter().chain(rest).collect()
     }
 
-    fn prefer(&self, host: SocketAddr) {
+    /// Asks this host first from now on.
+    pub fn prefer(&self, host: SocketAddr) {
         let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
         if let Some(at) = known.hosts.iter().position(|other| *other == host) {
             known.first = at;
--- /dev/null
+++ b/crates/plan/src/board.rs
@@ -0,0 +1,85 @@
+//! The replicated aggregate: the plan in force and the closed zones.
+
+use std::collections::BTreeSet;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// A plan's document as it was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Document {
+    /// The version it carries.
+    pub version: u64,
+    /// Its bytes; operators read back exactly these.
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+}
+
+/// The plan in force and the closed zones, under an edition that rises with each change.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Board {
+    edition: u64,
+    document: Option<Document>,
+    closed: BTreeSet<String>,
+}
+
+/// What a follower of the board holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Copy {
+    /// The edition.
+    pub edition: u64,
+    /// The plan in force; none before the first.
+    pub document: Option<Document>,
+    /// The zones that get no new work.
+    pub closed: Vec<String>,
+}
+
+impl Board {
+    /// The edition: 0 at first, one more for each change.
+    pub fn edition(&self) -> u64 {
+        self.edition
+    }
+
+    /// The plan in force.
+    pub fn document(&self) -> Option<&Document> {
+        self.document.as_ref()
+    }
+
+    /// Puts a document in force if its version is above the one held. Returns whether it did.
+    ///
+    /// Another document under the version held, and any older one, changes nothing.
+    pub fn install(&mut self, document: Document) -> bool {
+        let held = self.document.as_ref().map(|held| held.version);
+        if held.is_some_and(|held| document.version <= held) {
+            return false;
+        }
+        self.document = Some(document);
+        self.edition += 1;
+        true
+    }
+
+    /// Closes or opens a zone. Returns whether that changed anything.
+    pub fn set_zone(&mut self, zone: &str, closed: bool) -> bool {
+        let changed = if closed {
+            self.closed.insert(zone.to_owned())
+        } else {
+            self.closed.remove(zone)
+        };
+        self.edition += u64::from(changed);
+        changed
+    }
+
+    /// What a follower needs.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            edition: self.edition,
+            document: self.document.clone(),
+            closed: self.closed.iter().cloned().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,36 @@
+//! The routing plan: one whole document of routes, services and accounts under a version.
+//!
+//! Where [`conf`] changes one record at a time, a plan is replaced as a whole, and the highest
+//! version wins. A [`Plan`] is checked once, when it enters, and keeps its rules from then on. The
+//! control group replicates a [`Board`]: the plan's document as it was sent, and the zones that
+//! are closed.
+//!
+//! [`conf`]: https://docs.rs/conf
+
+mod board;
+mod plan;
+mod spec;
+
+pub use board::{
+    Board,
+    Copy as BoardCopy,
+    Document, //
+};
+pub use plan::{
+    Account,
+    Plan,
+    PlanError,
+    Route,
+    Service, //
+};
+pub use spec::{
+    AccountSpec,
+    Bounds,
+    Cold,
+    Model,
+    PlanSpec,
+    Repeat,
+    RouteSpec,
+    ServiceSpec,
+    Share, //
+};
--- /dev/null
+++ b/crates/plan/tests/rules.rs
@@ -0,0 +1,146 @@
+//! The rules of plans and of the board.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use plan::{
+    AccountSpec,
+    Board,
+    Document,
+    Plan,
+    PlanError,
+    PlanSpec,
+    Repeat,
+    RouteSpec,
+    ServiceSpec,
+    Share, //
+};
+
+fn service(name: &str) -> ServiceSpec {
+    ServiceSpec {
+        name: name.to_owned(),
+        connections: 10,
+        cold: None,
+        model: None,
+    }
+}
+
+fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> RouteSpec {
+    let share = |(service, weight): &(&str, u32)| Share {
+        service: (*service).to_owned(),
+        weight: *weight,
+    };
+    RouteSpec {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: Repeat::Never,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        pause: Duration::ZERO,
+        rank: 1,
+        shares: shares.iter().map(share).collect(),
+        attempts: 1,
+        open: false,
+    }
+}
+
+fn account(name: &str, keys: &[&str]) -> AccountSpec {
+    AccountSpec {
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        rank: None,
+    }
+}
+
+fn spec() -> PlanSpec {
+    PlanSpec {
+        version: 3,
+        routes: vec![
+            route("short", "/a/", &[("s", 1)]),
+            route("long", "/a/b/", &[("s", 90), ("t", 10)]),
+        ],
+        services: vec![service("s"), service("t")],
+        accounts: Some(vec![account("one", &["k1", "k2"]), account("two", &["k3"])]),
+        bounds: None,
+    }
+}
+
+fn found(path: &str) -> Option<String> {
+    let plan = Plan::try_from(spec()).unwrap();
+    let route = plan.find("h", path)?;
+    plan.route(route).map(|route| route.name.clone())
+}
+
+fn broken(change: impl FnOnce(&mut PlanSpec)) -> PlanError {
+    let mut spec = spec();
+    change(&mut spec);
+    Plan::try_from(spec).unwrap_err()
+}
+
+fn document(version: u64, bytes: &[u8]) -> Document {
+    Document {
+        version,
+        bytes: bytes.to_vec(),
+    }
+}
+
+case::cases! {
+    longest_prefix_wins: assert_eq!(found("/a/b/c").as_deref(), Some("long"));
+    shorter_prefix_takes_the_rest: assert_eq!(found("/a/x").as_deref(), Some("short"));
+    prefix_is_of_whole_segments: assert_eq!(found("/ab").as_deref(), None);
+    key_names_its_account: {
+        let plan = Plan::try_from(spec()).unwrap();
+        let id = plan.holder("k2").unwrap();
+        assert_eq!(plan.account(id).unwrap().name, "one");
+        assert_eq!(plan.holder("k9"), None);
+    };
+    unknown_service: assert_matches!(
+        broken(|s| s.routes[0].shares[0].service = "x".to_owned()),
+        PlanError::UnknownService(..)
+    );
+    unknown_service_with_weight_zero: assert_matches!(
+        broken(|s| s.routes[1].shares[1] = Share { service: "x".to_owned(), weight: 0 }),
+        PlanError::UnknownService(..)
+    );
+    same_place: assert_matches!(
+        broken(|s| s.routes[1].prefix = "/a/".to_owned()),
+        PlanError::SamePlace(..)
+    );
+    no_weight: assert_matches!(broken(|s| s.routes[0].shares[0].weight = 0), PlanError::NoWeight(_));
+    no_timeout: assert_matches!(
+        broken(|s| s.routes[0].timeout = Duration::ZERO),
+        PlanError::NoTimeout(_)
+    );
+    shared_key: assert_matches!(
+        broken(|s| s.accounts.as_mut().unwrap()[1].keys.push("k1".to_owned())),
+        PlanError::SharedKey(..)
+    );
+    higher_version_takes_effect: {
+        let mut board = Board::default();
+        assert!(board.install(document(7, b"a")));
+        assert!(board.install(document(12, b"b")));
+        assert_eq!(board.document(), Some(&document(12, b"b")));
+        assert_eq!(board.edition(), 2);
+    };
+    older_version_changes_nothing: {
+        let mut board = Board::default();
+        board.install(document(7, b"a"));
+        assert!(!board.install(document(3, b"b")));
+        assert_eq!(board.document(), Some(&document(7, b"a")));
+    };
+    other_content_under_the_same_version_changes_nothing: {
+        let mut board = Board::default();
+        board.install(document(7, b"a"));
+        assert!(!board.install(document(7, b"b")));
+        assert_eq!((board.document(), board.edition()), (Some(&document(7, b"a")), 1));
+    };
+    closing_a_zone_twice_is_one_change: {
+        let mut board = Board::default();
+        assert!(board.set_zone("z", true));
+        assert!(!board.set_zone("z", true));
+        assert_eq!(board.copy().closed, ["z"]);
+        assert!(board.set_zone("z", false));
+        assert_eq!((board.copy().closed.len(), board.edition()), (0, 2));
+    };
+}
--- /dev/null
+++ b/crates/relay/src/fleet.rs
@@ -0,0 +1,93 @@
+//! The endpoints that the list names.
+
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
+use std::time::Duration;
+
+use ids::{
+    EndpointId,
+    Tick, //
+};
+use rand::RngExt;
+use rand_pcg::Pcg32;
+use slotmap::SlotMap;
+
+use crate::endpoint::Endpoint;
+use crate::message::Listing;
+
+/// All endpoints, by key and by instance.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fleet {
+    endpoints: SlotMap<EndpointId, Endpoint>,
+    instances: HashMap<String, EndpointId>,
+}
+
+impl Fleet {
+    /// Takes a newer list. Endpoints that it does not name are gone. Returns whether any came,
+    /// went or began to leave.
+    pub(crate) fn relist(&mut self, now: Tick, list: Vec<Listing>, rng: &mut Pcg32) -> bool {
+        let named: HashSet<String> = list.iter().map(|l| l.instance.clone()).collect();
+        let before = self.endpoints.len();
+        self.instances
+            .retain(|instance, _| named.contains(instance));
+        self.endpoints
+            .retain(|_, endpoint| named.contains(&endpoint.listing.instance));
+        let mut changed = self.endpoints.len() != before;
+        for listing in list {
+            match self.instances.get(&listing.instance) {
+                Some(id) => {
+                    if let Some(endpoint) = self.endpoints.get_mut(*id) {
+                        changed |= endpoint.listing.leaving != listing.leaving;
+                        endpoint.relist(now, listing);
+                    }
+                }
+                None => {
+                    let instance = listing.instance.clone();
+                    let endpoint = Endpoint::new(now, listing, rng.random_range(0.0..1.0));
+                    let id = self.endpoints.insert(endpoint);
+                    self.instances.insert(instance, id);
+                    changed = true;
+                }
+            }
+        }
+        changed
+    }
+
+    /// How many endpoints there are, and how many of them leave.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let leaving = self.endpoints.values().filter(|e| e.listing.leaving);
+        (self.endpoints.len(), leaving.count())
+    }
+
+    pub(crate) fn get_mut(&mut self, id: EndpointId) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(id)
+    }
+
+    /// Forgets an endpoint until the list names it again.
+    pub(crate) fn forget(&mut self, id: EndpointId) {
+        if let Some(endpoint) = self.endpoints.remove(id) {
+            self.instances.remove(&endpoint.listing.instance);
+        }
+    }
+
+    /// The endpoints of a service, in a fixed order.
+    pub(crate) fn of<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (EndpointId, &'a Endpoint)> {
+        self.endpoints
+            .iter()
+            .filter(move |(_, endpoint)| endpoint.listing.service == service)
+    }
+
+    /// Takes the endpoints of a zone for cold from now on.
+    pub(crate) fn cool(&mut self, now: Tick, zone: &str, span: impl Fn(&str) -> Duration) {
+        let endpoints = self.endpoints.values_mut();
+        for endpoint in endpoints.filter(|endpoint| endpoint.listing.zone == zone) {
+            let until = now + span(&endpoint.listing.service);
+            endpoint.cold_until = endpoint.cold_until.max(until);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,37 @@
+//! The decision core of a front: requests that go to endpoints without an agent between.
+//!
+//! [`Relay`] follows the plan and the list of endpoints, chooses an endpoint for each attempt,
+//! decides what may be repeated, keeps the shared retry budget and the limits of cold endpoints,
+//! and counts usage. It has no clock, socket or codec.
+
+mod budget;
+mod choice;
+mod endpoint;
+mod fleet;
+mod health;
+mod message;
+mod relay;
+mod request;
+mod tally;
+
+pub use choice::{
+    Choice,
+    Estimate,
+    Predicted, //
+};
+pub use message::{
+    Ask,
+    Content,
+    Failure,
+    Go,
+    Input,
+    Listing,
+    Load,
+    Output,
+    Prompt,
+    Seed,
+    Trace,
+    Verdict,
+    View, //
+};
+pub use relay::Relay;
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,611 @@
+//! The core itself: requests in, attempts out.
+
+use std::collections::{
+    BTreeSet,
+    HashMap, //
+};
+use std::hash::{
+    DefaultHasher,
+    Hash,
+    Hasher, //
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fault::Kind;
+use ids::{
+    AccountId,
+    EndpointId,
+    RequestId,
+    ServiceId,
+    Tick,
+    Ticket, //
+};
+use plan::{
+    Plan,
+    Route,
+    Service, //
+};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg32;
+use slotmap::SlotMap;
+use step::{
+    Core,
+    Outbox, //
+};
+
+use crate::budget::Budget;
+use crate::choice::{
+    Choice,
+    Estimate, //
+};
+use crate::endpoint::Endpoint;
+use crate::fleet::Fleet;
+use crate::message::{
+    Ask,
+    Failure,
+    Go,
+    Input,
+    Listing,
+    Load,
+    Output,
+    Prompt,
+    Seed,
+    Trace,
+    Verdict,
+    View, //
+};
+use crate::request::Request;
+use crate::tally::Tally;
+
+/// Attempts beyond those that may run, for endpoints that said they did not run the request.
+const SPARE_ATTEMPTS: u32 = 2;
+/// An attempt is not worth making with less time left than this.
+const LEAST_TIME: Duration = Duration::from_millis(40);
+/// A whole answer is sought elsewhere after this many times its target.
+const WHOLE_PATIENCE: u32 = 3;
+/// A stream's first event is sought elsewhere after this many halves of its target.
+const STREAM_PATIENCE: u32 = 5;
+/// The rest of a stream is sought elsewhere after this many times its longest pause.
+const PAUSE_PATIENCE: u32 = 3;
+/// What an endpoint of another zone costs: the price of the bytes, as time.
+const OTHER_ZONE: Duration = Duration::from_millis(25);
+/// Places in a prompt's preferred order that are told apart.
+const ORDERED: usize = 2;
+/// When to come back after a refusal for want of an endpoint.
+const COME_BACK: Duration = Duration::from_millis(250);
+/// Fronts assumed before the control group says how many there are.
+const ASSUMED_FRONTS: usize = 12;
+
+/// One front's requests.
+pub struct Relay<C> {
+    seed: Seed,
+    choice: C,
+    rng: Pcg32,
+    plan: Option<Arc<Plan>>,
+    edition: u64,
+    closed: BTreeSet<String>,
+    fresh: Tick,
+    stale: bool,
+    seen: Tick,
+    fronts: usize,
+    fleet: Fleet,
+    requests: SlotMap<RequestId, Request>,
+    budgets: HashMap<String, Budget>,
+    tally: Tally,
+    draining: bool,
+}
+
+impl<C: Choice> Relay<C> {
+    /// A front that knows no plan yet.
+    pub fn new(seed: Seed, choice: C) -> Self {
+        Self {
+            choice,
+            rng: Pcg32::seed_from_u64(seed.random),
+            plan: None,
+            edition: 0,
+            closed: BTreeSet::new(),
+            fresh: Tick::default(),
+            stale: true,
+            seen: Tick::default(),
+            fronts: ASSUMED_FRONTS,
+            fleet: Fleet::default(),
+            requests: SlotMap::with_key(),
+            budgets: HashMap::new(),
+            tally: Tally::new(seed.window),
+            draining: false,
+            seed,
+        }
+    }
+
+    /// The edition followed.
+    pub fn edition(&self) -> u64 {
+        self.edition
+    }
+
+    fn serves(&self, now: Tick) -> bool {
+        !self.draining && self.plan.is_some() && now < self.fresh
+    }
+
+    fn view(&mut self, now: Tick, view: View, out: &mut Outbox<Output>) {
+        if view.edition < self.edition {
+            return;
+        }
+        self.tally.set_wall(view.wall, view.at);
+        self.fronts = view.fronts.max(1);
+        if let Some((plan, closed)) = view.content.filter(|_| view.edition > self.edition) {
+            self.edition = view.edition;
+            self.plan = plan;
+            self.close_zones(now, closed);
+            out.push(Output::Trace(Trace::Advanced(self.edition)));
+        }
+        if view.edition == self.edition {
+            self.fresh = self.fresh.max(view.fresh);
+            self.seen = self.seen.max(view.at);
+        }
+        if std::mem::replace(&mut self.stale, now >= self.fresh) && !self.stale {
+            out.push(Output::Trace(Trace::Fresh(true)));
+        }
+    }
+
+    /// Endpoints of a zone that opens again may have turned cold meanwhile.
+    fn close_zones(&mut self, now: Tick, closed: Vec<String>) {
+        let closed: BTreeSet<_> = closed.into_iter().collect();
+        let Some(plan) = &self.plan else {
+            return;
+        };
+        let span = |name: &str| {
+            let service = plan.services().find(|service| service.name == name);
+            let cold = service.and_then(|service| service.cold);
+            cold.map_or(Duration::ZERO, |cold| cold.span)
+        };
+        for zone in self.closed.difference(&closed) {
+            self.fleet.cool(now, zone, span);
+        }
+        self.closed = closed;
+    }
+
+    fn arrive(&mut self, now: Tick, ticket: Ticket, ask: Ask, out: &mut Outbox<Output>) {
+        let verdict = match self.admit(now, ask) {
+            Ok(id) => self.assign(now, id, out),
+            Err(kind) => Verdict::Refuse(kind, COME_BACK),
+        };
+        out.push(Output::Reply(ticket, verdict));
+    }
+
+    /// Checks a request against the plan.
+    fn admit(&mut self, now: Tick, ask: Ask) -> Result<RequestId, Kind> {
+        let plan = match &self.plan {
+            Some(plan) if now < self.fresh => Arc::clone(plan),
+            _ => return Err(Kind::ViewStale),
+        };
+        let id = plan.find(&ask.host, &ask.path).ok_or(Kind::RouteUnknown)?;
+        let route = plan.route(id).ok_or(Kind::RouteUnknown)?;
+        let account = holder(&plan, route, ask.key.as_deref())?;
+        let rank = account
+            .and_then(|id| plan.account(id))
+            .and_then(|account| account.rank);
+        let patience = ask.patience.map_or(route.timeout, |p| p.min(route.timeout));
+        let service = self.draw(route).ok_or(Kind::EndpointMissing)?;
+        let request = self.requests.insert(Request {
+            name: ask.name,
+            plan: Arc::clone(&plan),
+            route: id,
+            service,
+            account,
+            prompt: ask.prompt,
+            rank: rank.unwrap_or(route.rank),
+            until: now + patience,
+            runs: 0,
+            attempts: 0,
+            tried: Vec::new(),
+            at: None,
+            due: now + route.target,
+            unread: 0,
+            began: false,
+        });
+        if let Some(service) = plan.service(service) {
+            let budget = self.budgets.entry(service.name.clone()).or_default();
+            budget.request(now, self.seed.span);
+        }
+        Ok(request)
+    }
+
+    /// Draws one of a route's services by weight.
+    fn draw(&mut self, route: &Route) -> Option<ServiceId> {
+        let total: u32 = route.shares.iter().map(|(_, weight)| weight).sum();
+        let mut left = self.rng.random_range(0..total.max(1));
+        for (service, weight) in &route.shares {
+            if left < *weight {
+                return Some(*service);
+            }
+            left -= weight;
+        }
+        route.shares.first().map(|(service, _)| *service)
+    }
+
+    /// Chooses an endpoint for a request's next attempt. The request ends if there is none.
+    fn assign(&mut self, now: Tick, id: RequestId, out: &mut Outbox<Output>) -> Verdict {
+        let Some(request) = self.requests.get(id) else {
+            return Verdict::Refuse(Kind::Internal, COME_BACK);
+        };
+        let plan = Arc::clone(&request.plan);
+        let found = plan.route(request.route).zip(plan.service(request.service));
+        let Some((route, service)) = found else {
+            return self.refuse(id, Kind::Internal, None, out);
+        };
+        match self.pick(now, id, service) {
+            Some(endpoint) => match self.start(now, id, endpoint, route, service) {
+                Some(go) => {
+                    self.trace_sent(now, &go, route, out);
+                    Verdict::Go(Box::new(go))
+                }
+                None => self.refuse(id, Kind::Internal, None, out),
+            },
+            None => self.refuse(id, Kind::EndpointMissing, None, out),
+        }
+    }
+
+    fn trace_sent(&self, now: Tick, go: &Go, route: &Route, out: &mut Outbox<Output>) {
+        let Some(request) = self.requests.get(go.request) else {
+            return;
+        };
+        out.push(Output::Trace(Trace::Sent {
+            request: request.name.clone(),
+            route: route.name.clone(),
+            instance: go.instance.clone(),
+            attempt: request.attempts,
+            edition: self.edition,
+            age: now.since(self.seen),
+        }));
+    }
+
+    fn pick(&mut self, now: Tick, id: RequestId, service: &Service) -> Option<EndpointId> {
+        let request = self.requests.get(id)?;
+        let usable = |endpoint: &Endpoint| {
+            let rate = service.cold.map(|cold| cold.rate);
+            let bears = !endpoint.cold(now)
+                || rate.is_none_or(|rate| {
+                    let rate = Endpoint::cold_rate(rate, self.fronts);
+                    endpoint.bucket.has(now, rate)
+                });
+            bears && !endpoint.listing.leaving && !self.closed.contains(&endpoint.listing.zone)
+        };
+        let mut candidates: Vec<_> = self
+            .fleet
+            .of(&service.name)
+            .filter(|(id, endpoint)| usable(endpoint) && !request.tried.contains(id))
+            .collect();
+        if candidates.iter().any(|(_, e)| !e.health.ejected(now)) {
+            candidates.retain(|(_, endpoint)| !endpoint.health.ejected(now));
+        }
+        let overdue = self.overdue(now);
+        let orders = preferred(request.prompt.as_ref(), &self.seed.zone, &candidates);
+        let estimates: Vec<_> = candidates
+            .iter()
+            .zip(&orders)
+            .map(|((id, endpoint), order)| {
+                let tokens = request
+                    .prompt
+                    .as_ref()
+                    .map(|prompt| (endpoint.to_read(now, prompt) + endpoint.unread) as f64);
+                let near = endpoint.listing.zone == self.seed.zone;
+                Estimate {
+                    busy: endpoint.busy(now),
+                    slots: f64::from(endpoint.listing.slots),
+                    tokens,
+                    order: *order as f64,
+                    overdue: overdue.get(id).copied().unwrap_or_default(),
+                    failing: endpoint.health.failing(now),
+                    distance: if near { Duration::ZERO } else { OTHER_ZONE },
+                }
+            })
+            .collect();
+        let chosen = self.choice.choose(&estimates, &mut self.rng)?;
+        Some(candidates[chosen].0)
+    }
+
+    /// Requests past their target whose answer has not begun, by endpoint.
+    fn overdue(&self, now: Tick) -> HashMap<EndpointId, f64> {
+        let mut overdue = HashMap::new();
+        let late = self.requests.values().filter(|r| !r.began && r.due < now);
+        for endpoint in late.filter_map(|request| request.at) {
+            *overdue.entry(endpoint).or_default() += 1.0;
+        }
+        overdue
+    }
+
+    fn start(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        at: EndpointId,
+        route: &Route,
+        service: &Service,
+    ) -> Option<Go> {
+        let request = self.requests.get_mut(id)?;
+        let plan = Arc::clone(&request.plan);
+        let endpoint = self.fleet.get_mut(at)?;
+        if let Some(cold) = service.cold.filter(|_| endpoint.cold(now)) {
+            let rate = Endpoint::cold_rate(cold.rate, self.fronts);
+            endpoint.bucket.take(now, rate);
+        }
+        request.attempts += 1;
+        request.at = Some(at);
+        request.due = now + route.target;
+        request.unread = 0;
+        endpoint.inflight += 1;
+        if let Some(prompt) = &request.prompt {
+            request.unread = endpoint.to_read(now, prompt);
+            endpoint.unread += request.unread;
+            endpoint.remember(now, prompt);
+        }
+        let another = route.repeat.allowed() && request.runs + 1 < route.attempts;
+        let patience = another.then(|| {
+            let span = if route.repeat.streams() {
+                route.target * STREAM_PATIENCE / 2
+            } else {
+                route.target * WHOLE_PATIENCE
+            };
+            now + span.min(request.until.since(now) / 2)
+        });
+        let account = request.account.and_then(|id| plan.account(id));
+        Some(Go {
+            request: id,
+            endpoint: at,
+            address: endpoint.listing.address,
+            instance: endpoint.listing.instance.clone(),
+            account: account.map(|account| account.name.clone()),
+            rank: request.rank,
+            repeat: route.repeat,
+            until: request.until,
+            patience,
+            gap: another.then_some(route.pause * PAUSE_PATIENCE),
+        })
+    }
+
+    /// Ends a request with a refusal or a failure.
+    fn refuse(
+        &mut self,
+        id: RequestId,
+        kind: Kind,
+        failure: Option<Failure>,
+        out: &mut Outbox<Output>,
+    ) -> Verdict {
+        let request = self.requests.get(id);
+        let ran = request.is_some_and(|request| request.runs > 0);
+        if let (Some(failure), Some(request)) = (failure, request) {
+            let name = request.name.clone();
+            out.push(Output::Trace(Trace::GivenUp(name, failure)));
+        }
+        self.end(id);
+        let kind = match failure {
+            Some(Failure::Silent) => Kind::EndpointTimeout,
+            _ if ran => Kind::EndpointFailed,
+            _ => kind,
+        };
+        Verdict::Refuse(kind, COME_BACK)
+    }
+
+    /// Takes a request off its endpoint.
+    fn release(&mut self, id: RequestId) -> Option<EndpointId> {
+        let request = self.requests.get_mut(id)?;
+        let at = request.at.take()?;
+        let unread = std::mem::take(&mut request.unread);
+        if let Some(endpoint) = self.fleet.get_mut(at) {
+            endpoint.inflight = endpoint.inflight.saturating_sub(1);
+            endpoint.unread = endpoint.unread.saturating_sub(unread);
+        }
+        Some(at)
+    }
+
+    fn end(&mut self, id: RequestId) {
+        self.release(id);
+        self.requests.remove(id);
+    }
+
+    fn began(&mut self, now: Tick, id: RequestId, load: Option<Load>) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        if std::mem::replace(&mut request.began, true) {
+            return;
+        }
+        let unread = std::mem::take(&mut request.unread);
+        let at = request.at;
+        let account = request.account.and_then(|id| request.plan.account(id));
+        if let Some(account) = account {
+            self.tally.count(now, &account.name);
+        }
+        if let Some(endpoint) = at.and_then(|at| self.fleet.get_mut(at)) {
+            endpoint.unread = endpoint.unread.saturating_sub(unread);
+            endpoint.health.succeeded(now);
+            if let Some(load) = load {
+                endpoint.note_load(now, load);
+            }
+        }
+    }
+
+    fn failed(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        id: RequestId,
+        failure: Failure,
+        out: &mut Outbox<Output>,
+    ) {
+        if let Some(at) = self.release(id) {
+            self.blame(now, at, failure, out);
+            if let Some(request) = self.requests.get_mut(id) {
+                request.tried.push(at);
+                request.runs += u32::from(!failure.not_run());
+            }
+        }
+        let verdict = if self.may_retry(now, id, failure, out) {
+            if let Some(request) = self.requests.get(id) {
+                let name = request.name.clone();
+                out.push(Output::Trace(Trace::Retried(name, failure)));
+            }
+            self.assign(now, id, out)
+        } else if failure == Failure::Errored {
+            self.end(id);
+            Verdict::Pass
+        } else {
+            let kind = match failure {
+                Failure::Full => Kind::Overloaded,
+                _ => Kind::EndpointMissing,
+            };
+            self.refuse(id, kind, Some(failure), out)
+        };
+        out.push(Output::Reply(ticket, verdict));
+    }
+
+    /// Notes a failure against the endpoint.
+    fn blame(&mut self, now: Tick, at: EndpointId, failure: Failure, out: &mut Outbox<Output>) {
+        let Some(endpoint) = self.fleet.get_mut(at) else {
+            return;
+        };
+        match failure {
+            Failure::Misdirected => self.fleet.forget(at),
+            Failure::Full => {
+                let slots = endpoint.listing.slots;
+                let full = Load {
+                    running: slots,
+                    waiting: slots,
+                    slots,
+                };
+                endpoint.note_load(now, full);
+            }
+            _ => {
+                if endpoint.health.failed(now) {
+                    let instance = endpoint.listing.instance.clone();
+                    out.push(Output::Trace(Trace::Ejected(instance)));
+                }
+            }
+        }
+    }
+
+    fn may_retry(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        failure: Failure,
+        out: &mut Outbox<Output>,
+    ) -> bool {
+        let Some(request) = self.requests.get(id) else {
+            return false;
+        };
+        let plan = &request.plan;
+        let Some(route) = plan.route(request.route) else {
+            return false;
+        };
+        let Some(service) = plan.service(request.service) else {
+            return false;
+        };
+        let allowed = if failure.not_run() {
+            request.runs < route.attempts && request.attempts < route.attempts + SPARE_ATTEMPTS
+        } else {
+            route.repeat.allowed() && request.runs < route.attempts
+        };
+        if !allowed || request.until.since(now) < LEAST_TIME {
+            return false;
+        }
+        let budget = self.budgets.entry(service.name.clone()).or_default();
+        let extra = self.seed.extra / self.fronts as f64;
+        let taken = budget.take(now, self.seed.span, self.seed.ratio, extra);
+        if !taken {
+            let name = request.name.clone();
+            out.push(Output::Trace(Trace::BudgetSpent(name)));
+        }
+        taken
+    }
+
+    fn relist(&mut self, now: Tick, list: Vec<Listing>, out: &mut Outbox<Output>) {
+        if self.fleet.relist(now, list, &mut self.rng) {
+            let (all, leaving) = self.fleet.counts();
+            out.push(Output::Trace(Trace::Relisted(all, leaving)));
+        }
+    }
+}
+
+/// The account that a request runs for.
+fn holder(plan: &Plan, route: &Route, key: Option<&str>) -> Result<Option<AccountId>, Kind> {
+    if route.open || !plan.keyed() {
+        return Ok(None);
+    }
+    let key = key.ok_or(Kind::KeyMissing)?;
+    plan.holder(key).map(Some).ok_or(Kind::KeyInvalid)
+}
+
+/// The candidates' places in the order that all fronts of a zone prefer for a prompt, so that its
+/// parts are read once. The order hangs on the deepest part that requests share.
+fn preferred(
+    prompt: Option<&Prompt>,
+    zone: &str,
+    candidates: &[(EndpointId, &Endpoint)],
+) -> Vec<usize> {
+    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+    let Some((part, _)) = parts.get(parts.len().saturating_sub(2)) else {
+        return vec![0; candidates.len()];
+    };
+    let weight = |endpoint: &Endpoint| {
+        let mut hasher = DefaultHasher::new();
+        (part, &endpoint.listing.instance).hash(&mut hasher);
+        hasher.finish()
+    };
+    let near: Vec<_> = candidates
+        .iter()
+        .filter(|(_, endpoint)| endpoint.listing.zone == zone)
+        .map(|(_, endpoint)| weight(endpoint))
+        .collect();
+    let place = |endpoint: &Endpoint| {
+        if endpoint.listing.zone != zone {
+            return 0;
+        }
+        let own = weight(endpoint);
+        near.iter()
+            .filter(|other| **other > own)
+            .count()
+            .min(ORDERED)
+    };
+    candidates
+        .iter()
+        .map(|(_, endpoint)| place(endpoint))
+        .collect()
+}
+
+impl<C: Choice> Core for Relay<C> {
+    type Input = Input;
+    type Output = Output;
+
+    fn step(&mut self, now: Tick, input: Input, out: &mut Outbox<Output>) {
+        match input {
+            Input::View(view) => self.view(now, *view, out),
+            Input::Listed(list) => self.relist(now, list, out),
+            Input::Arrive(ticket, ask) => self.arrive(now, ticket, *ask, out),
+            Input::Began(id, load) => self.began(now, id, load),
+            Input::Failed(ticket, id, failure) => self.failed(now, ticket, id, failure, out),
+            Input::Done(id) | Input::Gone(id) => self.end(id),
+            Input::Usage(ticket, sealed, open) => {
+                let windows = self.tally.unsealed(now, sealed, open);
+                out.push(Output::Usage(ticket, windows));
+            }
+            Input::Ready(ticket) => out.push(Output::Ready(ticket, self.serves(now))),
+            Input::Drain => self.draining = true,
+        }
+    }
+
+    fn wake(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        if !self.stale && now >= self.fresh {
+            self.stale = true;
+            out.push(Output::Trace(Trace::Fresh(false)));
+        }
+    }
+
+    fn deadline(&self) -> Option<Tick> {
+        (!self.stale).then_some(self.fresh)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/request.rs
@@ -0,0 +1,40 @@
+//! A request on its way.
+
+use std::sync::Arc;
+
+use ids::{
+    AccountId,
+    EndpointId,
+    RouteId,
+    ServiceId,
+    Tick, //
+};
+
+use plan::Plan;
+
+use crate::message::Prompt;
+
+/// A request that has not ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) name: String,
+    /// The plan that it was admitted under; the keys below are of this plan.
+    pub(crate) plan: Arc<Plan>,
+    pub(crate) route: RouteId,
+    pub(crate) service: ServiceId,
+    pub(crate) account: Option<AccountId>,
+    pub(crate) prompt: Option<Prompt>,
+    pub(crate) rank: u8,
+    pub(crate) until: Tick,
+    /// Endpoints that may have run it.
+    pub(crate) runs: u32,
+    /// Attempts made, whether they ran or not.
+    pub(crate) attempts: u32,
+    pub(crate) tried: Vec<EndpointId>,
+    pub(crate) at: Option<EndpointId>,
+    /// When the current attempt is past its target.
+    pub(crate) due: Tick,
+    /// Prompt tokens counted as unread at the endpoint.
+    pub(crate) unread: u64,
+    pub(crate) began: bool,
+}
--- a/crates/script/src/control.rs
+++ b/crates/script/src/control.rs
@@ -2,6 +2,7 @@
 
 use agree::{
     MemberId,
+    Promotion,
     Record,
     Saved,
     Seed,
@@ -42,10 +43,12 @@
             node: Seed {
                 id: self.id,
                 timing: Timing::default(),
+                promotion: Promotion::Each,
                 random,
             },
             wall: 1_800_000_000_000,
             window: std::time::Duration::from_secs(3600),
+            plan: None,
         };
         self.run += 1;
         self.core = Some(Govern::new(now, seed, Packed, saved)?);
--- a/crates/script/src/hosts.rs
+++ b/crates/script/src/hosts.rs
@@ -74,7 +74,10 @@
                         self.reply(n, call, reply);
                     }
                 }
-                govern::Output::Deliver(..) | govern::Output::Trace(_) => {}
+                govern::Output::Deliver(..)
+                | govern::Output::Bill(..)
+                | govern::Output::Seek(..)
+                | govern::Output::Trace(_) => {}
             }
         }
         self.schedule(me);
--- a/crates/store/src/vault.rs
+++ b/crates/store/src/vault.rs
@@ -50,7 +50,8 @@
     /// [`StoreError::Exists`] if the folder holds state; [`StoreError::Io`].
     pub fn init(dir: &Path, identity: u64, first: &[u8]) -> Result<(), StoreError> {
         fs::create_dir_all(dir).map_err(StoreError::io(dir))?;
-        if dir.join(CURRENT).exists() || dir.join(IDENTITY).exists() {
+        // Without `current`, an earlier initialisation was not finished and nothing was said by it.
+        if Self::exists(dir) {
             return Err(StoreError::Exists(dir.to_owned()));
         }
         write_whole(dir, IDENTITY, identity.to_string().as_bytes())?;
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod book;
 mod count;
+mod statement;
 
 pub use book::{
     Book,
@@ -19,3 +20,9 @@
     Report,
     Source, //
 };
+pub use statement::{
+    Collector,
+    Runs,
+    Statement,
+    Statements, //
+};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -43,10 +43,13 @@
 pub use packed::Packed;
 pub use peer::{
     Answer,
+    BoardAnswer,
+    BoardAsk,
     ClaimAsk,
     Mail,
     SettleAsk,
     Side,
+    TallyAsk,
     ViewAnswer,
     ViewAsk,
     paths, //
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -20,6 +20,7 @@
     RequestKey,
     Settlement, //
 };
+use plan::BoardCopy;
 use serde::{
     Deserialize,
     Serialize, //
@@ -28,6 +29,7 @@
     DurationMilliSeconds,
     serde_as, //
 };
+use usage::Runs;
 
 /// Paths of the messages.
 pub mod paths {
@@ -43,6 +45,12 @@
     pub const SETTLE: &str = "/peer/settle";
     /// A usage report.
     pub const USAGE: &str = "/peer/usage";
+    /// A question for a newer edition of the board.
+    pub const BOARD: &str = "/peer/board";
+    /// A request to be taken into the control group.
+    pub const JOIN: &str = "/peer/join";
+    /// A front's usage by windows.
+    pub const TALLY: &str = "/peer/tally";
     /// An attempt, to an agent.
     pub const ATTEMPT: &str = "/peer/attempt";
     /// Distinguishes the seal of an answer from that of its question.
@@ -106,6 +114,52 @@
     pub hosts: Vec<SocketAddr>,
 }
 
+/// Asks for an edition of the board newer than the one held.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct BoardAsk {
+    /// The host that asks.
+    pub host: HostName,
+    /// Its run.
+    pub run: Incarnation,
+    /// The edition it holds.
+    pub edition: u64,
+    /// How long the answer may wait for a newer one.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub wait: Duration,
+}
+
+/// What brings a follower of the board up to date.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct BoardAnswer {
+    /// The board; none if the follower has the newest edition.
+    pub copy: Option<BoardCopy>,
+    /// How long the follower may go by it, counted from the moment it asked.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub fresh: Duration,
+    /// The control hosts.
+    pub hosts: Vec<SocketAddr>,
+    /// How many processes follow the board here.
+    pub followers: u64,
+    /// Unix time in milliseconds.
+    pub wall: u64,
+}
+
+/// A front's usage of windows that are not sealed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct TallyAsk {
+    /// The front's host.
+    pub host: HostName,
+    /// Its run.
+    pub run: Incarnation,
+    /// Runs by account, for each window.
+    pub windows: Vec<(u64, Runs)>,
+}
+
 /// Claims a request that may not be repeated.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
