--- a/crates/front/src/bill.rs
+++ b/crates/front/src/bill.rs
@@ -1,4 +1,4 @@
-//! Sends the usage of ended windows to the control group until they are sealed.
+//! Sends the usage of windows to the control group until they are sealed.
 
 use std::thread;
 use std::time::Duration;
@@ -26,7 +26,7 @@
     FrontInbox, //
 };
 
-/// How often ended windows are looked for.
+/// How often usage is sent. The figures of a front that is killed are short by what began since.
 const EVERY: Duration = Duration::from_secs(1);
 /// How long the control group may take.
 const PATIENCE: Duration = Duration::from_millis(900);
@@ -45,15 +45,15 @@
 }
 
 impl Sender {
-    /// Sends what has ended and waits. None once the core has ended.
+    /// Waits and sends. None once the core has ended.
     pub(crate) fn turn(&mut self) -> Option<()> {
         thread::park_timeout(EVERY);
-        self.send(false)
+        self.send()
     }
 
-    /// Sends the windows that are not sealed; with `open`, also the one that has not ended.
-    pub(crate) fn send(&mut self, open: bool) -> Option<()> {
-        let windows = self.ask(open)?;
+    /// Sends the windows that are not sealed.
+    pub(crate) fn send(&mut self) -> Option<()> {
+        let windows = self.ask()?;
         if windows.is_empty() {
             return Some(());
         }
@@ -79,9 +79,9 @@
         Some(())
     }
 
-    fn ask(&self, open: bool) -> Option<Vec<(u64, Runs)>> {
+    fn ask(&self) -> Option<Vec<(u64, Runs)>> {
         let (tx, rx) = bounded(1);
-        let input = Input::Usage(TICKET, self.sealed, open);
+        let input = Input::Usage(TICKET, self.sealed);
         let attachment = Attachment::Usage(TICKET, tx);
         self.inbox.call(attachment, input).ok()?;
         rx.recv_blocking().ok()
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -182,7 +182,7 @@
         std::thread::sleep(self.linger);
         let left = self.grace.saturating_sub(self.linger + LAST_MOMENTS);
         self.server.close_within(left);
-        let _ = self.last.send(true);
+        let _ = self.last.send();
         self.follow.close();
         self.reader.close();
         self.sender.close();
--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -5,8 +5,8 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
-/// Prompt tokens that an engine reads in a millisecond, as the users' pages give it.
-const READ_PER_MS: f64 = 92.1;
+use crate::lane::READ_PER_MS;
+
 /// What each running request adds to an engine's step, in milliseconds, as the users' site files
 /// give it.
 const STEP_MS: f64 = 0.121;
@@ -18,9 +18,6 @@
 const FAILING_MS: f64 = 1500.0;
 /// A request that waits for more than its target counts as this much, in milliseconds.
 const OVERDUE_MS: f64 = 150.0;
-/// What each step down the prompt's preferred order costs, in milliseconds: about the time to read
-/// the parts of a prompt that an endpoint higher up would hold.
-const ORDER_MS: f64 = 12.0;
 
 /// What is known of one candidate.
 #[derive(Clone, Copy, Debug, Default)]
@@ -31,8 +28,8 @@
     pub slots: f64,
     /// Prompt tokens to be read before this request's answer begins; none for plain requests.
     pub tokens: Option<f64>,
-    /// Place in the prompt's preferred order, 0 first.
-    pub order: f64,
+    /// What it costs that another endpoint is the better place for the prompt, in milliseconds.
+    pub place: f64,
     /// Requests of this front there that are past their target.
     pub overdue: f64,
     /// The share of attempts that failed lately.
@@ -59,7 +56,7 @@
             Some(tokens) => tokens / READ_PER_MS + of.busy * STEP_MS * STEPS + over * 20.0,
             None => of.busy / slots * WORK_MS + over / slots * WORK_MS * 2.0,
         };
-        work + of.order * ORDER_MS
+        work + of.place
             + of.overdue * OVERDUE_MS
             + of.failing * FAILING_MS
             + of.distance.as_secs_f64() * 1000.0
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -115,8 +115,15 @@
     }
 
     /// Prompt tokens that the endpoint would have to read: a part is cached only if all parts
-    /// before it are.
-    pub(crate) fn to_read(&self, now: Tick, prompt: &Prompt) -> u64 {
+    /// before it are. At the endpoint where all fronts send a prompt's shared parts, these are
+    /// taken to be cached.
+    pub(crate) fn to_read(&self, now: Tick, prompt: &Prompt, at_home: bool) -> u64 {
+        if at_home {
+            return prompt
+                .parts
+                .last()
+                .map_or(prompt.input, |(_, tokens)| *tokens);
+        }
         let cached = |part: &&(u64, u64)| {
             let used = self.parts.get(&part.0);
             used.is_some_and(|at| now.since(*at) <= CACHED_FOR)
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -194,9 +194,8 @@
     Done(RequestId),
     /// A request ended without: its caller left, or its answer was broken off.
     Gone(RequestId),
-    /// A question for the usage that is not sealed: the last window sealed, and whether the window
-    /// that has not ended is asked for too.
-    Usage(Ticket, Option<u64>, bool),
+    /// A question for the usage that is not sealed; the last window sealed.
+    Usage(Ticket, Option<u64>),
     /// A question whether this front serves.
     Ready(Ticket),
     /// Say from now on that this front does not serve. Requests that still come are served.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -44,6 +44,10 @@
 };
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
+use crate::lane::{
+    Lanes,
+    READ_PER_MS, //
+};
 use crate::message::{
     Ask,
     Failure,
@@ -71,10 +75,11 @@
 const STREAM_PATIENCE: u32 = 5;
 /// The rest of a stream is sought elsewhere after this many times its longest pause.
 const PAUSE_PATIENCE: u32 = 3;
-/// What an endpoint of another zone costs: the price of the bytes, as time.
-const OTHER_ZONE: Duration = Duration::from_millis(25);
-/// Places in a prompt's preferred order that are told apart.
-const ORDERED: usize = 2;
+/// What an endpoint of another zone costs: two hops, and the price of the bytes as time.
+const OTHER_ZONE: Duration = Duration::from_millis(4);
+/// How much worse it is to read shared parts again than the time it takes: the price of tokens
+/// read again, as time.
+const ASTRAY: f64 = 1.5;
 /// When to come back after a refusal for want of an endpoint.
 const COME_BACK: Duration = Duration::from_millis(250);
 /// Fronts assumed before the control group says how many there are.
@@ -283,27 +288,32 @@
             candidates.retain(|(_, endpoint)| !endpoint.health.ejected(now));
         }
         let overdue = self.overdue(now);
-        let orders = preferred(request.prompt.as_ref(), &self.seed.zone, &candidates);
-        let estimates: Vec<_> = candidates
-            .iter()
-            .zip(&orders)
-            .map(|((id, endpoint), order)| {
-                let tokens = request
-                    .prompt
-                    .as_ref()
-                    .map(|prompt| (endpoint.to_read(now, prompt) + endpoint.unread) as f64);
-                let near = endpoint.listing.zone == self.seed.zone;
-                Estimate {
-                    busy: endpoint.busy(now),
-                    slots: f64::from(endpoint.listing.slots),
-                    tokens,
-                    order: *order as f64,
-                    overdue: overdue.get(id).copied().unwrap_or_default(),
-                    failing: endpoint.health.failing(now),
-                    distance: if near { Duration::ZERO } else { OTHER_ZONE },
-                }
-            })
-            .collect();
+        let lanes = Lanes::of(self.fleet.of(&service.name));
+        let home = request
+            .prompt
+            .as_ref()
+            .and_then(|prompt| home(prompt, &lanes, &candidates));
+        let estimate = |(id, endpoint): &(EndpointId, &Endpoint)| {
+            let near = endpoint.listing.zone == self.seed.zone;
+            let mut estimate = Estimate {
+                busy: endpoint.busy(now),
+                slots: f64::from(endpoint.listing.slots),
+                overdue: overdue.get(id).copied().unwrap_or_default(),
+                failing: endpoint.health.failing(now),
+                distance: if near { Duration::ZERO } else { OTHER_ZONE },
+                ..Estimate::default()
+            };
+            if let Some(prompt) = &request.prompt {
+                let at_home = home == Some(*id);
+                let to_read = endpoint.to_read(now, prompt, at_home);
+                let astray = shared(prompt) as f64 / READ_PER_MS * ASTRAY;
+                estimate.tokens = Some((to_read + endpoint.unread) as f64);
+                estimate.place =
+                    lanes.cost(*id, prompt, to_read) + if at_home { 0.0 } else { astray };
+            }
+            estimate
+        };
+        let estimates: Vec<_> = candidates.iter().map(estimate).collect();
         let chosen = self.choice.choose(&estimates, &mut self.rng)?;
         Some(candidates[chosen].0)
     }
@@ -339,7 +349,7 @@
         request.unread = 0;
         endpoint.inflight += 1;
         if let Some(prompt) = &request.prompt {
-            request.unread = endpoint.to_read(now, prompt);
+            request.unread = endpoint.to_read(now, prompt, false);
             endpoint.unread += request.unread;
             endpoint.remember(now, prompt);
         }
@@ -540,41 +550,32 @@
     plan.holder(key).map(Some).ok_or(Kind::KeyInvalid)
 }
 
-/// The candidates' places in the order that all fronts of a zone prefer for a prompt, so that its
-/// parts are read once. The order hangs on the deepest part that requests share.
-fn preferred(
-    prompt: Option<&Prompt>,
-    zone: &str,
+/// The endpoint that a prompt's shared parts are read at, among those of its lane if there are any.
+fn home(
+    prompt: &Prompt,
+    lanes: &Lanes,
     candidates: &[(EndpointId, &Endpoint)],
-) -> Vec<usize> {
-    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
-    let Some((part, _)) = parts.get(parts.len().saturating_sub(2)) else {
-        return vec![0; candidates.len()];
-    };
-    let weight = |endpoint: &Endpoint| {
-        let mut hasher = DefaultHasher::new();
-        (part, &endpoint.listing.instance).hash(&mut hasher);
-        hasher.finish()
-    };
-    let near: Vec<_> = candidates
+) -> Option<EndpointId> {
+    let best = candidates
         .iter()
-        .filter(|(_, endpoint)| endpoint.listing.zone == zone)
-        .map(|(_, endpoint)| weight(endpoint))
-        .collect();
-    let place = |endpoint: &Endpoint| {
-        if endpoint.listing.zone != zone {
-            return 0;
-        }
-        let own = weight(endpoint);
-        near.iter()
-            .filter(|other| **other > own)
-            .count()
-            .min(ORDERED)
-    };
-    candidates
-        .iter()
-        .map(|(_, endpoint)| place(endpoint))
-        .collect()
+        .max_by_key(|(id, endpoint)| (lanes.suits(*id, prompt), affinity(prompt, endpoint)));
+    best.map(|(id, _)| *id)
+}
+
+/// How strongly an endpoint is preferred for a prompt: the same on all fronts, so that the parts
+/// that requests share are read in one place. It hangs on the deepest of these parts.
+fn affinity(prompt: &Prompt, endpoint: &Endpoint) -> u64 {
+    let deepest = prompt.parts.len().saturating_sub(2);
+    let part = prompt.parts.get(deepest).map(|(part, _)| part);
+    let mut hasher = DefaultHasher::new();
+    (part, &endpoint.listing.instance).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Tokens of the parts that a prompt shares with others: all but the last.
+fn shared(prompt: &Prompt) -> u64 {
+    let shared = prompt.parts.iter().rev().skip(1);
+    shared.map(|(_, tokens)| tokens).sum()
 }
 
 impl<C: Choice> Core for Relay<C> {
@@ -589,8 +590,8 @@
             Input::Began(id, load) => self.began(now, id, load),
             Input::Failed(ticket, id, failure) => self.failed(now, ticket, id, failure, out),
             Input::Done(id) | Input::Gone(id) => self.end(id),
-            Input::Usage(ticket, sealed, open) => {
-                let windows = self.tally.unsealed(now, sealed, open);
+            Input::Usage(ticket, sealed) => {
+                let windows = self.tally.unsealed(now, sealed);
                 out.push(Output::Usage(ticket, windows));
             }
             Input::Ready(ticket) => out.push(Output::Ready(ticket, self.serves(now))),
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -43,14 +43,9 @@
         }
     }
 
-    /// The windows that are not sealed and have ended, empty ones included from the first on; with
-    /// `open`, also the one that has not ended.
-    pub(crate) fn unsealed(
-        &mut self,
-        now: Tick,
-        sealed: Option<u64>,
-        open: bool,
-    ) -> Vec<(u64, Runs)> {
+    /// The windows that are not sealed, empty ones included from the first on, and the one that has
+    /// not ended.
+    pub(crate) fn unsealed(&mut self, now: Tick, sealed: Option<u64>) -> Vec<(u64, Runs)> {
         if let Some(sealed) = sealed {
             self.windows.retain(|window, _| *window > sealed);
         }
@@ -64,7 +59,7 @@
         };
         let kept = KEPT_WINDOWS as u64;
         let from = first.max(current.saturating_sub(kept));
-        (from..current + u64::from(open))
+        (from..=current)
             .map(|window| {
                 (
                     window,
