Count usage when it happened, and keep the figures in the log

Ruled out: differing clocks (all hosts agreed), requests that the engine had not begun (counting at the first event or at the head of the answer made no difference). Cause of windows lost when the leader or all hosts go: figures lived in the leader's memory. They are noted in the log twice a second now, and a new leader waits for fronts to find it before it seals a window that some have not reported. Fronts that follow nobody pass over a host that does not answer within 300 ms.

--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -218,7 +218,11 @@
 }
 
 fn tally(ask: TallyAsk) -> Question {
-    Question::Tally(follower(ask.host, ask.run), ask.windows)
+    let counter = usage::Counter {
+        host: ask.host.to_string(),
+        run: ask.run.0,
+    };
+    Question::Tally((counter, ask.windows))
 }
 
 fn follower(host: HostName, run: Incarnation) -> ViewerId {
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -102,6 +102,9 @@
                 let fence = authority.term.0;
                 let call = self.desk.bill(&statement, &self.holder, fence);
                 let number = statement.window;
+                let runs: u64 = statement.runs.values().sum();
+                event!(self.log, WindowReported, "window" => number, "runs" => runs,
+                    "sources" => statement.sources, "fence" => fence);
                 Input::Billed(number, self.deliver(number, &call, authority))
             }
         }
--- a/crates/front/src/bill.rs
+++ b/crates/front/src/bill.rs
@@ -27,7 +27,7 @@
 };
 
 /// How often usage is sent. The figures of a front that is killed are short by what began since.
-const EVERY: Duration = Duration::from_secs(1);
+const EVERY: Duration = Duration::from_millis(500);
 /// How long the control group may take.
 const PATIENCE: Duration = Duration::from_millis(900);
 /// The ticket of questions for usage; there is one at a time.
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -54,6 +54,9 @@
 const POLL_WAIT: Duration = Duration::from_millis(800);
 /// How long the whole call may take: the wait, and what a loaded control host needs.
 const POLL_PATIENCE: Duration = Duration::from_millis(1300);
+/// How long the call may take while the front follows nobody: a host that does not answer at once
+/// is passed over.
+const EAGER_PATIENCE: Duration = Duration::from_millis(300);
 /// Pause after a round in which no control host answered.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -125,16 +128,20 @@
 
     fn ask(&mut self, host: SocketAddr) -> Result<BoardAnswer, PeerError> {
         self.counters.count(Counter::ViewAsked);
+        let eager = self.edition == 0 || !self.reached;
+        let (wait, patience) = if eager {
+            (Duration::ZERO, EAGER_PATIENCE)
+        } else {
+            (POLL_WAIT, POLL_PATIENCE)
+        };
         let ask = BoardAsk {
             host: self.host.clone(),
             run: self.run,
             edition: self.edition,
-            wait: POLL_WAIT,
+            wait,
         };
         let body = self.control.seal(paths::BOARD, &ask)?;
-        let answer = self
-            .control
-            .call_one(host, paths::BOARD, body, POLL_PATIENCE)?;
+        let answer = self.control.call_one(host, paths::BOARD, body, patience)?;
         match answer {
             Answer::Done(answer) => Ok(answer),
             Answer::Elsewhere(_) | Answer::Unavailable => Err(PeerError::Unavailable),
@@ -163,7 +170,8 @@
             content,
             fresh: asked + answer.fresh,
             fronts: usize::try_from(answer.followers).unwrap_or(usize::MAX),
-            wall: answer.wall,
+            // The answer may have waited for news, so its time is that of its arrival.
+            wall: (answer.wall, self.clock.now()),
             at: asked,
         };
         self.inbox.send(Input::View(Box::new(view))).ok()
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -317,13 +317,9 @@
         if opened.fresh {
             self.desk.counters.count(Counter::LinkOpened);
         }
-        let load = opened.load;
+        office.began(go.request, opened.load);
         if !go.repeat.streams() || opened.status != 200 {
-            let answer = self.attempts.whole(go, opened).await?;
-            if answer.status < 500 {
-                office.began(go.request, load);
-            }
-            return Ok(Attempted::Whole(answer));
+            return Ok(Attempted::Whole(self.attempts.whole(go, opened).await?));
         }
         let mut events = Events::default();
         let mut first = Vec::new();
@@ -338,7 +334,6 @@
                 }
             }
         }
-        office.began(go.request, load);
         Ok(Attempted::Stream(Box::new(opened), events, first))
     }
 
--- a/crates/govern/src/bill.rs
+++ b/crates/govern/src/bill.rs
@@ -1,31 +1,39 @@
-//! Usage by windows of the wall clock: collected, sealed through the log, reported by the leader.
+//! Usage by windows of the wall clock: noted and sealed through the log, reported by the leader.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ids::Tick;
 use usage::{
-    Collector,
+    Counter,
     Runs,
     Statement,
-    Statements, //
+    Statements,
+    Tally, //
 };
 
 use crate::message::PlanSeed;
-use crate::viewers::ViewerId;
 
-/// A window is sealed this long after its end at the earliest: sources report it a second after
-/// its end and again a second later.
+/// Figures are noted in the log this often; what is newer is lost with the leader, unless the
+/// process that counted lives and sends it again.
+const NOTE_EVERY: Duration = Duration::from_millis(500);
+/// A window is sealed this long after its end at the earliest; processes report twice a second.
 const SEAL_AFTER: Duration = Duration::from_millis(2500);
-/// A window is sealed this long after its end though a source has not reported it.
+/// A window is sealed this long after its end though a process has not reported it.
 const SEAL_ANYWAY: Duration = Duration::from_secs(6);
+/// A new leader waits this long for processes to find it before it seals a window that some have
+/// not reported.
+const FIND_LEADER: Duration = Duration::from_millis(2500);
 /// How long a report that was refused or lost waits.
 const REPORT_AGAIN: Duration = Duration::from_millis(700);
 
 /// What is due.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Due {
-    /// Seal a window with these figures, from so many sources.
-    Seal(u64, Runs, usize),
+    /// Note these figures in the log.
+    Note(Vec<Tally>),
+    /// Seal a window.
+    Seal(u64),
     /// Report a sealed window.
     Report(Statement),
 }
@@ -33,32 +41,25 @@
 /// The leader's side of usage by windows.
 #[derive(Debug, Default)]
 pub(crate) struct Biller {
-    collector: Collector<ViewerId>,
-    sealing: Option<u64>,
+    /// Figures that came since the last were noted.
+    fresh: BTreeMap<Counter, Vec<(u64, Runs)>>,
+    noted: Tick,
+    sealing: bool,
     reporting: bool,
     again: Tick,
     led: Option<Tick>,
 }
 
 impl Biller {
-    /// Takes a source's figures.
-    pub(crate) fn report(
-        &mut self,
-        last: Option<u64>,
-        source: &ViewerId,
-        windows: Vec<(u64, Runs)>,
-    ) {
-        for (window, runs) in windows {
-            if last.is_none_or(|last| window > last) {
-                self.collector.report(source.clone(), window, runs);
-            }
-        }
+    /// Takes a process's figures.
+    pub(crate) fn report(&mut self, tally: Tally) {
+        let (counter, windows) = tally;
+        self.fresh.insert(counter, windows);
     }
 
     /// Notes that a window was sealed.
-    pub(crate) fn sealed(&mut self, window: u64) {
-        self.sealing = None;
-        self.collector.forget(window);
+    pub(crate) fn sealed(&mut self) {
+        self.sealing = false;
     }
 
     /// Notes the answer to a report.
@@ -83,10 +84,15 @@
         statements: &Statements,
     ) -> Option<Due> {
         let led = *self.led.get_or_insert(now);
-        if let Some(window) = self.due(wall, plan.window, statements) {
-            self.sealing = Some(window);
-            let sources = self.collector.sources(window);
-            return Some(Due::Seal(window, self.collector.sum(window), sources));
+        if !self.fresh.is_empty() && now.since(self.noted) >= NOTE_EVERY {
+            self.noted = now;
+            return Some(Due::Note(
+                std::mem::take(&mut self.fresh).into_iter().collect(),
+            ));
+        }
+        if let Some(window) = self.due(now.since(led), wall, plan.window, statements) {
+            self.sealing = true;
+            return Some(Due::Seal(window));
         }
         let settled = now.since(led) >= plan.settle;
         if self.reporting || !settled || now < self.again {
@@ -97,18 +103,22 @@
         Some(Due::Report(statement))
     }
 
-    fn due(&self, wall: u64, length: Duration, statements: &Statements) -> Option<u64> {
-        if self.sealing.is_some() {
+    fn due(
+        &self,
+        led: Duration,
+        wall: u64,
+        length: Duration,
+        statements: &Statements,
+    ) -> Option<u64> {
+        if self.sealing {
             return None;
         }
-        let window = match statements.last() {
-            Some(last) => last + 1,
-            None => self.collector.first()?,
-        };
+        let window = statements.next()?;
         let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         let end = (window + 1).saturating_mul(millis(length));
-        let complete = self.collector.sources(window) >= statements.sources().max(1);
+        let complete = statements.reported(window) >= statements.sources().max(1);
         let due = if complete { SEAL_AFTER } else { SEAL_ANYWAY };
-        (wall >= end.saturating_add(millis(due))).then_some(window)
+        let found = complete || led >= FIND_LEADER;
+        (found && wall >= end.saturating_add(millis(due))).then_some(window)
     }
 }
--- a/crates/govern/src/command.rs
+++ b/crates/govern/src/command.rs
@@ -21,7 +21,7 @@
 };
 use usage::{
     Report,
-    Runs, //
+    Tally, //
 };
 
 use crate::machine::MachineState;
@@ -67,15 +67,10 @@
     Install(Document),
     /// Closes (true) or opens a zone of the plan.
     Zone(String, bool),
-    /// Seals a usage window of the wall clock.
-    State {
-        /// The window's number.
-        window: u64,
-        /// The figures.
-        runs: Runs,
-        /// How many sources reported them.
-        sources: usize,
-    },
+    /// Takes figures of usage windows of the wall clock.
+    Tally(Vec<Tally>),
+    /// Seals such a window.
+    State(u64),
     /// Notes that such a window was accepted by the billing interface.
     Stated(u64),
 }
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -27,7 +27,7 @@
     Core,
     Outbox, //
 };
-use usage::Runs;
+use usage::Tally;
 
 use crate::bill::{
     Biller,
@@ -51,7 +51,6 @@
 use crate::roster::Roster;
 use crate::viewers::{
     FRESH,
-    ViewerId,
     Viewers, //
 };
 
@@ -177,7 +176,7 @@
                 self.documents.push(read);
             }
             Question::Join(member) => self.join(now, ticket, member, out),
-            Question::Tally(source, windows) => self.tally(now, ticket, &source, windows, out),
+            Question::Tally(tally) => self.tally(now, ticket, tally, out),
             Question::Member(change) => self.change_group(now, ticket, &change, out),
             Question::Status => {
                 let status = Box::new(self.status(now));
@@ -286,14 +285,7 @@
         out.push(Output::Reply(ticket, Reply::Member(Ok(()))));
     }
 
-    fn tally(
-        &mut self,
-        now: Tick,
-        ticket: Ticket,
-        source: &ViewerId,
-        windows: Vec<(u64, Runs)>,
-        out: &mut Outbox<Output>,
-    ) {
+    fn tally(&mut self, now: Tick, ticket: Ticket, tally: Tally, out: &mut Outbox<Output>) {
         if self.node.authority(now).is_none() {
             let leader = self.address(self.node.standing().leader);
             let leader = leader.filter(|_| !self.node.leads());
@@ -301,7 +293,7 @@
             return;
         }
         let last = self.machine.statements.last();
-        self.biller.report(last, source, windows);
+        self.biller.report(tally);
         out.push(Output::Reply(ticket, Reply::Tallied(last)));
     }
 
@@ -329,14 +321,10 @@
         let wall = self.wall(now);
         let statements = &self.machine.statements;
         match self.biller.next(now, wall, &plan, statements) {
-            Some(Due::Seal(window, runs, sources)) => {
-                let command = Command::State {
-                    window,
-                    runs,
-                    sources,
-                };
-                self.propose(now, None, &command, out);
+            Some(Due::Note(tallies)) => {
+                self.propose(now, None, &Command::Tally(tallies), out);
             }
+            Some(Due::Seal(window)) => self.propose(now, None, &Command::State(window), out),
             Some(Due::Report(statement)) => out.push(Output::Bill(statement, authority)),
             None => {}
         }
@@ -423,8 +411,8 @@
                 out.push(Output::Trace(Trace::Sealed(*number)));
             }
             Command::Accept(_) => self.delivering = false,
-            Command::State { window, .. } => {
-                self.biller.sealed(*window);
+            Command::State(window) => {
+                self.biller.sealed();
                 out.push(Output::Trace(Trace::Sealed(*window)));
             }
             Command::Stated(_) => self.biller.settled(),
--- a/crates/govern/src/machine.rs
+++ b/crates/govern/src/machine.rs
@@ -83,12 +83,14 @@
                 self.board.set_zone(&zone, closed);
                 Outcome::Noted
             }
-            Command::State {
-                window,
-                runs,
-                sources,
-            } => {
-                self.statements.seal(window, runs, sources);
+            Command::Tally(tallies) => {
+                tallies
+                    .into_iter()
+                    .for_each(|tally| self.statements.report(tally));
+                Outcome::Noted
+            }
+            Command::State(window) => {
+                self.statements.seal(window);
                 Outcome::Noted
             }
             Command::Stated(window) => {
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -30,8 +30,8 @@
     Document, //
 };
 use usage::{
-    Runs,
     Statement,
+    Tally,
     Window, //
 };
 
@@ -90,8 +90,8 @@
     Document,
     /// Take a host into the control group.
     Join(Member),
-    /// Take a source's figures of usage windows: the source, and runs by window.
-    Tally(ViewerId, Vec<(u64, Runs)>),
+    /// Take a process's figures of usage windows.
+    Tally(Tally),
 }
 
 /// Messages from one member to another.
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -88,6 +88,7 @@
     4201 WindowSealed Info "a usage window was sealed";
     4202 WindowDelivered Info "a usage window was accepted by the billing interface";
     4203 WindowHeld Warning "a usage window was not accepted and will be sent again";
+    4204 WindowReported Info "a usage window is sent to the billing interface";
     4301 OrderSent Info "an order was sent to the platform";
     4302 OrderHeld Warning "an order to the platform was not confirmed";
 }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -48,8 +48,8 @@
     pub fresh: Tick,
     /// How many fronts follow the board.
     pub fronts: usize,
-    /// Unix time in milliseconds at `at`, as the control group sees it.
-    pub wall: u64,
+    /// Unix time in milliseconds as the control group sees it, and when it was told.
+    pub wall: (u64, Tick),
     /// When the view was asked for.
     pub at: Tick,
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -139,7 +139,7 @@
         if view.edition < self.edition {
             return;
         }
-        self.tally.set_wall(view.wall, view.at);
+        self.tally.set_wall(view.wall);
         self.fronts = view.fronts.max(1);
         if let Some((plan, closed)) = view.content.filter(|_| view.edition > self.edition) {
             self.edition = view.edition;
@@ -432,7 +432,6 @@
         }
         if let Some(endpoint) = at.and_then(|at| self.fleet.get_mut(at)) {
             endpoint.unread = endpoint.unread.saturating_sub(unread);
-            endpoint.health.succeeded(now);
             if let Some(load) = load {
                 endpoint.note_load(now, load);
             }
@@ -449,6 +448,10 @@
     ) {
         if let Some(at) = self.release(id) {
             self.blame(now, at, failure, out);
+            if matches!(failure, Failure::Broken | Failure::Garbled) {
+                // It ran, as far as anybody can tell, and its answer was lost.
+                self.began(now, id, None);
+            }
             if let Some(request) = self.requests.get_mut(id) {
                 request.tried.push(at);
                 request.runs += u32::from(!failure.not_run());
@@ -589,7 +592,14 @@
             Input::Arrive(ticket, ask) => self.arrive(now, ticket, *ask, out),
             Input::Began(id, load) => self.began(now, id, load),
             Input::Failed(ticket, id, failure) => self.failed(now, ticket, id, failure, out),
-            Input::Done(id) | Input::Gone(id) => self.end(id),
+            Input::Done(id) => {
+                let at = self.requests.get(id).and_then(|request| request.at);
+                if let Some(endpoint) = at.and_then(|at| self.fleet.get_mut(at)) {
+                    endpoint.health.succeeded(now);
+                }
+                self.end(id);
+            }
+            Input::Gone(id) => self.end(id),
             Input::Usage(ticket, sealed) => {
                 let windows = self.tally.unsealed(now, sealed);
                 out.push(Output::Usage(ticket, windows));
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -28,8 +28,8 @@
         }
     }
 
-    pub(crate) fn set_wall(&mut self, wall: u64, at: Tick) {
-        self.wall = Some((wall, at));
+    pub(crate) fn set_wall(&mut self, wall: (u64, Tick)) {
+        self.wall = Some(wall);
     }
 
     pub(crate) fn count(&mut self, now: Tick, account: &str) {
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -174,7 +174,7 @@
             content,
             fresh: self.now + fresh,
             fronts: 8,
-            wall: 1_000_000_000,
+            wall: (1_000_000_000, self.now),
             at: self.now,
         };
         self.step(Input::View(Box::new(view)));
@@ -465,6 +465,26 @@
             assert_eq!(windows, &[(200_000, runs)]);
         });
     };
+    usage_goes_by_the_time_at_which_the_wall_clock_was_told: {
+        let mut front = Front::ready();
+        let asked = front.now;
+        front.pass(Duration::from_millis(800));
+        let view = View {
+            edition: 1,
+            content: None,
+            fresh: front.now + 4 * SECOND,
+            fronts: 8,
+            wall: (1_000_004_500, front.now),
+            at: asked,
+        };
+        front.step(Input::View(Box::new(view)));
+        let go = front.go("/once/x", None);
+        front.finish(&go);
+        let outputs = front.step(Input::Usage(Ticket(0), None));
+        assert_matches!(&outputs[..], [Output::Usage(_, windows)] => {
+            assert_eq!(windows[0].0, 200_000);
+        });
+    };
     stopping_front_serves_on_but_is_not_ready: {
         let mut front = Front::ready();
         front.step(Input::Drain);
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -21,8 +21,9 @@
     Source, //
 };
 pub use statement::{
-    Collector,
+    Counter,
     Runs,
     Statement,
-    Statements, //
+    Statements,
+    Tally, //
 };
--- a/crates/usage/src/statement.rs
+++ b/crates/usage/src/statement.rs
@@ -1,8 +1,8 @@
 //! Usage by windows of the wall clock, where the processes before the endpoints count.
 //!
-//! Each source counts the requests that began to run in a window and sends the figures until the
-//! window is sealed. The leader adds them up in a [`Collector`] and seals the sum as a
-//! [`Statement`]; from then on its figures never change.
+//! Each of these processes counts the requests that began to run in a window and sends the figures
+//! until the window is sealed. The leader seals the sum as a [`Statement`]; from then on its
+//! figures never change.
 
 use std::collections::{
     BTreeMap,
@@ -18,7 +18,7 @@
 
 /// Sealed statements that are kept; a few minutes of them.
 const KEPT_STATEMENTS: usize = 64;
-/// Windows a collector keeps for sources that report late.
+/// Open windows kept for processes that report late.
 const KEPT_WINDOWS: usize = 8;
 
 /// Requests that began to run, by account.
@@ -38,25 +38,61 @@
     pub delivery: Delivery,
 }
 
-/// The sealed windows; replicated.
+/// Who counts: a process before the endpoints, one of its runs.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Counter {
+    /// The host.
+    pub host: String,
+    /// The run.
+    pub run: u64,
+}
+
+/// What one process counted, by window.
+pub type Tally = (Counter, Vec<(u64, Runs)>);
+
+/// The windows, sealed and open; replicated, so that what was reported outlives the leader that
+/// heard it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Statements {
     sealed: VecDeque<Statement>,
     last: Option<u64>,
+    open: BTreeMap<u64, BTreeMap<Counter, Runs>>,
 }
 
 impl Statements {
-    /// Seals a window. One that is not after the last changes nothing.
-    pub fn seal(&mut self, window: u64, runs: Runs, sources: usize) {
+    /// Takes a process's figures, in place of its earlier ones. Those of sealed windows change
+    /// nothing.
+    pub fn report(&mut self, tally: Tally) {
+        let (counter, windows) = tally;
+        for (window, runs) in windows {
+            if self.last.is_none_or(|last| window > last) {
+                let counters = self.open.entry(window).or_default();
+                counters.insert(counter.clone(), runs);
+            }
+        }
+        while self.open.len() > KEPT_WINDOWS {
+            self.open.pop_first();
+        }
+    }
+
+    /// Seals a window with the sum of its figures. One that is not after the last changes nothing.
+    pub fn seal(&mut self, window: u64) {
         if self.last.is_some_and(|last| window <= last) {
             return;
         }
+        let counters = self.open.remove(&window).unwrap_or_default();
+        let mut runs = Runs::new();
+        for (account, count) in counters.values().flatten() {
+            *runs.entry(account.clone()).or_default() += count;
+        }
+        self.open.retain(|open, _| *open > window);
         self.last = Some(window);
         self.sealed.push_back(Statement {
             window,
             runs,
-            sources,
+            sources: counters.len(),
             delivery: Delivery::Pending,
         });
         if self.sealed.len() > KEPT_STATEMENTS {
@@ -72,11 +108,24 @@
         }
     }
 
-    /// How many sources reported the last window.
+    /// How many processes reported the last sealed window.
     pub fn sources(&self) -> usize {
         self.sealed.back().map_or(0, |held| held.sources)
     }
 
+    /// How many processes have reported an open window.
+    pub fn reported(&self, window: u64) -> usize {
+        self.open.get(&window).map_or(0, BTreeMap::len)
+    }
+
+    /// The window to be sealed next; none before the first report.
+    pub fn next(&self) -> Option<u64> {
+        match self.last {
+            Some(last) => Some(last + 1),
+            None => self.open.keys().next().copied(),
+        }
+    }
+
     /// The last window that was sealed.
     pub fn last(&self) -> Option<u64> {
         self.last
@@ -89,58 +138,3 @@
             .find(|held| held.delivery == Delivery::Pending)
     }
 }
-
-/// What the sources reported of windows that are not sealed.
-#[derive(Clone, Debug)]
-pub struct Collector<S> {
-    windows: BTreeMap<u64, BTreeMap<S, Runs>>,
-}
-
-impl<S> Default for Collector<S> {
-    fn default() -> Self {
-        Self {
-            windows: BTreeMap::new(),
-        }
-    }
-}
-
-impl<S: Ord + Clone> Collector<S> {
-    /// Takes a source's figures of a window, in place of its earlier ones.
-    pub fn report(&mut self, source: S, window: u64, runs: Runs) {
-        self.windows.entry(window).or_default().insert(source, runs);
-        while self.windows.len() > KEPT_WINDOWS {
-            self.windows.pop_first();
-        }
-    }
-
-    /// The oldest window reported.
-    pub fn first(&self) -> Option<u64> {
-        self.windows.keys().next().copied()
-    }
-
-    /// How many sources reported a window.
-    pub fn sources(&self, window: u64) -> usize {
-        self.windows.get(&window).map_or(0, BTreeMap::len)
-    }
-
-    /// The sum over all sources of a window.
-    pub fn sum(&self, window: u64) -> Runs {
-        let mut sum = Runs::new();
-        for runs in self
-            .windows
-            .get(&window)
-            .into_iter()
-            .flat_map(|w| w.values())
-        {
-            for (account, count) in runs {
-                *sum.entry(account.clone()).or_default() += count;
-            }
-        }
-        sum
-    }
-
-    /// Forgets the windows up to one that is sealed.
-    pub fn forget(&mut self, through: u64) {
-        self.windows.retain(|window, _| *window > through);
-    }
-}
