Go by the measured delay of each engine, and shorten the lease

Cause: a front knew of its own waiting prompts only, so under a burst it sent short requests into engines that other fronts had filled; and it gave requests with 200 ms left up after 100 ms, which cost them their place twice. The delay until answers begin, beyond the reading of their prompts, is measured for each engine and weighs in the choice; an attempt is given up early only with time for two.

A group that was stopped as a whole served again after 1.7 s, of which 1.0 to 2.0 s were the time in which a started member does not vote. Windows are complete only when reported after their end.

--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -54,13 +54,14 @@
 }
 
 impl Default for Timing {
-    /// 1 s, 150 ms and 850 ms: 850 / 0.95 is less than 1000 / 1.05, so the lease holds with
-    /// clocks that drift by 5 percent each.
+    /// 600 ms, 120 ms and 500 ms: 500 / 0.95 is less than 600 / 1.05, so the lease holds with
+    /// clocks that drift by 5 percent each. A member that started does not vote within the first
+    /// of these, so it bounds how fast a group that was stopped as a whole serves again.
     fn default() -> Self {
         Self {
-            election: Duration::from_millis(1000),
-            heartbeat: Duration::from_millis(150),
-            lease: Duration::from_millis(850),
+            election: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(120),
+            lease: Duration::from_millis(500),
         }
     }
 }
--- a/crates/control/src/post.rs
+++ b/crates/control/src/post.rs
@@ -25,9 +25,9 @@
 const WAITING: usize = 256;
 /// Messages in one mail.
 const MAIL_MESSAGES: usize = 64;
-/// How long one mail may take. Shorter than an election timeout, so that a host that is cut off
-/// does not hold up the heartbeats that follow its return.
-const PATIENCE: Duration = Duration::from_millis(400);
+/// How long one mail may take. Half an election timeout, so that a mail that was lost leaves time
+/// for the next.
+const PATIENCE: Duration = Duration::from_millis(300);
 
 /// Sends messages to other members.
 pub(crate) struct Post {
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -36,7 +36,7 @@
 use crate::effects::ControlInbox;
 
 /// What must be left of the lease when a delivery begins; the delivery's time-out is half of it.
-const LEAST_LEFT: Duration = Duration::from_millis(200);
+const LEAST_LEFT: Duration = Duration::from_millis(150);
 
 /// Figures to be delivered, and the right to do so.
 pub(crate) enum Due {
--- a/crates/relay/src/choice.rs
+++ b/crates/relay/src/choice.rs
@@ -30,6 +30,8 @@
     pub tokens: Option<f64>,
     /// What it costs that another endpoint is the better place for the prompt, in milliseconds.
     pub place: f64,
+    /// What other requests there make this one wait, in milliseconds.
+    pub delay: f64,
     /// Requests of this front there that are past their target.
     pub overdue: f64,
     /// The share of attempts that failed lately.
@@ -57,6 +59,7 @@
             None => of.busy / slots * WORK_MS + over / slots * WORK_MS * 2.0,
         };
         work + of.place
+            + of.delay
             + of.overdue * OVERDUE_MS
             + of.failing * FAILING_MS
             + of.distance.as_secs_f64() * 1000.0
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -21,6 +21,11 @@
 /// Part of the shared limit of a cold endpoint that the fronts use together.
 const COLD_PART: f64 = 0.8;
 
+/// Weight of the newest measured delay against the earlier ones.
+const NEWEST_DELAY: f64 = 0.5;
+/// A measured delay counts for this long, and less and less.
+const DELAY_LIFE: Duration = Duration::from_millis(1500);
+
 /// How fast a cold endpoint may get requests from this front.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Bucket {
@@ -56,6 +61,8 @@
     /// Prompt tokens of this front's requests there whose answer has not begun.
     pub(crate) unread: u64,
     load: Option<(Load, u32, Tick)>,
+    /// How long answers took to begin beyond the reading of their prompts, in milliseconds.
+    delay: Option<(f64, Tick)>,
     parts: HashMap<u64, Tick>,
 }
 
@@ -73,6 +80,7 @@
             inflight: 0,
             unread: 0,
             load: None,
+            delay: None,
             parts: HashMap::new(),
         }
     }
@@ -83,6 +91,7 @@
             // It started again under its old identity and holds nothing of before.
             self.parts.clear();
             self.load = None;
+            self.delay = None;
             self.health = Health::default();
         }
         self.cold_until = self.cold_until.max(now + listing.cold);
@@ -102,6 +111,23 @@
         self.load = Some((load, self.inflight, now));
     }
 
+    /// Notes how long an answer took to begin beyond the reading of its prompt, in milliseconds.
+    pub(crate) fn note_delay(&mut self, now: Tick, delay: f64) {
+        let earlier = self.delay(now);
+        let next = earlier + (delay - earlier) * NEWEST_DELAY;
+        self.delay = Some((next, now));
+    }
+
+    /// How long an answer takes to begin beyond the reading of its prompt, in milliseconds: what
+    /// other requests there, of any front, make it wait.
+    pub(crate) fn delay(&self, now: Tick) -> f64 {
+        let Some((delay, at)) = self.delay else {
+            return 0.0;
+        };
+        let age = now.since(at).as_secs_f64() / DELAY_LIFE.as_secs_f64();
+        delay * (1.0 - age).max(0.0)
+    }
+
     /// Requests at the endpoint, from all fronts: this front's, and what its last word on its load
     /// says of the others.
     pub(crate) fn busy(&self, now: Tick) -> f64 {
--- a/crates/relay/src/lane.rs
+++ b/crates/relay/src/lane.rs
@@ -23,9 +23,10 @@
 const SHORT_SHARE: usize = 3;
 /// What a short prompt accepts of queueing in its own lane before it goes to the other.
 const LEAVE_SHORT: Duration = Duration::from_millis(120);
-/// How much worse the time of reading a long prompt is in the lane of short ones: the streams that
-/// it holds up there, and what their lateness costs.
-const LONG_HARM: f64 = 8.0;
+/// What a long prompt costs in the lane of short ones, in milliseconds for each millisecond of its
+/// reading, squared: a pause grows with the reading, and so does the number of streams for which
+/// it becomes too long.
+const LONG_HARM: f64 = 0.3;
 /// Prompt tokens that an engine reads in a millisecond, as the users' pages give it.
 pub(crate) const READ_PER_MS: f64 = 92.1;
 
@@ -51,12 +52,12 @@
     }
 
     /// What the lane of an endpoint costs a prompt, in milliseconds.
-    pub(crate) fn cost(&self, at: EndpointId, prompt: &Prompt, to_read: u64) -> f64 {
+    pub(crate) fn cost(&self, at: EndpointId, prompt: &Prompt) -> f64 {
         let short = prompt.input <= SHORT_TOKENS;
         match (self.0.contains(&at), short) {
             (true, true) | (false, false) => 0.0,
             (false, true) => LEAVE_SHORT.as_secs_f64() * 1000.0,
-            (true, false) => to_read as f64 / READ_PER_MS * LONG_HARM,
+            (true, false) => (prompt.input as f64 / READ_PER_MS).powi(2) * LONG_HARM,
         }
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -79,7 +79,7 @@
 const OTHER_ZONE: Duration = Duration::from_millis(4);
 /// How much worse it is to read shared parts again than the time it takes: the price of tokens
 /// read again, as time.
-const ASTRAY: f64 = 1.5;
+const ASTRAY: f64 = 2.5;
 /// When to come back after a refusal for want of an endpoint.
 const COME_BACK: Duration = Duration::from_millis(250);
 /// Fronts assumed before the control group says how many there are.
@@ -209,6 +209,7 @@
             tried: Vec::new(),
             at: None,
             due: now + route.target,
+            sent: now,
             unread: 0,
             began: false,
         });
@@ -287,7 +288,7 @@
         if candidates.iter().any(|(_, e)| !e.health.ejected(now)) {
             candidates.retain(|(_, endpoint)| !endpoint.health.ejected(now));
         }
-        let overdue = self.overdue(now);
+        let waiting = self.waiting(now);
         let lanes = Lanes::of(self.fleet.of(&service.name));
         let home = request
             .prompt
@@ -295,10 +296,12 @@
             .and_then(|prompt| home(prompt, &lanes, &candidates));
         let estimate = |(id, endpoint): &(EndpointId, &Endpoint)| {
             let near = endpoint.listing.zone == self.seed.zone;
+            let waiting = waiting.get(id).copied().unwrap_or_default();
             let mut estimate = Estimate {
                 busy: endpoint.busy(now),
                 slots: f64::from(endpoint.listing.slots),
-                overdue: overdue.get(id).copied().unwrap_or_default(),
+                delay: endpoint.delay(now).max(waiting.delay),
+                overdue: waiting.overdue,
                 failing: endpoint.health.failing(now),
                 distance: if near { Duration::ZERO } else { OTHER_ZONE },
                 ..Estimate::default()
@@ -308,8 +311,7 @@
                 let to_read = endpoint.to_read(now, prompt, at_home);
                 let astray = shared(prompt) as f64 / READ_PER_MS * ASTRAY;
                 estimate.tokens = Some((to_read + endpoint.unread) as f64);
-                estimate.place =
-                    lanes.cost(*id, prompt, to_read) + if at_home { 0.0 } else { astray };
+                estimate.place = lanes.cost(*id, prompt) + if at_home { 0.0 } else { astray };
             }
             estimate
         };
@@ -318,14 +320,18 @@
         Some(candidates[chosen].0)
     }
 
-    /// Requests past their target whose answer has not begun, by endpoint.
-    fn overdue(&self, now: Tick) -> HashMap<EndpointId, f64> {
-        let mut overdue = HashMap::new();
-        let late = self.requests.values().filter(|r| !r.began && r.due < now);
-        for endpoint in late.filter_map(|request| request.at) {
-            *overdue.entry(endpoint).or_default() += 1.0;
+    /// What the requests whose answer has not begun say of their endpoints.
+    fn waiting(&self, now: Tick) -> HashMap<EndpointId, Waiting> {
+        let mut waiting: HashMap<_, Waiting> = HashMap::new();
+        for request in self.requests.values().filter(|request| !request.began) {
+            let Some(at) = request.at else {
+                continue;
+            };
+            let entry = waiting.entry(at).or_default();
+            entry.overdue += f64::from(u8::from(request.due < now));
+            entry.delay = entry.delay.max(request.delay(now));
         }
-        overdue
+        waiting
     }
 
     fn start(
@@ -346,6 +352,7 @@
         request.attempts += 1;
         request.at = Some(at);
         request.due = now + route.target;
+        request.sent = now;
         request.unread = 0;
         endpoint.inflight += 1;
         if let Some(prompt) = &request.prompt {
@@ -354,14 +361,14 @@
             endpoint.remember(now, prompt);
         }
         let another = route.repeat.allowed() && request.runs + 1 < route.attempts;
-        let patience = another.then(|| {
-            let span = if route.repeat.streams() {
-                route.target * STREAM_PATIENCE / 2
-            } else {
-                route.target * WHOLE_PATIENCE
-            };
-            now + span.min(request.until.since(now) / 2)
-        });
+        let span = if route.repeat.streams() {
+            route.target * STREAM_PATIENCE / 2
+        } else {
+            route.target * WHOLE_PATIENCE
+        };
+        // With less time left than for two attempts, the place in the queue is worth more.
+        let another = another && request.until.since(now) >= span * 2;
+        let patience = another.then_some(now + span);
         let account = request.account.and_then(|id| plan.account(id));
         Some(Go {
             request: id,
@@ -424,6 +431,7 @@
         if std::mem::replace(&mut request.began, true) {
             return;
         }
+        let delay = request.delay(now);
         let unread = std::mem::take(&mut request.unread);
         let at = request.at;
         let account = request.account.and_then(|id| request.plan.account(id));
@@ -432,6 +440,7 @@
         }
         if let Some(endpoint) = at.and_then(|at| self.fleet.get_mut(at)) {
             endpoint.unread = endpoint.unread.saturating_sub(unread);
+            endpoint.note_delay(now, delay);
             if let Some(load) = load {
                 endpoint.note_load(now, load);
             }
@@ -581,6 +590,15 @@
     shared.map(|(_, tokens)| tokens).sum()
 }
 
+/// What the requests that wait at an endpoint say of it.
+#[derive(Clone, Copy, Debug, Default)]
+struct Waiting {
+    /// Requests past their target.
+    overdue: f64,
+    /// The longest wait beyond the reading of the prompt, in milliseconds.
+    delay: f64,
+}
+
 impl<C: Choice> Core for Relay<C> {
     type Input = Input;
     type Output = Output;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -12,8 +12,13 @@
 
 use plan::Plan;
 
+use crate::lane::READ_PER_MS;
 use crate::message::Prompt;
 
+/// Time to the first event of a short prompt at an idle engine, in milliseconds, as measured on a
+/// calm day.
+const FIRST_TOKEN_MS: f64 = 80.0;
+
 /// A request that has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
@@ -32,9 +37,19 @@
     pub(crate) attempts: u32,
     pub(crate) tried: Vec<EndpointId>,
     pub(crate) at: Option<EndpointId>,
+    /// When the current attempt was sent.
+    pub(crate) sent: Tick,
     /// When the current attempt is past its target.
     pub(crate) due: Tick,
     /// Prompt tokens counted as unread at the endpoint.
     pub(crate) unread: u64,
     pub(crate) began: bool,
 }
+
+impl Request {
+    /// How long the current attempt has waited beyond the reading of its prompt, in milliseconds.
+    pub(crate) fn delay(&self, now: Tick) -> f64 {
+        let waited = now.since(self.sent).as_secs_f64() * 1000.0;
+        (waited - self.unread as f64 / READ_PER_MS - FIRST_TOKEN_MS).max(0.0)
+    }
+}
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -342,6 +342,28 @@
         };
         assert!(kind.not_run());
     };
+    too_little_time_for_two_attempts_makes_the_first_patient: {
+        let mut front = Front::ready();
+        let ask = Ask {
+            host: "h".to_owned(),
+            path: "/resume/x".to_owned(),
+            key: Some("k".to_owned()),
+            patience: Some(Duration::from_millis(250)),
+            ..Ask::default()
+        };
+        let verdict = front.verdict(|ticket| Input::Arrive(ticket, Box::new(ask)));
+        let go = assert_matches!(verdict, Verdict::Go(go) => *go);
+        assert!(go.patience.is_none());
+    };
+    engine_whose_answers_are_slow_to_begin_is_passed_over: {
+        let mut front = Front::ready();
+        let prompt = prompt(8, 2000, 1000);
+        let slow = front.go("/stream/", Some(prompt.clone()));
+        front.pass(Duration::from_millis(900));
+        front.finish(&slow);
+        let next = front.go("/stream/", Some(prompt));
+        assert_ne!(next.instance, slow.instance);
+    };
     only_another_attempt_makes_the_first_impatient: {
         let mut front = Front::ready();
         assert!(front.go("/safe/x", None).patience.is_some());
--- a/crates/usage/src/statement.rs
+++ b/crates/usage/src/statement.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{
     BTreeMap,
+    BTreeSet,
     VecDeque, //
 };
 
@@ -113,9 +114,12 @@
         self.sealed.back().map_or(0, |held| held.sources)
     }
 
-    /// How many processes have reported an open window.
+    /// How many processes have reported an open window after its end: those that have reported a
+    /// later one too.
     pub fn reported(&self, window: u64) -> usize {
-        self.open.get(&window).map_or(0, BTreeMap::len)
+        let later = self.open.range(window + 1..);
+        let counters: BTreeSet<_> = later.flat_map(|(_, counters)| counters.keys()).collect();
+        counters.len()
     }
 
     /// The window to be sealed next; none before the first report.
--- a/crates/usage/tests/statements.rs
+++ b/crates/usage/tests/statements.rs
@@ -59,6 +59,12 @@
         let statement = statements.pending().unwrap();
         assert_eq!((statement.window, statement.runs.len()), (8, 0));
     };
+    figures_sent_before_a_window_s_end_do_not_complete_it: {
+        let mut statements = noted(&[tally("a", 1, &[(7, 3)]), tally("b", 1, &[(7, 4), (8, 0)])]);
+        assert_eq!(statements.reported(7), 1);
+        statements.report(tally("a", 1, &[(7, 5), (8, 1)]));
+        assert_eq!(statements.reported(7), 2);
+    };
     accepted_window_is_not_pending: {
         let mut statements = noted(&[tally("a", 1, &[(7, 3)])]);
         statements.seal(7);
