--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -2,7 +2,10 @@
 
 use std::collections::HashMap;
 
-use ids::Ticket;
+use ids::{
+    RequestId,
+    Ticket, //
+};
 use obs::{
     Counter,
     Counters,
@@ -40,16 +43,19 @@
     verdicts: HashMap<Ticket, Sender<Verdict>>,
     usage: HashMap<Ticket, Sender<Vec<(u64, Runs)>>>,
     ready: HashMap<Ticket, Sender<bool>>,
+    gone: Sender<RequestId>,
     counters: Counters,
     log: Logger,
 }
 
 impl FrontEffects {
-    pub(crate) fn new(counters: Counters, log: Logger) -> Self {
+    /// `gone` takes the requests whose callers left before their attempt was decided.
+    pub(crate) fn new(gone: Sender<RequestId>, counters: Counters, log: Logger) -> Self {
         Self {
             verdicts: HashMap::new(),
             usage: HashMap::new(),
             ready: HashMap::new(),
+            gone,
             counters,
             log,
         }
@@ -133,8 +139,13 @@
         // A task whose caller left takes no answer any more.
         match output {
             Output::Reply(ticket, verdict) => {
-                if let Some(to) = self.verdicts.remove(&ticket) {
-                    let _ = to.try_send(verdict);
+                let Some(to) = self.verdicts.remove(&ticket) else {
+                    return;
+                };
+                if let Err(unsent) = to.try_send(verdict)
+                    && let Verdict::Go(go) = unsent.into_inner()
+                {
+                    let _ = self.gone.try_send(go.request);
                 }
             }
             Output::Usage(ticket, windows) => {
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -29,6 +29,7 @@
     Relay,
     Seed, //
 };
+use smol::channel::unbounded;
 use wire::Sealer;
 
 use crate::attempt::Attempts;
@@ -90,7 +91,8 @@
         random: run.0,
     };
     let clock = Monotonic::start();
-    let effects = FrontEffects::new(counters.clone(), log.clone());
+    let (gone, left) = unbounded();
+    let effects = FrontEffects::new(gone, counters.clone(), log.clone());
     let core = Relay::new(seed, Predicted);
     let control = step::Control::start("front-control", core, effects, clock);
     let control = control.map_err(EdgeError::Thread)?;
@@ -142,9 +144,16 @@
         limits: common.limits,
         leaving: Arc::clone(&leaving),
     };
+    let inbox = control.inbox();
     let mut doors = vec![common.listen, settings.ready];
     doors.extend(settings.metrics);
     let server = Server::host("front-edge", &doors, common.limits, move |tasks| {
+        let forget = async move {
+            while let Ok(request) = left.recv().await {
+                let _ = inbox.send(Input::Gone(request));
+            }
+        };
+        tasks.spawn(forget).detach();
         let attempts = Attempts {
             dialect,
             links: Links::new(tasks.clone(), clock),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoint;
 mod fleet;
 mod health;
+mod hold;
 mod lane;
 mod message;
 mod relay;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -44,6 +44,7 @@
 };
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
+use crate::hold::Hold;
 use crate::lane::{
     Lanes,
     READ_PER_MS, //
@@ -82,6 +83,9 @@
 const ASTRAY: f64 = 2.5;
 /// When to come back after a refusal for want of an endpoint.
 const COME_BACK: Duration = Duration::from_millis(250);
+/// When to come back after a refusal for want of a view: a group that was stopped as a whole
+/// serves again within this time.
+const STALE: Verdict = Verdict::Refuse(Kind::ViewStale, Duration::from_secs(1));
 /// Fronts assumed before the control group says how many there are.
 const ASSUMED_FRONTS: usize = 12;
 
@@ -101,6 +105,7 @@
     requests: SlotMap<RequestId, Request>,
     budgets: HashMap<String, Budget>,
     tally: Tally,
+    hold: Hold,
     draining: bool,
 }
 
@@ -121,6 +126,7 @@
             requests: SlotMap::with_key(),
             budgets: HashMap::new(),
             tally: Tally::new(seed.window),
+            hold: Hold::default(),
             draining: false,
             seed,
         }
@@ -132,7 +138,7 @@
     }
 
     fn serves(&self, now: Tick) -> bool {
-        !self.draining && self.plan.is_some() && now < self.fresh
+        !self.draining && self.follows(now)
     }
 
     fn view(&mut self, now: Tick, view: View, out: &mut Outbox<Output>) {
@@ -154,6 +160,17 @@
         if std::mem::replace(&mut self.stale, now >= self.fresh) && !self.stale {
             out.push(Output::Trace(Trace::Fresh(true)));
         }
+        if self.follows(now) {
+            for held in self.hold.end() {
+                let (ticket, ask) = held.resumed(now);
+                self.arrive(now, ticket, ask, out);
+            }
+        }
+    }
+
+    /// Whether there is a plan, by a view that has not run out.
+    fn follows(&self, now: Tick) -> bool {
+        self.plan.is_some() && now < self.fresh
     }
 
     /// Endpoints of a zone that opens again may have turned cold meanwhile.
@@ -173,6 +190,16 @@
         self.closed = closed;
     }
 
+    /// Takes a request, or holds it for the view that is expected in a moment.
+    fn receive(&mut self, now: Tick, ticket: Ticket, ask: Box<Ask>, out: &mut Outbox<Output>) {
+        if self.follows(now) {
+            return self.arrive(now, ticket, *ask, out);
+        }
+        if self.hold.take(now, ticket, ask).is_err() {
+            out.push(Output::Reply(ticket, STALE));
+        }
+    }
+
     fn arrive(&mut self, now: Tick, ticket: Ticket, ask: Ask, out: &mut Outbox<Output>) {
         let verdict = match self.admit(now, ask) {
             Ok(id) => self.assign(now, id, out),
@@ -607,7 +634,7 @@
         match input {
             Input::View(view) => self.view(now, *view, out),
             Input::Listed(list) => self.relist(now, list, out),
-            Input::Arrive(ticket, ask) => self.arrive(now, ticket, *ask, out),
+            Input::Arrive(ticket, ask) => self.receive(now, ticket, ask, out),
             Input::Began(id, load) => self.began(now, id, load),
             Input::Failed(ticket, id, failure) => self.failed(now, ticket, id, failure, out),
             Input::Done(id) => {
@@ -630,11 +657,16 @@
     fn wake(&mut self, now: Tick, out: &mut Outbox<Output>) {
         if !self.stale && now >= self.fresh {
             self.stale = true;
+            self.hold.begin(now);
             out.push(Output::Trace(Trace::Fresh(false)));
         }
+        for ticket in self.hold.expire(now) {
+            out.push(Output::Reply(ticket, STALE));
+        }
     }
 
     fn deadline(&self) -> Option<Tick> {
-        (!self.stale).then_some(self.fresh)
+        let fresh = (!self.stale).then_some(self.fresh);
+        [fresh, self.hold.deadline()].into_iter().flatten().min()
     }
 }
