--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -269,6 +269,7 @@
             arrived,
             name: ask.name.clone(),
         };
+        ask.size = visit.body.len();
         // The caller's patience runs from its first byte.
         let read = self.attempts.clock.now().since(arrived);
         ask.patience = ask.patience.map(|patience| patience.saturating_sub(read));
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -80,6 +80,8 @@
     pub patience: Option<Duration>,
     /// The prompt; none for plain requests.
     pub prompt: Option<Prompt>,
+    /// Bytes of the body.
+    pub size: usize,
 }
 
 /// An endpoint's word on its load.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -76,8 +76,11 @@
 const STREAM_PATIENCE: u32 = 5;
 /// The rest of a stream is sought elsewhere after this many times its longest pause.
 const PAUSE_PATIENCE: u32 = 3;
-/// What an endpoint of another zone costs: two hops, and the price of the bytes as time.
-const OTHER_ZONE: Duration = Duration::from_millis(4);
+/// What an endpoint of another zone costs: two hops.
+const OTHER_ZONE: Duration = Duration::from_millis(2);
+/// What each byte to and from another zone costs, in seconds: its price, as time. A long prompt's
+/// bytes weigh less than the reading of its shared parts, a short one's more.
+const BYTE_S: f64 = 2.0e-6;
 /// How much worse it is to read shared parts again than the time it takes: the price of tokens
 /// read again, as time.
 const ASTRAY: f64 = 2.5;
@@ -229,6 +232,7 @@
             service,
             account,
             prompt: ask.prompt,
+            size: ask.size,
             rank: rank.unwrap_or(route.rank),
             until: now + patience,
             runs: 0,
@@ -316,6 +320,7 @@
             candidates.retain(|(_, endpoint)| !endpoint.health.ejected(now));
         }
         let waiting = self.waiting(now);
+        let distance = OTHER_ZONE + Duration::from_secs_f64(request.bytes() * BYTE_S);
         let lanes = Lanes::of(self.fleet.of(&service.name));
         let home = request
             .prompt
@@ -330,7 +335,7 @@
                 delay: endpoint.delay(now).max(waiting.delay),
                 overdue: waiting.overdue,
                 failing: endpoint.health.failing(now),
-                distance: if near { Duration::ZERO } else { OTHER_ZONE },
+                distance: if near { Duration::ZERO } else { distance },
                 ..Estimate::default()
             };
             if let Some(prompt) = &request.prompt {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -18,6 +18,8 @@
 /// Time to the first event of a short prompt at an idle engine, in milliseconds, as measured on a
 /// calm day.
 const FIRST_TOKEN_MS: f64 = 80.0;
+/// Bytes of an answer for each token, with what frames its events.
+const TOKEN_BYTES: f64 = 12.0;
 
 /// A request that has not ended.
 #[derive(Clone, Debug)]
@@ -29,6 +31,8 @@
     pub(crate) service: ServiceId,
     pub(crate) account: Option<AccountId>,
     pub(crate) prompt: Option<Prompt>,
+    /// Bytes of the body.
+    pub(crate) size: usize,
     pub(crate) rank: u8,
     pub(crate) until: Tick,
     /// Endpoints that may have run it.
@@ -47,6 +51,12 @@
 }
 
 impl Request {
+    /// Bytes of the request and, as far as can be told, of its answer.
+    pub(crate) fn bytes(&self) -> f64 {
+        let answer = self.prompt.as_ref().map_or(0, |prompt| prompt.output);
+        self.size as f64 + answer as f64 * TOKEN_BYTES
+    }
+
     /// How long the current attempt has waited beyond the reading of its prompt, in milliseconds.
     pub(crate) fn delay(&self, now: Tick) -> f64 {
         let waited = now.since(self.sent).as_secs_f64() * 1000.0;
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -225,6 +225,7 @@
             key: key.map(str::to_owned),
             patience: Some(2 * SECOND),
             prompt,
+            ..Ask::default()
         };
         self.verdict(|ticket| Input::Arrive(ticket, Box::new(ask)))
     }
