Rank by account and then by route, and hold long prompts back under overload

Cause, from the ranks in the log: every account of the configuration has a rank, and it was taken in place of the route's, so engines were told the same rank for everything. The account's rank now goes before the route's, as one number. Engines read what they have admitted whatever its rank, so long prompts of low rank wait at the front while the best engine's backlog is above a limit, a quarter of their time at most, then go or are refused as not run.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -68,13 +68,15 @@
                 route,
                 instance,
                 attempt,
+                rank,
+                backlog,
                 edition,
                 age,
             } => {
                 self.counters.count(Counter::Attempted);
                 event!(self.log, AttemptSent, "request" => request, "route" => route,
-                    "endpoint" => instance, "attempt" => attempt, "edition" => edition,
-                    "view_ms" => millis(age));
+                    "endpoint" => instance, "attempt" => attempt, "rank" => rank,
+                    "backlog_ms" => backlog, "edition" => edition, "view_ms" => millis(age));
             }
             Trace::Retried(request, failure) => {
                 self.counters.count(match failure {
--- a/crates/relay/src/lane.rs
+++ b/crates/relay/src/lane.rs
@@ -18,7 +18,7 @@
 
 /// Prompts up to this many tokens are short; an engine reads them in one chunk of some 2,000
 /// tokens with room left.
-const SHORT_TOKENS: u64 = 1500;
+pub(crate) const SHORT_TOKENS: u64 = 1500;
 /// One of so many engines of a zone is for short prompts.
 const SHORT_SHARE: usize = 3;
 /// What a short prompt accepts of queueing in its own lane before it goes to the other.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod choice;
 mod endpoint;
 mod fleet;
+mod gate;
 mod health;
 mod hold;
 mod lane;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -217,6 +217,10 @@
         instance: String,
         /// The attempt's number, from 1.
         attempt: u32,
+        /// The request's rank.
+        rank: u8,
+        /// The endpoint's backlog, in milliseconds.
+        backlog: u64,
         /// The edition that decided.
         edition: u64,
         /// The age of the view.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -44,6 +44,11 @@
 };
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
+use crate::gate::{
+    self,
+    Gate,
+    Waiting, //
+};
 use crate::hold::Hold;
 use crate::lane::{
     Lanes,
@@ -63,7 +68,10 @@
     Verdict,
     View, //
 };
-use crate::request::Request;
+use crate::request::{
+    Request,
+    Urgency, //
+};
 use crate::tally::Tally;
 
 /// Attempts beyond those that may run, for endpoints that said they did not run the request.
@@ -89,6 +97,8 @@
 /// When to come back after a refusal for want of a view: a group that was stopped as a whole
 /// serves again within this time.
 const STALE: Verdict = Verdict::Refuse(Kind::ViewStale, Duration::from_secs(1));
+/// When to come back after a refusal under overload: by then a burst has passed or not.
+const OVERLOADED: Verdict = Verdict::Refuse(Kind::Overloaded, Duration::from_secs(1));
 /// Fronts assumed before the control group says how many there are.
 const ASSUMED_FRONTS: usize = 12;
 
@@ -109,6 +119,7 @@
     budgets: HashMap<String, Budget>,
     tally: Tally,
     hold: Hold,
+    gate: Gate,
     draining: bool,
 }
 
@@ -130,6 +141,7 @@
             budgets: HashMap::new(),
             tally: Tally::new(seed.window),
             hold: Hold::default(),
+            gate: Gate::default(),
             draining: false,
             seed,
         }
@@ -204,11 +216,61 @@
     }
 
     fn arrive(&mut self, now: Tick, ticket: Ticket, ask: Ask, out: &mut Outbox<Output>) {
-        let verdict = match self.admit(now, ask) {
-            Ok(id) => self.assign(now, id, out),
-            Err(kind) => Verdict::Refuse(kind, COME_BACK),
-        };
-        out.push(Output::Reply(ticket, verdict));
+        match self.admit(now, ask) {
+            Ok(id) => self.dispatch(now, ticket, id, out),
+            Err(kind) => {
+                let refusal = Verdict::Refuse(kind, COME_BACK);
+                out.push(Output::Reply(ticket, refusal));
+            }
+        }
+    }
+
+    /// Sends a request on its first attempt, or lets it wait for engines that have less to read.
+    fn dispatch(&mut self, now: Tick, ticket: Ticket, id: RequestId, out: &mut Outbox<Output>) {
+        let limit = self.limit(id).filter(|_| self.gate.has_room());
+        if let Some(verdict) = self.assign(now, id, limit, out) {
+            out.push(Output::Reply(ticket, verdict));
+        } else if let Some(request) = self.requests.get(id) {
+            let waiting = Waiting {
+                ticket,
+                request: id,
+                urgency: request.urgency,
+                until: Gate::until(now, request.until),
+            };
+            self.gate.put(now, waiting);
+        }
+    }
+
+    /// The backlog above which a request waits.
+    fn limit(&self, id: RequestId) -> Option<f64> {
+        let request = self.requests.get(id)?;
+        gate::limit(request.prompt.as_ref()?, request.urgency.route)
+    }
+
+    /// Looks at the requests that wait for engines, in the order of their urgency.
+    fn release_waiting(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        // Once one of a rank has to wait, those after it do too.
+        let mut shut = None;
+        for waiting in self.gate.take(now) {
+            let due = now >= waiting.until;
+            if shut == Some(waiting.urgency) && !due {
+                self.gate.put(now, waiting);
+                continue;
+            }
+            let limit = self.limit(waiting.request);
+            let limit = if due { limit.map(gate::last) } else { limit };
+            match self.assign(now, waiting.request, limit, out) {
+                Some(verdict) => out.push(Output::Reply(waiting.ticket, verdict)),
+                None if due => {
+                    self.end(waiting.request);
+                    out.push(Output::Reply(waiting.ticket, OVERLOADED));
+                }
+                None => {
+                    shut = Some(waiting.urgency);
+                    self.gate.put(now, waiting);
+                }
+            }
+        }
     }
 
     /// Checks a request against the plan.
@@ -223,6 +285,10 @@
         let rank = account
             .and_then(|id| plan.account(id))
             .and_then(|account| account.rank);
+        let urgency = Urgency {
+            account: rank.unwrap_or(route.rank),
+            route: route.rank,
+        };
         let patience = ask.patience.map_or(route.timeout, |p| p.min(route.timeout));
         let service = self.draw(route).ok_or(Kind::EndpointMissing)?;
         let request = self.requests.insert(Request {
@@ -233,7 +299,7 @@
             account,
             prompt: ask.prompt,
             size: ask.size,
-            rank: rank.unwrap_or(route.rank),
+            urgency,
             until: now + patience,
             runs: 0,
             attempts: 0,
@@ -264,29 +330,44 @@
         route.shares.first().map(|(service, _)| *service)
     }
 
-    /// Chooses an endpoint for a request's next attempt. The request ends if there is none.
-    fn assign(&mut self, now: Tick, id: RequestId, out: &mut Outbox<Output>) -> Verdict {
+    /// Chooses an endpoint for a request's next attempt. The request ends if there is none. No
+    /// verdict if the best endpoint's backlog is above the limit.
+    fn assign(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        limit: Option<f64>,
+        out: &mut Outbox<Output>,
+    ) -> Option<Verdict> {
         let Some(request) = self.requests.get(id) else {
-            return Verdict::Refuse(Kind::Internal, COME_BACK);
+            return Some(Verdict::Refuse(Kind::Internal, COME_BACK));
         };
         let plan = Arc::clone(&request.plan);
         let found = plan.route(request.route).zip(plan.service(request.service));
         let Some((route, service)) = found else {
-            return self.refuse(id, Kind::Internal, None, out);
+            return Some(self.refuse(id, Kind::Internal, None, out));
         };
-        match self.pick(now, id, service) {
-            Some(endpoint) => match self.start(now, id, endpoint, route, service) {
-                Some(go) => {
-                    self.trace_sent(now, &go, route, out);
-                    Verdict::Go(Box::new(go))
-                }
-                None => self.refuse(id, Kind::Internal, None, out),
-            },
-            None => self.refuse(id, Kind::EndpointMissing, None, out),
+        let Some((endpoint, backlog)) = self.pick(now, id, service) else {
+            return Some(self.refuse(id, Kind::EndpointMissing, None, out));
+        };
+        if limit.is_some_and(|limit| backlog > limit) {
+            return None;
         }
+        let Some(go) = self.start(now, id, endpoint, route, service) else {
+            return Some(self.refuse(id, Kind::Internal, None, out));
+        };
+        self.trace_sent(now, &go, route, backlog, out);
+        Some(Verdict::Go(Box::new(go)))
     }
 
-    fn trace_sent(&self, now: Tick, go: &Go, route: &Route, out: &mut Outbox<Output>) {
+    fn trace_sent(
+        &self,
+        now: Tick,
+        go: &Go,
+        route: &Route,
+        backlog: f64,
+        out: &mut Outbox<Output>,
+    ) {
         let Some(request) = self.requests.get(go.request) else {
             return;
         };
@@ -295,12 +376,15 @@
             route: route.name.clone(),
             instance: go.instance.clone(),
             attempt: request.attempts,
+            rank: request.urgency.rank(),
+            backlog: backlog as u64,
             edition: self.edition,
             age: now.since(self.seen),
         }));
     }
 
-    fn pick(&mut self, now: Tick, id: RequestId, service: &Service) -> Option<EndpointId> {
+    /// The endpoint for a request's next attempt, and what it has to read before, in milliseconds.
+    fn pick(&mut self, now: Tick, id: RequestId, service: &Service) -> Option<(EndpointId, f64)> {
         let request = self.requests.get(id)?;
         let usable = |endpoint: &Endpoint| {
             let rate = service.cold.map(|cold| cold.rate);
@@ -319,7 +403,7 @@
         if candidates.iter().any(|(_, e)| !e.health.ejected(now)) {
             candidates.retain(|(_, endpoint)| !endpoint.health.ejected(now));
         }
-        let waiting = self.waiting(now);
+        let queued = self.queued(now);
         let distance = OTHER_ZONE + Duration::from_secs_f64(request.bytes() * BYTE_S);
         let lanes = Lanes::of(self.fleet.of(&service.name));
         let home = request
@@ -328,12 +412,12 @@
             .and_then(|prompt| home(prompt, &lanes, &candidates));
         let estimate = |(id, endpoint): &(EndpointId, &Endpoint)| {
             let near = endpoint.listing.zone == self.seed.zone;
-            let waiting = waiting.get(id).copied().unwrap_or_default();
+            let queued = queued.get(id).copied().unwrap_or_default();
             let mut estimate = Estimate {
                 busy: endpoint.busy(now),
                 slots: f64::from(endpoint.listing.slots),
-                delay: endpoint.delay(now).max(waiting.delay),
-                overdue: waiting.overdue,
+                delay: endpoint.delay(now).max(queued.delay),
+                overdue: queued.overdue,
                 failing: endpoint.health.failing(now),
                 distance: if near { Duration::ZERO } else { distance },
                 ..Estimate::default()
@@ -349,12 +433,14 @@
         };
         let estimates: Vec<_> = candidates.iter().map(estimate).collect();
         let chosen = self.choice.choose(&estimates, &mut self.rng)?;
-        Some(candidates[chosen].0)
+        let (at, endpoint) = candidates[chosen];
+        let backlog = estimates[chosen].delay + endpoint.unread as f64 / READ_PER_MS;
+        Some((at, backlog))
     }
 
     /// What the requests whose answer has not begun say of their endpoints.
-    fn waiting(&self, now: Tick) -> HashMap<EndpointId, Waiting> {
-        let mut waiting: HashMap<_, Waiting> = HashMap::new();
+    fn queued(&self, now: Tick) -> HashMap<EndpointId, Queued> {
+        let mut waiting: HashMap<_, Queued> = HashMap::new();
         for request in self.requests.values().filter(|request| !request.began) {
             let Some(at) = request.at else {
                 continue;
@@ -408,7 +494,7 @@
             address: endpoint.listing.address,
             instance: endpoint.listing.instance.clone(),
             account: account.map(|account| account.name.clone()),
-            rank: request.rank,
+            rank: request.urgency.rank(),
             repeat: route.repeat,
             until: request.until,
             patience,
@@ -503,7 +589,9 @@
                 let name = request.name.clone();
                 out.push(Output::Trace(Trace::Retried(name, failure)));
             }
-            self.assign(now, id, out)
+            // Without a limit there always is a verdict.
+            self.assign(now, id, None, out)
+                .unwrap_or(Verdict::Refuse(Kind::Internal, COME_BACK))
         } else if failure == Failure::Errored {
             self.end(id);
             Verdict::Pass
@@ -624,7 +712,7 @@
 
 /// What the requests that wait at an endpoint say of it.
 #[derive(Clone, Copy, Debug, Default)]
-struct Waiting {
+struct Queued {
     /// Requests past their target.
     overdue: f64,
     /// The longest wait beyond the reading of the prompt, in milliseconds.
@@ -668,10 +756,14 @@
         for ticket in self.hold.expire(now) {
             out.push(Output::Reply(ticket, STALE));
         }
+        self.release_waiting(now, out);
     }
 
     fn deadline(&self) -> Option<Tick> {
         let fresh = (!self.stale).then_some(self.fresh);
-        [fresh, self.hold.deadline()].into_iter().flatten().min()
+        [fresh, self.hold.deadline(), self.gate.deadline()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -21,6 +21,28 @@
 /// Bytes of an answer for each token, with what frames its events.
 const TOKEN_BYTES: f64 = 12.0;
 
+/// Ranks of routes that are told apart under one rank of an account.
+const ROUTE_RANKS: u8 = 3;
+
+/// How urgent a request is: the account's rank goes before the route's, 0 first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Urgency {
+    /// The account's rank, or the route's where the account has none.
+    pub(crate) account: u8,
+    /// The route's rank.
+    pub(crate) route: u8,
+}
+
+impl Urgency {
+    /// Both ranks as one number, for endpoints.
+    pub(crate) fn rank(self) -> u8 {
+        let route = self.route.min(ROUTE_RANKS - 1);
+        self.account
+            .saturating_mul(ROUTE_RANKS)
+            .saturating_add(route)
+    }
+}
+
 /// A request that has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
@@ -33,7 +55,7 @@
     pub(crate) prompt: Option<Prompt>,
     /// Bytes of the body.
     pub(crate) size: usize,
-    pub(crate) rank: u8,
+    pub(crate) urgency: Urgency,
     pub(crate) until: Tick,
     /// Endpoints that may have run it.
     pub(crate) runs: u32,
