Let the leader read the list of endpoints for all fronts

The leader reads it each 0.7 s and hands it out with the board; a front reads it itself while it has not been told a list read within 1.8 s. Fronts ask the leader first, unless it did not answer lately.

--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -1,6 +1,7 @@
 //! What a control host needs to know of the messages of operators and of the platform.
 
 use edge::Head;
+use peer::Pages;
 use plan::Document;
 use usage::Statement;
 
@@ -36,7 +37,7 @@
 }
 
 /// Names and formats of orders and reports. It decides nothing.
-pub trait Desk: Clone + Send + Sync + 'static {
+pub trait Desk: Pages + Clone + Send + Sync + 'static {
     /// Reads an operator's order.
     ///
     /// # Errors
@@ -52,6 +53,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct NoDesk;
 
+impl Pages for NoDesk {
+    fn target(&self, _: Option<&str>) -> String {
+        "/".to_owned()
+    }
+
+    fn next(&self, _: &[u8]) -> Result<Option<String>, String> {
+        Ok(None)
+    }
+}
+
 impl Desk for NoDesk {
     fn order(&self, _: &Head, _: &[u8]) -> Result<Order, Refusal> {
         Err(Refusal {
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -47,6 +47,7 @@
     pub(crate) disk: Sender<Job>,
     pub(crate) deliver: Sender<Due>,
     pub(crate) seek: Sender<Seeking>,
+    pub(crate) list: Sender<()>,
     pub(crate) post: Post,
     pub(crate) replies: front::Replies,
     pub(crate) waiting: BTreeMap<Ticket, (Exchange, Form)>,
@@ -125,6 +126,9 @@
             Output::Bill(statement, authority) => {
                 let _ = self.deliver.try_send(Due::Statement(statement, authority));
             }
+            Output::ReadList => {
+                let _ = self.list.try_send(());
+            }
             Output::Seek(member, hosts) => {
                 if self.seek.try_send((member, hosts)).is_ok() {
                     event!(self.log, Seeking);
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -17,6 +17,7 @@
 use govern::{
     Command,
     FRESH,
+    Held,
     Input,
     Outcome,
     Question,
@@ -214,7 +215,11 @@
 }
 
 fn board(ask: BoardAsk) -> Question {
-    Question::Board(follower(ask.host, ask.run), ask.edition, ask.wait)
+    let held = Held {
+        edition: ask.edition,
+        directory: ask.directory,
+    };
+    Question::Board(follower(ask.host, ask.run), held, ask.wait)
 }
 
 fn tally(ask: TallyAsk) -> Question {
@@ -283,13 +288,16 @@
             (PeerKind::Usage, Reply::Outcome(Outcome::Noted)) => {
                 self.seal(exchange, &Answer::Done(()));
             }
-            (PeerKind::Board, Reply::Board(copy, hosts, followers, wall)) => {
+            (PeerKind::Board, Reply::Board(reply)) => {
                 let answer = BoardAnswer {
-                    copy,
+                    copy: reply.copy,
+                    directory: reply.directory,
+                    age: reply.age,
+                    leader: reply.leader,
                     fresh: self.fresh,
-                    hosts,
-                    followers: followers as u64,
-                    wall,
+                    hosts: reply.hosts,
+                    followers: reply.followers as u64,
+                    wall: reply.wall,
                 };
                 self.seal(exchange, &Answer::Done(answer));
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod effects;
 mod front;
 mod join;
+mod list;
 mod order;
 mod post;
 mod report;
--- /dev/null
+++ b/crates/control/src/list.rs
@@ -0,0 +1,83 @@
+//! Reads the list of endpoints for all fronts, on a thread of its own.
+
+use std::net::SocketAddr;
+use std::thread::{
+    self,
+    JoinHandle, //
+};
+
+use crossbeam::channel::{
+    Receiver,
+    Sender,
+    bounded, //
+};
+use govern::Input;
+use obs::{
+    Logger,
+    event, //
+};
+use peer::read_list;
+use serde_bytes::ByteBuf;
+
+use crate::desk::Desk;
+use crate::effects::ControlInbox;
+
+/// The channel to a reading thread; a reading that finds one under way is left out.
+pub(crate) fn channel() -> (Sender<()>, Receiver<()>) {
+    bounded(1)
+}
+
+/// A running reading thread.
+pub(crate) struct Lister {
+    thread: JoinHandle<()>,
+}
+
+/// What the thread reads by.
+pub(crate) struct List<D> {
+    pub(crate) desk: D,
+    pub(crate) platform: Option<SocketAddr>,
+    pub(crate) inbox: ControlInbox,
+    pub(crate) log: Logger,
+}
+
+impl Lister {
+    /// Starts the thread; it ends when the sender is gone.
+    pub(crate) fn start<D: Desk>(list: List<D>, readings: Receiver<()>) -> std::io::Result<Self> {
+        let read = move || {
+            let mut reached = true;
+            for () in readings {
+                match list.read() {
+                    Ok(pages) => {
+                        if !std::mem::replace(&mut reached, true) {
+                            event!(list.log, ListReached);
+                        }
+                        if list.inbox.send(Input::Listed(pages)).is_err() {
+                            return;
+                        }
+                    }
+                    Err(fault) => {
+                        if std::mem::replace(&mut reached, false) {
+                            event!(list.log, ListUnreachable, "fault" => fault);
+                        }
+                    }
+                }
+            }
+        };
+        let thread = thread::Builder::new()
+            .name("control-list".to_owned())
+            .spawn(read)?;
+        Ok(Self { thread })
+    }
+
+    pub(crate) fn close(self) {
+        let _ = self.thread.join();
+    }
+}
+
+impl<D: Desk> List<D> {
+    fn read(&self) -> Result<Vec<ByteBuf>, String> {
+        let platform = self.platform.ok_or("the settings name no platform")?;
+        let pages = read_list(&self.desk, platform)?;
+        Ok(pages.into_iter().map(ByteBuf::from).collect())
+    }
+}
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -90,6 +90,11 @@
     self,
     Joiner, //
 };
+use crate::list::{
+    self,
+    List,
+    Lister, //
+};
 use crate::order::Orders;
 use crate::post::Post;
 use crate::report::{
@@ -191,6 +196,7 @@
     server: Server,
     orders: Vec<Server>,
     joiner: Option<Joiner>,
+    lister: Lister,
     control: step::Control<Input, Waiting>,
     disk: Disk,
     deliverer: Deliverer,
@@ -254,11 +260,13 @@
     let (jobs, disk_jobs) = disk::channel();
     let (windows, deliveries) = report::channel();
     let (seek, requests) = join::channel();
+    let (list, readings) = list::channel();
     let (failed, failure) = bounded(2);
     let effects = ControlEffects {
         disk: jobs,
         deliver: windows,
         seek,
+        list,
         post: Post::new(id, address, sealer.clone()),
         replies: Replies {
             sealer: sealer.clone(),
@@ -286,6 +294,13 @@
         log: log.clone(),
     };
     let deliverer = Deliverer::start(delivery, deliveries).map_err(RunError::Thread)?;
+    let list = List {
+        desk: desk.clone(),
+        platform: settings.platform,
+        inbox: inbox.clone(),
+        log: log.clone(),
+    };
+    let lister = Lister::start(list, readings).map_err(RunError::Thread)?;
     let tickets = Arc::new(AtomicU64::new(0));
     let (orders, joiner) = match &settings.plan {
         None => (Vec::new(), None),
@@ -330,6 +345,7 @@
         server,
         orders,
         joiner,
+        lister,
         control,
         disk,
         deliverer,
@@ -439,6 +455,7 @@
         self.server.close_within(LAST_ANSWERS);
         let _ = self.control.close();
         self.deliverer.close();
+        self.lister.close();
         if let Some(joiner) = self.joiner {
             joiner.close();
         }
--- a/crates/front/src/dialect.rs
+++ b/crates/front/src/dialect.rs
@@ -5,6 +5,7 @@
 use edge::Head;
 use fault::Kind;
 use hyper::HeaderMap;
+use peer::Pages;
 use plan::PlanSpec;
 use relay::{
     Ask,
@@ -49,7 +50,7 @@
 }
 
 /// Names and formats on the wire. It decides nothing.
-pub trait Dialect: Clone + Send + 'static {
+pub trait Dialect: Pages + Clone + Send + 'static {
     /// Reads the head of a caller's request.
     ///
     /// # Errors
@@ -71,9 +72,6 @@
     /// A sentence that names the fault.
     fn plan(&self, document: &[u8]) -> Result<PlanSpec, String>;
 
-    /// The target of a call for a page of the list of endpoints.
-    fn list(&self, page: Option<&str>) -> String;
-
     /// Reads a page of the list of endpoints.
     ///
     /// # Errors
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{
     AtomicBool,
+    AtomicU64,
     Ordering, //
 };
 use std::thread::{
@@ -33,6 +34,7 @@
 };
 use plan::{
     BoardCopy,
+    Directory,
     Plan, //
 };
 use relay::{
@@ -57,6 +59,8 @@
 /// How long the call may take while the front follows nobody: a host that does not answer at once
 /// is passed over.
 const EAGER_PATIENCE: Duration = Duration::from_millis(300);
+/// A leader that did not answer is not sought for this long.
+const AVOID: Duration = Duration::from_secs(4);
 /// Pause after a round in which no control host answered.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -73,6 +77,11 @@
     pub(crate) counters: Counters,
     pub(crate) log: Logger,
     pub(crate) edition: u64,
+    pub(crate) directory: u64,
+    /// When the list that the control group last told of was read, in microseconds of the clock.
+    pub(crate) listed: Arc<AtomicU64>,
+    /// A leader that did not answer, and when; it is not sought for a while.
+    pub(crate) avoided: Option<(SocketAddr, Tick)>,
     pub(crate) reached: bool,
 }
 
@@ -115,10 +124,13 @@
             let asked = self.clock.now();
             match self.ask(host) {
                 Ok(answer) => {
-                    self.control.prefer(host);
+                    self.follow_leader(host, answer.leader);
                     return self.take(asked, answer);
                 }
-                Err(fault) => self.miss(host, &fault),
+                Err(fault) => {
+                    self.avoided = Some((host, self.clock.now()));
+                    self.miss(host, &fault);
+                }
             }
         }
         self.reseed();
@@ -126,6 +138,18 @@
         Some(())
     }
 
+    /// Asks the leader from now on, which has the list of endpoints, unless it did not answer
+    /// lately.
+    fn follow_leader(&self, host: SocketAddr, leader: Option<SocketAddr>) {
+        let now = self.clock.now();
+        let avoided = |leader: &SocketAddr| {
+            let matches = |(host, at): (SocketAddr, Tick)| host == *leader && now.since(at) < AVOID;
+            self.avoided.is_some_and(matches)
+        };
+        self.control
+            .prefer(leader.filter(|leader| !avoided(leader)).unwrap_or(host));
+    }
+
     fn ask(&mut self, host: SocketAddr) -> Result<BoardAnswer, PeerError> {
         self.counters.count(Counter::ViewAsked);
         let eager = self.edition == 0 || !self.reached;
@@ -138,6 +162,7 @@
             host: self.host.clone(),
             run: self.run,
             edition: self.edition,
+            directory: self.directory,
             wait,
         };
         let body = self.control.seal(paths::BOARD, &ask)?;
@@ -153,6 +178,13 @@
             event!(self.log, ControlReached);
         }
         self.control.learn(answer.hosts);
+        if let Some(age) = answer.age {
+            let read = (self.clock.now() - age).0;
+            self.listed.fetch_max(read, Ordering::AcqRel);
+        }
+        if let Some(directory) = answer.directory {
+            self.list(&directory, answer.age.unwrap_or_default())?;
+        }
         let content = match answer.copy.map(|copy| self.decode(copy)) {
             None => None,
             Some(Some((edition, content))) => {
@@ -177,6 +209,25 @@
         self.inbox.send(Input::View(Box::new(view))).ok()
     }
 
+    /// Hands a newer list of endpoints to the core. None once the core has ended.
+    fn list(&mut self, directory: &Directory, age: Duration) -> Option<()> {
+        let pages = directory.pages.iter().map(|page| self.dialect.page(page));
+        match pages.collect::<Result<Vec<_>, _>>() {
+            Ok(pages) => {
+                self.directory = directory.version;
+                let mut list: Vec<_> = pages.into_iter().flat_map(|page| page.list).collect();
+                for listing in &mut list {
+                    listing.cold = listing.cold.saturating_sub(age);
+                }
+                self.inbox.send(Input::Listed(list)).ok()
+            }
+            Err(fault) => {
+                event!(self.log, ListUnreachable, "fault" => fault);
+                Some(())
+            }
+        }
+    }
+
     fn decode(&self, copy: BoardCopy) -> Option<(u64, relay::Content)> {
         let plan = copy.document.map(|document| {
             let spec = self.dialect.plan(&document.bytes)?;
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -1,14 +1,24 @@
-//! Reads the list of endpoints at regular times, on a thread of its own.
+//! Reads the list of endpoints while the control group does not tell it, on a thread of its own.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::thread;
 use std::time::Duration;
 
-use edge::Client;
+use ids::{
+    Clock,
+    Monotonic,
+    Tick, //
+};
 use obs::{
     Logger,
     event, //
 };
+use peer::read_list;
 use relay::{
     Input,
     Listing, //
@@ -17,15 +27,15 @@
 use crate::control::FrontInbox;
 use crate::dialect::Dialect;
 
-/// How often the list is read. An endpoint that leaves must get no new work within a few seconds
-/// of being listed as leaving, and calls are priced and limited in number.
+/// How often the list is read by this front, while the control group does not tell it.
 const EVERY: Duration = Duration::from_millis(900);
-/// How long one page may take.
-const PATIENCE: Duration = Duration::from_millis(900);
+/// The control group's list is good while it was read within this time; its leader reads it more
+/// than once a second, and an endpoint that leaves must get no new work within a few seconds.
+const TOLD_FOR: Duration = Duration::from_millis(1800);
+/// How often the age of the control group's list is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(400);
 /// How long the reader waits after a page that did not come.
 const AGAIN: Duration = Duration::from_millis(500);
-/// Pages read at most, so that a list that never ends does no harm.
-const MOST_PAGES: usize = 64;
 
 /// Reads the list.
 pub(crate) struct Reader<D> {
@@ -33,6 +43,9 @@
     pub(crate) dialect: D,
     pub(crate) inbox: FrontInbox,
     pub(crate) log: Logger,
+    pub(crate) clock: Monotonic,
+    /// When the list that the control group last told of was read, in microseconds of the clock.
+    pub(crate) listed: Arc<AtomicU64>,
     pub(crate) reached: bool,
     pub(crate) skipped: usize,
 }
@@ -40,6 +53,11 @@
 impl<D: Dialect> Reader<D> {
     /// Reads the list once and waits. None once the core has ended.
     pub(crate) fn turn(&mut self) -> Option<()> {
+        let told = Tick(self.listed.load(Ordering::Acquire));
+        if told > Tick::default() && self.clock.now().since(told) < TOLD_FOR {
+            thread::park_timeout(LOOK_EVERY);
+            return Some(());
+        }
         match self.read() {
             Ok(list) => {
                 if !std::mem::replace(&mut self.reached, true) {
@@ -59,25 +77,12 @@
     }
 
     fn read(&mut self) -> Result<Vec<Listing>, String> {
-        let client = Client::new(PATIENCE);
         let mut list = Vec::new();
         let mut skipped = 0;
-        let mut next: Option<String> = None;
-        for _ in 0..MOST_PAGES {
-            let target = self.dialect.list(next.as_deref());
-            let reply = client
-                .call(self.address, "GET", &target, &[], Vec::new())
-                .map_err(|fault| fault.to_string())?;
-            if reply.status != 200 {
-                return Err(format!("the list answered with status {}", reply.status));
-            }
-            let page = self.dialect.page(&reply.body)?;
+        for page in read_list(&self.dialect, self.address)? {
+            let page = self.dialect.page(&page)?;
             list.extend(page.list);
             skipped += page.skipped;
-            next = page.next;
-            if next.is_none() {
-                break;
-            }
         }
         if std::mem::replace(&mut self.skipped, skipped) != skipped {
             event!(self.log, ListingSkipped, "entries" => skipped);
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -100,6 +100,7 @@
     let sealer = Sealer::new(common.cluster.clone(), &common.secret);
     let peers = Control::new(sealer, settings.control.clone());
     peers.turn(run.0);
+    let listed = Arc::new(AtomicU64::new(0));
     let mut follow = Follow {
         host: common.host.clone(),
         run,
@@ -111,6 +112,9 @@
         counters: counters.clone(),
         log: log.clone(),
         edition: 0,
+        directory: 0,
+        listed: Arc::clone(&listed),
+        avoided: None,
         reached: true,
     };
     let follow = Turning::start("front-follow", move || follow.turn());
@@ -119,6 +123,8 @@
         dialect: dialect.clone(),
         inbox: inbox.clone(),
         log: log.clone(),
+        clock,
+        listed,
         reached: true,
         skipped: 0,
     };
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -8,7 +8,6 @@
     Authority,
     Body,
     Entry,
-    Member,
     MemberChange,
     MemberError,
     MemberId,
@@ -27,19 +26,17 @@
     Core,
     Outbox, //
 };
-use usage::Tally;
 
-use crate::bill::{
-    Biller,
-    Due, //
-};
+use crate::bill::Biller;
 use crate::command::{
     Codec,
     Command,
     Outcome, //
 };
+use crate::directory::Reading;
 use crate::machine::Machine;
 use crate::message::{
+    Held,
     Input,
     Output,
     Question,
@@ -58,8 +55,6 @@
 const COMPACT_ENTRIES: usize = 8192;
 /// A question that no leader confirmed in this time is asked again.
 pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(150);
-/// A process that asked for the board within this time follows it.
-const FOLLOWING: Duration = Duration::from_secs(3);
 /// How long the delivery of a window waits after it was refused.
 const DELIVER_AGAIN: Duration = Duration::from_secs(2);
 
@@ -76,19 +71,20 @@
 
 /// A control host.
 pub struct Govern<K> {
-    seed: Seed,
+    pub(crate) seed: Seed,
     codec: K,
-    node: Node,
-    machine: Machine,
-    applied: Index,
+    pub(crate) node: Node,
+    pub(crate) machine: Machine,
+    pub(crate) applied: Index,
     /// Commands on their way through the log, with the term they were proposed in.
     pending: BTreeMap<Index, (Term, Ticket)>,
     group_pending: BTreeMap<Index, Ticket>,
     viewers: Viewers<Revision>,
-    boards: Viewers<u64>,
+    pub(crate) boards: Viewers<Held>,
+    pub(crate) reading: Reading,
     documents: Vec<Read>,
-    roster: Roster,
-    biller: Biller,
+    pub(crate) roster: Roster,
+    pub(crate) biller: Biller,
     reads: Vec<Read>,
     led: Option<Term>,
     began: Tick,
@@ -120,6 +116,7 @@
             group_pending: BTreeMap::new(),
             viewers: Viewers::default(),
             boards: Viewers::default(),
+            reading: Reading::default(),
             documents: Vec::new(),
             roster: Roster::default(),
             biller: Biller::default(),
@@ -145,7 +142,7 @@
     }
 
     /// Unix time, in milliseconds.
-    fn wall(&self, now: Tick) -> u64 {
+    pub(crate) fn wall(&self, now: Tick) -> u64 {
         let passed = u64::try_from(now.since(self.began).as_millis()).unwrap_or(u64::MAX);
         self.seed.wall.saturating_add(passed)
     }
@@ -164,8 +161,8 @@
             Question::View(id, revision, wait) => {
                 self.viewers.ask(now, ticket, id, revision, wait);
             }
-            Question::Board(id, edition, wait) => {
-                self.boards.ask(now, ticket, id, edition, wait);
+            Question::Board(id, held, wait) => {
+                self.boards.ask(now, ticket, id, held, wait);
             }
             Question::Config => {
                 let read = self.read(now, ticket, out);
@@ -198,7 +195,7 @@
         }
     }
 
-    fn propose(
+    pub(crate) fn propose(
         &mut self,
         now: Tick,
         ticket: Option<Ticket>,
@@ -274,70 +271,7 @@
         read
     }
 
-    /// Notes a host that asks to be taken in; the leader acts on it with its next heartbeat.
-    fn join(&mut self, now: Tick, ticket: Ticket, member: Member, out: &mut Outbox<Output>) {
-        if !self.node.leads() {
-            let leader = self.address(self.node.standing().leader);
-            out.push(Output::Reply(ticket, Reply::Elsewhere(leader)));
-            return;
-        }
-        self.roster.note(now, member);
-        out.push(Output::Reply(ticket, Reply::Member(Ok(()))));
-    }
-
-    fn tally(&mut self, now: Tick, ticket: Ticket, tally: Tally, out: &mut Outbox<Output>) {
-        if self.node.authority(now).is_none() {
-            let leader = self.address(self.node.standing().leader);
-            let leader = leader.filter(|_| !self.node.leads());
-            out.push(Output::Reply(ticket, Reply::Elsewhere(leader)));
-            return;
-        }
-        let last = self.machine.statements.last();
-        self.biller.report(tally);
-        out.push(Output::Reply(ticket, Reply::Tallied(last)));
-    }
-
-    /// Keeps the group whole and the usage reported, as leader under a valid lease. A leader wakes
-    /// for every heartbeat, so this needs no timer of its own.
-    fn govern_plan(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        let Some(plan) = self.seed.plan.clone() else {
-            return;
-        };
-        if let Some(member) = self.roster.seek(now, &self.node, &plan.member) {
-            let group = self.node.group().iter();
-            let hosts = group.map(|member| member.address).collect();
-            out.push(Output::Seek(member, hosts));
-        }
-        let Some(authority) = self.node.authority(now) else {
-            return;
-        };
-        if let Some(change) = self.roster.next(now, &self.node) {
-            let mut inner = Outbox::default();
-            // Refused while an earlier change is pending; asked again at the next heartbeat.
-            if self.node.change_group(now, &change, &mut inner).is_ok() {
-                self.carry(now, inner, out);
-            }
-        }
-        let wall = self.wall(now);
-        let statements = &self.machine.statements;
-        match self.biller.next(now, wall, &plan, statements) {
-            Some(Due::Note(tallies)) => {
-                self.propose(now, None, &Command::Tally(tallies), out);
-            }
-            Some(Due::Seal(window)) => self.propose(now, None, &Command::State(window), out),
-            Some(Due::Report(statement)) => out.push(Output::Bill(statement, authority)),
-            None => {}
-        }
-    }
-
-    fn billed(&mut self, now: Tick, window: u64, accepted: bool, out: &mut Outbox<Output>) {
-        self.biller.answered(now, accepted);
-        if accepted {
-            self.propose(now, None, &Command::Stated(window), out);
-        }
-    }
-
-    fn address(&self, id: Option<MemberId>) -> Option<SocketAddr> {
+    pub(crate) fn address(&self, id: Option<MemberId>) -> Option<SocketAddr> {
         let id = id?;
         let member = self.node.group().iter().find(|member| member.id == id);
         member
@@ -346,14 +280,19 @@
     }
 
     /// Carries out what the node asks for.
-    fn carry(&mut self, now: Tick, mut inner: Outbox<agree::Output>, out: &mut Outbox<Output>) {
+    pub(crate) fn carry(
+        &mut self,
+        now: Tick,
+        mut inner: Outbox<agree::Output>,
+        out: &mut Outbox<Output>,
+    ) {
         for output in inner.drain() {
             self.carry_one(output, out);
         }
         self.after(now, out);
     }
 
-    fn carry_one(&mut self, output: agree::Output, out: &mut Outbox<Output>) {
+    pub(crate) fn carry_one(&mut self, output: agree::Output, out: &mut Outbox<Output>) {
         match output {
             agree::Output::Persist(seq, record) => out.push(Output::Persist(seq, record)),
             agree::Output::Rotate(seq, meta, state, record) => {
@@ -520,6 +459,7 @@
             self.sealing = false;
             self.delivering = false;
             self.biller = Biller::default();
+            self.reading = Reading::default();
         }
         if let Some(new) = leads {
             out.push(Output::Trace(Trace::Elected(new)));
@@ -527,35 +467,11 @@
         self.led = leads;
     }
 
-    fn hosts(&self) -> Vec<SocketAddr> {
+    pub(crate) fn hosts(&self) -> Vec<SocketAddr> {
         let group = self.node.group().iter();
         group.map(|member| member.address).collect()
     }
 
-    fn answer_boards(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        if self.boards.wants_round(now) {
-            let mut inner = Outbox::default();
-            let token = self.node.ask(now, &mut inner);
-            self.boards.begin_round(now, token);
-            for output in inner.drain() {
-                self.carry_one(output, out);
-            }
-        }
-        let board = &self.machine.board;
-        let edition = board.edition();
-        for (ticket, held) in self.boards.take_ready(now, self.applied, edition) {
-            let copy = (held != edition).then(|| board.copy());
-            // Followers ask any host, so one host sees a part of them; all of them report usage.
-            let here = self.boards.live(now, FOLLOWING);
-            let live = here.max(self.machine.statements.sources());
-            let reply = Reply::Board(copy, self.hosts(), live, self.wall(now));
-            out.push(Output::Reply(ticket, reply));
-        }
-        for (ticket, _) in self.boards.take_late(now) {
-            out.push(Output::Reply(ticket, Reply::Unavailable));
-        }
-    }
-
     fn answer_views(&mut self, now: Tick, out: &mut Outbox<Output>) {
         if self.viewers.wants_round(now) {
             let mut inner = Outbox::default();
@@ -568,7 +484,8 @@
         let hosts = self.hosts();
         let registry = &self.machine.registry;
         let revision = registry.config().revision();
-        for (ticket, held) in self.viewers.take_ready(now, self.applied, revision) {
+        let news = |held: &Revision| *held != revision;
+        for (ticket, held) in self.viewers.take_ready(now, self.applied, news) {
             let update = registry.update_since(held);
             out.push(Output::Reply(ticket, Reply::View(update, hosts.clone())));
         }
@@ -653,6 +570,7 @@
             Input::Ask(ticket, question) => self.ask(now, ticket, question, out),
             Input::Delivered(number, accepted) => self.delivered(now, number, accepted, out),
             Input::Billed(window, accepted) => self.billed(now, window, accepted, out),
+            Input::Listed(pages) => self.listed(now, pages),
             Input::HandOver => {
                 self.node.hand_over(now, &mut inner);
             }
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -6,9 +6,11 @@
 
 mod bill;
 mod command;
+mod directory;
 mod govern;
 mod machine;
 mod message;
+mod plan;
 mod roster;
 mod viewers;
 
@@ -23,6 +25,8 @@
     MachineState, //
 };
 pub use message::{
+    BoardReply,
+    Held,
     Input,
     Mail,
     Output,
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -27,8 +27,10 @@
 };
 use plan::{
     BoardCopy,
+    Directory,
     Document, //
 };
+use serde_bytes::ByteBuf;
 use usage::{
     Statement,
     Tally,
@@ -84,8 +86,9 @@
     Member(MemberChange),
     /// Tell where this host stands.
     Status,
-    /// Tell about a newer edition of the board: who asks, what it holds, how long it waits.
-    Board(ViewerId, u64, Duration),
+    /// Tell about a newer edition of the board or a newer directory: who asks, what it holds, how
+    /// long it waits.
+    Board(ViewerId, Held, Duration),
     /// Tell the plan's document, confirmed.
     Document,
     /// Take a host into the control group.
@@ -94,6 +97,34 @@
     Tally(Tally),
 }
 
+/// What a follower of the board holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// The board's edition.
+    pub edition: u64,
+    /// The directory's version.
+    pub directory: u64,
+}
+
+/// What brings a follower of the board up to date.
+#[derive(Clone, Debug)]
+pub struct BoardReply {
+    /// The board; none if the follower has the newest edition.
+    pub copy: Option<BoardCopy>,
+    /// The directory, if this host leads and the follower has another one.
+    pub directory: Option<Directory>,
+    /// How long ago the directory was read, if this host leads and has read it.
+    pub age: Option<Duration>,
+    /// Where the leader is reached, as far as is known.
+    pub leader: Option<SocketAddr>,
+    /// Where the control hosts are.
+    pub hosts: Vec<SocketAddr>,
+    /// How many processes follow the board.
+    pub followers: usize,
+    /// Unix time, in milliseconds.
+    pub wall: u64,
+}
+
 /// Messages from one member to another.
 #[derive(Clone, Debug)]
 pub struct Mail {
@@ -120,6 +151,8 @@
     Delivered(u64, bool),
     /// The billing interface accepted a window of the wall clock, or did not.
     Billed(u64, bool),
+    /// The pages of the list of endpoints, as read now.
+    Listed(Vec<ByteBuf>),
     /// Give the leadership away if it is held.
     HandOver,
     /// The disk failed: do nothing any more, so that the others go on without this host.
@@ -139,9 +172,8 @@
     Member(Result<(), MemberError>),
     /// Where this host stands.
     Status(Box<Status>),
-    /// The board, where the control hosts are, how many processes follow it, and Unix time in
-    /// milliseconds; none if the asker's edition is the newest.
-    Board(Option<BoardCopy>, Vec<SocketAddr>, usize, u64),
+    /// The board and what comes with it.
+    Board(Box<BoardReply>),
     /// The plan's document; none before the first.
     Document(Option<Document>),
     /// The last usage window that is sealed.
@@ -211,6 +243,8 @@
     Deliver(Window, Authority),
     /// Report a window of the wall clock to the billing interface, before the authority ends.
     Bill(Statement, Authority),
+    /// Read the list of endpoints.
+    ReadList,
     /// Ask the control hosts at these addresses to take this host in.
     Seek(Member, Vec<SocketAddr>),
     /// Log or count something.
--- a/crates/govern/src/viewers.rs
+++ b/crates/govern/src/viewers.rs
@@ -136,10 +136,15 @@
     }
 
     /// Takes the questions that can be answered: confirmed, and with news or out of time.
-    pub(crate) fn take_ready(&mut self, now: Tick, applied: Index, current: M) -> Vec<(Ticket, M)> {
+    pub(crate) fn take_ready(
+        &mut self,
+        now: Tick,
+        applied: Index,
+        news: impl Fn(&M) -> bool,
+    ) -> Vec<(Ticket, M)> {
         let ready = |open: &Open<M>| {
             let confirmed = open.confirmed.is_some_and(|index| index <= applied);
-            confirmed && (open.held != current || open.deadline <= now)
+            confirmed && (news(&open.held) || open.deadline <= now)
         };
         self.take(ready)
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod call;
 mod follow;
+mod list;
 
 pub use call::{
     Control,
@@ -13,3 +14,7 @@
     Identity,
     Viewed, //
 };
+pub use list::{
+    Pages,
+    read_list, //
+};
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -27,6 +27,16 @@
     closed: BTreeSet<String>,
 }
 
+/// The list of endpoints as the leader of the control group read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Directory {
+    /// Rises with each list that differs from the one before, also over leaders.
+    pub version: u64,
+    /// The list's pages as they were read.
+    pub pages: Vec<serde_bytes::ByteBuf>,
+}
+
 /// What a follower of the board holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -14,6 +14,7 @@
 pub use board::{
     Board,
     Copy as BoardCopy,
+    Directory,
     Document, //
 };
 pub use plan::{
--- a/crates/script/src/hosts.rs
+++ b/crates/script/src/hosts.rs
@@ -76,6 +76,7 @@
                 }
                 govern::Output::Deliver(..)
                 | govern::Output::Bill(..)
+                | govern::Output::ReadList
                 | govern::Output::Seek(..)
                 | govern::Output::Trace(_) => {}
             }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -20,7 +20,10 @@
     RequestKey,
     Settlement, //
 };
-use plan::BoardCopy;
+use plan::{
+    BoardCopy,
+    Directory, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -125,6 +128,8 @@
     pub run: Incarnation,
     /// The edition it holds.
     pub edition: u64,
+    /// The version of the directory that it holds.
+    pub directory: u64,
     /// How long the answer may wait for a newer one.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub wait: Duration,
@@ -137,6 +142,13 @@
 pub struct BoardAnswer {
     /// The board; none if the follower has the newest edition.
     pub copy: Option<BoardCopy>,
+    /// The directory, if the host leads and the follower has another one.
+    pub directory: Option<Directory>,
+    /// How long ago the directory was read, if the host leads and has read it.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub age: Option<Duration>,
+    /// Where the leader is reached, as far as is known.
+    pub leader: Option<SocketAddr>,
     /// How long the follower may go by it, counted from the moment it asked.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub fresh: Duration,
