Tell the story of one request from the logs

berg explain ID FILE... prints the lines about a request and what its hosts believed meanwhile. Each line names its host; each refusal has a line with the edition and age of the view, each wait one with backlog and limit.

--- a/cmd/berg-local/src/main.rs
+++ b/cmd/berg-local/src/main.rs
@@ -21,7 +21,7 @@
 fn main() -> ExitCode {
     let flags = flags::parse();
     let log = if flags.verbose {
-        obs::logger(LogFormat::Terminal, "local")
+        obs::logger(LogFormat::Terminal, "local", "local")
     } else {
         obs::discard()
     };
--- /dev/null
+++ b/cmd/berg/src/explain.rs
@@ -0,0 +1,84 @@
+//! Tells the story of one request from log files.
+
+use std::fs;
+use std::io::{
+    self,
+    Read, //
+};
+use std::path::{
+    Path,
+    PathBuf, //
+};
+
+use ops::{
+    Story,
+    explain, //
+};
+use serde_json::json;
+
+use crate::flags::Explain;
+
+/// Why no story is told.
+#[derive(Debug)]
+pub(crate) enum ExplainError {
+    /// A log cannot be read.
+    File(PathBuf, io::Error),
+    /// No line is about the request.
+    Unknown(String),
+}
+
+impl std::fmt::Display for ExplainError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::File(path, fault) => write!(f, "{}: cannot be read: {fault}", path.display()),
+            Self::Unknown(request) => write!(f, "no log line is about request {request:?}"),
+        }
+    }
+}
+
+impl std::error::Error for ExplainError {}
+
+/// Reads the logs, or standard input if none is named, and prints the story.
+pub(crate) fn run(args: &Explain, as_json: bool) -> Result<(), ExplainError> {
+    let mut text = String::new();
+    if args.log.is_empty() {
+        let stdin = io::stdin().read_to_string(&mut text);
+        stdin.map_err(|fault| ExplainError::File(PathBuf::from("standard input"), fault))?;
+    }
+    for path in &args.log {
+        text.push_str(&read(path)?);
+        text.push('\n');
+    }
+    let story = explain(text.lines(), &args.request);
+    if story.lines.is_empty() {
+        return Err(ExplainError::Unknown(args.request.clone()));
+    }
+    show(&story, as_json);
+    Ok(())
+}
+
+fn read(path: &Path) -> Result<String, ExplainError> {
+    fs::read_to_string(path).map_err(|fault| ExplainError::File(path.to_owned(), fault))
+}
+
+fn show(story: &Story, as_json: bool) {
+    for line in &story.lines {
+        let fields = line.fields.join(" ");
+        if as_json {
+            let object = json!({
+                "time": line.time, "host": line.host, "event": line.event, "text": line.text,
+                "fields": line.fields, "own": line.own,
+            });
+            println!("{object}");
+        } else {
+            let mark = if line.own { '>' } else { ' ' };
+            println!(
+                "{mark} {} {} {} {} {fields}",
+                line.time, line.host, line.event, line.text
+            );
+        }
+    }
+    if story.skipped > 0 {
+        eprintln!("berg: {} lines are no log lines", story.skipped);
+    }
+}
--- a/cmd/berg/src/flags.rs
+++ b/cmd/berg/src/flags.rs
@@ -23,6 +23,13 @@
 
         /// Show the control group and who follows it.
         cmd status {}
+        /// Tell the story of one request from log lines, in order of time.
+        cmd explain {
+            /// The request's identity.
+            required request: String
+            /// Log files; standard input if none is named.
+            repeated log: PathBuf
+        }
         /// Make the configuration what a file says.
         cmd apply {
             /// The configuration, TOML.
@@ -248,6 +255,7 @@
 #[derive(Debug)]
 pub enum BergCmd {
     Status(Status),
+    Explain(Explain),
     Apply(Apply),
     Diff(Diff),
     Config(Config),
@@ -265,6 +273,12 @@
 #[derive(Debug)]
 pub struct Status;
 
+#[derive(Debug)]
+pub struct Explain {
+    pub request: String,
+    pub log: Vec<PathBuf>,
+}
+
 #[derive(Debug)]
 pub struct Apply {
     pub file: PathBuf,
--- a/cmd/berg/src/main.rs
+++ b/cmd/berg/src/main.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod config;
+mod explain;
 mod flags;
 mod run;
 mod show;
@@ -20,6 +21,13 @@
         println!("berg {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    // Logs need no control host and no key.
+    if let flags::BergCmd::Explain(args) = &flags.subcommand {
+        return match explain::run(args, flags.json) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(fault) => fail(&fault, USAGE),
+        };
+    }
     let operator = match Operator::try_from(&flags) {
         Ok(operator) => operator,
         Err(fault) => return fail(&fault, USAGE),
--- a/cmd/berg/src/run.rs
+++ b/cmd/berg/src/run.rs
@@ -117,6 +117,8 @@
 pub(crate) fn run(flags: &Berg, operator: &Operator) -> Result<(), RunError> {
     let work = Work { flags, operator };
     match &flags.subcommand {
+        // Told by `main` without a control host.
+        BergCmd::Explain(_) => {}
         BergCmd::Status(_) => show::status(&operator.ops.status()?, flags.json),
         BergCmd::Usage(_) => show::usage(&operator.ops.usage()?, flags.json),
         BergCmd::Config(_) => show::config(&operator.ops.config()?, flags.json),
--- a/crates/boot/src/lib.rs
+++ b/crates/boot/src/lib.rs
@@ -87,7 +87,7 @@
 /// The exit code, after the fault was printed.
 pub fn start<R: Role>(settings: &R::Settings) -> Result<(R::Handle, Logger), ExitCode> {
     let common = R::common(settings);
-    let log = obs::logger(common.format, R::ROLE);
+    let log = obs::logger(common.format, R::ROLE, common.host.as_ref());
     let counters = Counters::new(&format!("berg.{}", R::ROLE), common.statsd);
     let counters = counters.map_err(|fault| fail(R::PROGRAM, fault, USAGE))?;
     match R::run(settings, log.clone(), counters) {
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -78,6 +78,24 @@
                     "endpoint" => instance, "attempt" => attempt, "rank" => rank,
                     "backlog_ms" => backlog, "edition" => edition, "view_ms" => millis(age));
             }
+            Trace::Refused {
+                request,
+                kind,
+                edition,
+                age,
+            } => {
+                event!(self.log, RequestDecided, "request" => request, "kind" => kind.to_string(),
+                    "edition" => edition, "view_ms" => millis(age));
+            }
+            Trace::Waits {
+                request,
+                backlog,
+                limit,
+            } => {
+                self.counters.count(Counter::Waited);
+                event!(self.log, RequestWaits, "request" => request, "backlog_ms" => backlog,
+                    "limit_ms" => limit);
+            }
             Trace::Retried(request, failure) => {
                 self.counters.count(match failure {
                     relay::Failure::Full => Counter::RetriedBounced,
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -41,6 +41,7 @@
 counters! {
     Received "request.received" "requests received from callers";
     Answered "request.answered" "requests answered by an endpoint";
+    Waited "request.waited" "requests that waited for engines with less to read";
     Replayed "request.replayed" "resent requests answered from their claim";
     Attempted "attempt.sent" "attempts sent to an agent";
     RetriedBounced "retry.bounced" "attempts repeated because an agent had no room";
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -71,6 +71,8 @@
     2008 EndpointEjected Warning "an endpoint is left out after failures";
     2009 RequestAnswered Info "an endpoint's whole answer was passed on";
     2010 StreamEnded Info "a streamed answer ended whole";
+    2011 RequestDecided Info "a request is not to be served";
+    2012 RequestWaits Info "a request waits for engines with less to read";
     3001 EngineFailed Warning "the engine beside the agent failed";
     3002 EngineCold Info "the engine turned cold";
     3003 UsageHeld Warning "a usage report was not acknowledged and will be sent again";
--- a/crates/obs/src/logger.rs
+++ b/crates/obs/src/logger.rs
@@ -38,8 +38,8 @@
 }
 
 /// Starts a logger that writes to standard output from a thread of its own.
-pub fn logger(format: LogFormat, role: &'static str) -> Logger {
-    let fields = o!("role" => role);
+pub fn logger(format: LogFormat, role: &'static str, host: &str) -> Logger {
+    let fields = o!("role" => role, "host" => host.to_owned());
     match format {
         LogFormat::Terminal => {
             let plain = slog_term::PlainSyncDecorator::new(io::stdout());
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' client: finds the leader, proposes changes, waits until they are in force.
 
 mod client;
+mod explain;
 mod plan;
 mod sheet;
 
@@ -8,6 +9,11 @@
     Ops,
     OpsError, //
 };
+pub use explain::{
+    Story,
+    StoryLine,
+    explain, //
+};
 pub use plan::{
     PlanError,
     diff,
--- a/crates/relay/src/hold.rs
+++ b/crates/relay/src/hold.rs
@@ -83,9 +83,11 @@
     }
 
     /// Takes the requests that have waited long enough.
-    pub(crate) fn expire(&mut self, now: Tick) -> Vec<Ticket> {
+    pub(crate) fn expire(&mut self, now: Tick) -> Vec<(Ticket, String)> {
         let late = self.held.iter().filter(|held| held.until <= now);
-        let late = late.map(|held| held.ticket).collect();
+        let late = late
+            .map(|held| (held.ticket, held.ask.name.clone()))
+            .collect();
         self.held.retain(|held| held.until > now);
         late
     }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -226,6 +226,26 @@
         /// The age of the view.
         age: Duration,
     },
+    /// A request is not served.
+    Refused {
+        /// The request's name.
+        request: String,
+        /// Why.
+        kind: Kind,
+        /// The edition that decided.
+        edition: u64,
+        /// The age of the view.
+        age: Duration,
+    },
+    /// A request waits, since the best endpoint's backlog is above a limit, both in milliseconds.
+    Waits {
+        /// The request's name.
+        request: String,
+        /// The backlog.
+        backlog: u64,
+        /// The limit.
+        limit: u64,
+    },
     /// Another attempt follows this failure.
     Retried(String, Failure),
     /// An attempt failed and none follows.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -210,15 +210,18 @@
         if self.follows(now) {
             return self.arrive(now, ticket, *ask, out);
         }
-        if self.hold.take(now, ticket, ask).is_err() {
+        if let Err(ask) = self.hold.take(now, ticket, ask) {
+            self.trace_refused(now, &ask.name, Kind::ViewStale, out);
             out.push(Output::Reply(ticket, STALE));
         }
     }
 
     fn arrive(&mut self, now: Tick, ticket: Ticket, ask: Ask, out: &mut Outbox<Output>) {
+        let name = ask.name.clone();
         match self.admit(now, ask) {
             Ok(id) => self.dispatch(now, ticket, id, out),
             Err(kind) => {
+                self.trace_refused(now, &name, kind, out);
                 let refusal = Verdict::Refuse(kind, COME_BACK);
                 out.push(Output::Reply(ticket, refusal));
             }
@@ -262,6 +265,10 @@
             match self.assign(now, waiting.request, limit, out) {
                 Some(verdict) => out.push(Output::Reply(waiting.ticket, verdict)),
                 None if due => {
+                    if let Some(request) = self.requests.get(waiting.request) {
+                        let name = request.name.clone();
+                        self.trace_refused(now, &name, Kind::Overloaded, out);
+                    }
                     self.end(waiting.request);
                     out.push(Output::Reply(waiting.ticket, OVERLOADED));
                 }
@@ -309,6 +316,7 @@
             sent: now,
             unread: 0,
             began: false,
+            waited: false,
         });
         if let Some(service) = plan.service(service) {
             let budget = self.budgets.entry(service.name.clone()).or_default();
@@ -350,7 +358,8 @@
         let Some((endpoint, backlog)) = self.pick(now, id, service) else {
             return Some(self.refuse(id, Kind::EndpointMissing, None, out));
         };
-        if limit.is_some_and(|limit| backlog > limit) {
+        if let Some(limit) = limit.filter(|limit| backlog > *limit) {
+            self.trace_waits(id, backlog, limit, out);
             return None;
         }
         let Some(go) = self.start(now, id, endpoint, route, service) else {
@@ -360,6 +369,30 @@
         Some(Verdict::Go(Box::new(go)))
     }
 
+    fn trace_refused(&self, now: Tick, name: &str, kind: Kind, out: &mut Outbox<Output>) {
+        out.push(Output::Trace(Trace::Refused {
+            request: name.to_owned(),
+            kind,
+            edition: self.edition,
+            age: now.since(self.seen),
+        }));
+    }
+
+    /// Traces the first time that a request has to wait.
+    fn trace_waits(&mut self, id: RequestId, backlog: f64, limit: f64, out: &mut Outbox<Output>) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        if std::mem::replace(&mut request.waited, true) {
+            return;
+        }
+        out.push(Output::Trace(Trace::Waits {
+            request: request.name.clone(),
+            backlog: backlog as u64,
+            limit: limit as u64,
+        }));
+    }
+
     fn trace_sent(
         &self,
         now: Tick,
@@ -753,7 +786,8 @@
             self.hold.begin(now);
             out.push(Output::Trace(Trace::Fresh(false)));
         }
-        for ticket in self.hold.expire(now) {
+        for (ticket, name) in self.hold.expire(now) {
+            self.trace_refused(now, &name, Kind::ViewStale, out);
             out.push(Output::Reply(ticket, STALE));
         }
         self.release_waiting(now, out);
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -70,6 +70,8 @@
     /// Prompt tokens counted as unread at the endpoint.
     pub(crate) unread: u64,
     pub(crate) began: bool,
+    /// Whether it had to wait for engines with less to read.
+    pub(crate) waited: bool,
 }
 
 impl Request {
