Split the front's core by what its parts do

admit, pick, attempt and trace beside the core itself; no change of behaviour. A server that is closed within a span counts steps, since the time of day may jump.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -217,8 +217,11 @@
     pub fn close_within(self, span: Duration) {
         let Self { stop, thread, .. } = self;
         drop(stop);
-        let end = std::time::SystemTime::now() + span;
-        while !thread.is_finished() && std::time::SystemTime::now() < end {
+        // Counted in steps, since the time of day may jump meanwhile.
+        for _ in 0..span.as_millis() / CLOSE_POLL.as_millis() {
+            if thread.is_finished() {
+                return;
+            }
             thread::sleep(CLOSE_POLL);
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,8 @@
 //! decides what may be repeated, keeps the shared retry budget and the limits of cold endpoints,
 //! and counts usage. It has no clock, socket or codec.
 
+mod admit;
+mod attempt;
 mod budget;
 mod choice;
 mod endpoint;
@@ -13,9 +15,11 @@
 mod hold;
 mod lane;
 mod message;
+mod pick;
 mod relay;
 mod request;
 mod tally;
+mod trace;
 
 pub use choice::{
     Choice,
