Count a new member's silence from when it was added

Found by a case that lets a lost host come back as a spare one: the leader's log grew by sixty entries a second. A member that has not answered yet was taken for silent since the leader was elected, so a leader of more than five seconds dropped each new learner at once and added it again, until an answer came between the two. Members count as silent from when this leader first saw them in the group. Fronts that follow nobody give a follower 150 ms to have its answer confirmed; asked without any time, only a leader could answer, so a front cut off from the leader alone could not begin. The group's cases run three to five control hosts under a virtual clock: founding, joining, replacement, cuts, the directory, and usage through changes of the leader.

--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -56,6 +56,9 @@
 const POLL_WAIT: Duration = Duration::from_millis(800);
 /// How long the whole call may take: the wait, and what a loaded control host needs.
 const POLL_PATIENCE: Duration = Duration::from_millis(1300);
+/// How long a question may stay open while the front follows nobody: enough for the host to have it
+/// confirmed by the leader.
+const EAGER_WAIT: Duration = Duration::from_millis(150);
 /// How long the call may take while the front follows nobody: a host that does not answer at once
 /// is passed over.
 const EAGER_PATIENCE: Duration = Duration::from_millis(300);
@@ -154,7 +157,7 @@
         self.counters.count(Counter::ViewAsked);
         let eager = self.edition == 0 || !self.reached;
         let (wait, patience) = if eager {
-            (Duration::ZERO, EAGER_PATIENCE)
+            (EAGER_WAIT, EAGER_PATIENCE)
         } else {
             (POLL_WAIT, POLL_PATIENCE)
         };
--- a/crates/govern/src/roster.rs
+++ b/crates/govern/src/roster.rs
@@ -32,6 +32,8 @@
 pub(crate) struct Roster {
     asks: BTreeMap<MemberId, (Member, Tick)>,
     sought: Option<Tick>,
+    /// Since when each member is in the group, as far as this leader saw.
+    known: BTreeMap<MemberId, Tick>,
 }
 
 impl Roster {
@@ -65,9 +67,16 @@
         self.asks
             .retain(|_, (_, asked)| now.since(*asked) < ASK_LIFE);
         let group = node.group();
+        self.known
+            .retain(|id, _| group.iter().any(|member| member.id == *id));
+        for member in group {
+            self.known.entry(member.id).or_insert(now);
+        }
+        // A member that was added a moment ago has not been silent for longer.
         let silent = |member: &Member, span: Duration| {
-            node.silence(now, member.id)
-                .is_some_and(|silence| silence >= span)
+            let known = self.known.get(&member.id).map(|at| now.since(*at));
+            let silence = node.silence(now, member.id);
+            silence.zip(known).is_some_and(|(a, b)| a.min(b) >= span)
         };
         let outside = |id: MemberId| group.iter().all(|member| member.id != id);
         for (ask, _) in self.asks.values().filter(|(ask, _)| outside(ask.id)) {
--- /dev/null
+++ b/crates/govern/tests/group/mod.rs
@@ -0,0 +1,451 @@
+//! A handful of control hosts under a virtual clock, with disks, cuts and losses.
+
+use std::cmp::Reverse;
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    BinaryHeap, //
+};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agree::{
+    Body,
+    Entry,
+    Member,
+    MemberId,
+    Promotion,
+    Record,
+    Saved,
+    SnapshotMeta,
+    Stage,
+    Timing, //
+};
+use govern::{
+    BoardReply,
+    Command,
+    Govern,
+    Held,
+    Input,
+    Mail,
+    Output,
+    PlanSeed,
+    Question,
+    Reply,
+    Seed,
+    ViewerId,
+    ViewerSide, //
+};
+use ids::{
+    Incarnation,
+    Index,
+    Term,
+    Tick,
+    Ticket, //
+};
+use plan::Document;
+use serde_bytes::ByteBuf;
+use step::{
+    Core,
+    Outbox, //
+};
+use usage::Statement;
+use wire::Packed;
+
+/// One way between two hosts.
+const HOP: u64 = 1_000;
+/// A sync of a disk.
+const SYNC: u64 = 2_000;
+
+#[derive(Default)]
+struct Disk {
+    id: u64,
+    meta: SnapshotMeta,
+    state: Vec<u8>,
+    records: Vec<Record>,
+}
+
+enum Event {
+    Input(usize, u64, Box<Input>),
+    Wake(usize, u64),
+    Join(usize, Member),
+    Listed(usize, u64),
+}
+
+/// The hosts. Host `n` has the address 10.0.0.n:1; the first three found the group.
+pub(crate) struct Group {
+    now: u64,
+    serial: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    cores: Vec<Option<Govern<Packed>>>,
+    disks: Vec<Disk>,
+    runs: Vec<u64>,
+    cut: BTreeSet<(usize, usize)>,
+    replies: BTreeMap<(usize, Ticket), Reply>,
+    /// Reports of usage windows: who, under which fence, what.
+    pub(crate) bills: Vec<(usize, u64, Statement)>,
+    /// How often each host read the list.
+    pub(crate) reads: Vec<usize>,
+    /// What the platform's list holds.
+    pub(crate) list: Vec<u8>,
+    /// Whether the platform takes reports.
+    pub(crate) billing: bool,
+    ids: u64,
+}
+
+fn address(n: usize) -> SocketAddr {
+    ([10, 0, 0, u8::try_from(n).unwrap()], 1).into()
+}
+
+fn member(n: usize, id: u64, stage: Stage) -> Member {
+    Member {
+        id: MemberId(id),
+        host: format!("c{n}").as_str().try_into().unwrap(),
+        address: address(n),
+        stage,
+    }
+}
+
+impl Group {
+    /// Three hosts that found a group, led by one of them.
+    pub(crate) fn founded() -> Self {
+        let mut group = Self {
+            now: 1_000_000,
+            serial: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            cores: Vec::new(),
+            disks: Vec::new(),
+            runs: Vec::new(),
+            cut: BTreeSet::new(),
+            replies: BTreeMap::new(),
+            bills: Vec::new(),
+            reads: Vec::new(),
+            list: b"list".to_vec(),
+            billing: true,
+            ids: 100,
+        };
+        let members = (0..3).map(|n| member(n, n as u64 + 1, Stage::Voter));
+        let first = Record {
+            vote: Some((Term(1), None)),
+            truncate: None,
+            entries: vec![Entry {
+                index: Index(1),
+                term: Term(1),
+                body: Body::Members(members.collect()),
+            }],
+        };
+        for n in 0..3 {
+            group.cores.push(None);
+            group.runs.push(0);
+            group.reads.push(0);
+            group.disks.push(Disk {
+                id: n + 1,
+                records: vec![first.clone()],
+                ..Disk::default()
+            });
+        }
+        (0..3).for_each(|n| group.start(n));
+        group.run(3000);
+        group
+    }
+
+    /// Adds a host with an empty disk. Returns its number.
+    pub(crate) fn add(&mut self) -> usize {
+        self.cores.push(None);
+        self.runs.push(0);
+        self.reads.push(0);
+        self.disks.push(Disk::default());
+        let n = self.cores.len() - 1;
+        self.wipe(n);
+        self.start(n);
+        n
+    }
+
+    /// Starts a host from its disk.
+    pub(crate) fn start(&mut self, n: usize) {
+        let disk = &self.disks[n];
+        let mut saved = Saved::new(disk.meta.clone(), disk.state.clone());
+        disk.records
+            .iter()
+            .for_each(|record| saved.replay(record.clone()));
+        self.runs[n] += 1;
+        let seed = Seed {
+            node: agree::Seed {
+                id: MemberId(disk.id),
+                timing: Timing::default(),
+                promotion: Promotion::Odd,
+                random: disk.id * 31 + self.runs[n],
+            },
+            wall: 1_700_000_000_000 + self.now / 1000,
+            window: Duration::from_secs(5),
+            plan: Some(PlanSeed {
+                member: member(n, disk.id, Stage::Learner),
+                window: Duration::from_secs(5),
+                settle: Duration::from_secs(3),
+            }),
+        };
+        self.cores[n] = Some(Govern::new(Tick(self.now), seed, Packed, saved).unwrap());
+        self.post(0, Event::Wake(n, self.runs[n]));
+    }
+
+    /// Stops a host at once. What it has synced stays on its disk.
+    pub(crate) fn crash(&mut self, n: usize) {
+        self.cores[n] = None;
+        self.runs[n] += 1;
+    }
+
+    /// Empties a stopped host's disk; it has a new identity from then on.
+    pub(crate) fn wipe(&mut self, n: usize) {
+        self.ids += 1;
+        self.disks[n] = Disk {
+            id: self.ids,
+            records: vec![Record::default()],
+            ..Disk::default()
+        };
+    }
+
+    /// Cuts a host off from all others, both ways.
+    pub(crate) fn isolate(&mut self, n: usize) {
+        for other in 0..self.cores.len() {
+            self.cut.extend([(n, other), (other, n)]);
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    fn post(&mut self, delay: u64, event: Event) {
+        self.serial += 1;
+        self.queue.push(Reverse((self.now + delay, self.serial)));
+        self.events.insert(self.serial, event);
+    }
+
+    /// Lets a number of milliseconds pass.
+    pub(crate) fn run(&mut self, millis: u64) {
+        let end = self.now + millis * 1000;
+        while let Some(Reverse((at, serial))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at.max(self.now);
+            if let Some(event) = self.events.remove(&serial) {
+                self.happen(event);
+            }
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Input(n, run, input) if self.runs[n] == run => self.step(n, Some(*input)),
+            Event::Wake(n, run) if self.runs[n] == run => {
+                let deadline = self.cores[n].as_ref().and_then(Core::deadline);
+                if deadline.is_some_and(|at| at.0 <= self.now) {
+                    self.step(n, None);
+                }
+            }
+            Event::Join(n, member) => {
+                self.ask(n, Question::Join(member));
+            }
+            Event::Listed(n, run) if self.runs[n] == run => {
+                let pages = vec![ByteBuf::from(self.list.clone())];
+                self.step(n, Some(Input::Listed(pages)));
+            }
+            _ => {}
+        }
+    }
+
+    fn step(&mut self, n: usize, input: Option<Input>) {
+        let mut out = Outbox::default();
+        let now = Tick(self.now);
+        let Some(core) = &mut self.cores[n] else {
+            return;
+        };
+        match input {
+            Some(input) => core.step(now, input, &mut out),
+            None => core.wake(now, &mut out),
+        }
+        let outputs: Vec<_> = out.drain().collect();
+        for output in outputs {
+            self.perform(n, output);
+        }
+        let deadline = self.cores[n].as_ref().and_then(Core::deadline);
+        if let Some(at) = deadline {
+            self.post(at.0.saturating_sub(self.now), Event::Wake(n, self.runs[n]));
+        }
+    }
+
+    fn perform(&mut self, n: usize, output: Output) {
+        let run = self.runs[n];
+        match output {
+            Output::Persist(seq, record) => {
+                self.disks[n].records.push(record);
+                self.post(SYNC, Event::Input(n, run, Box::new(Input::Synced(seq))));
+            }
+            Output::Rotate(seq, meta, state, record) => {
+                let disk = &mut self.disks[n];
+                (disk.meta, disk.state, disk.records) = (meta, state, vec![record]);
+                self.post(SYNC, Event::Input(n, run, Box::new(Input::Synced(seq))));
+            }
+            Output::Send(to, at, message) => {
+                let other = self.number(at);
+                if self.cut.contains(&(n, other)) || self.cores[other].is_none() {
+                    return;
+                }
+                let mail = Mail {
+                    from: MemberId(self.disks[n].id),
+                    address: address(n),
+                    to,
+                    messages: vec![message],
+                };
+                let run = self.runs[other];
+                self.post(HOP, Event::Input(other, run, Box::new(Input::Mail(mail))));
+            }
+            Output::Reply(ticket, reply) => {
+                self.replies.insert((n, ticket), reply);
+            }
+            Output::Bill(statement, authority) => {
+                let window = statement.window;
+                self.bills.push((n, authority.term.0, statement));
+                let accepted = Input::Billed(window, self.billing);
+                self.post(HOP, Event::Input(n, run, Box::new(accepted)));
+            }
+            Output::ReadList => {
+                self.reads[n] += 1;
+                self.post(HOP, Event::Listed(n, run));
+            }
+            Output::Seek(member, _) => {
+                for other in 0..self.cores.len() {
+                    let reached = other != n && !self.cut.contains(&(n, other));
+                    if reached && self.cores[other].is_some() {
+                        self.post(HOP, Event::Join(other, member.clone()));
+                    }
+                }
+            }
+            Output::Deliver(..) | Output::Trace(_) => {}
+        }
+    }
+
+    fn number(&self, at: SocketAddr) -> usize {
+        (0..self.cores.len()).find(|n| address(*n) == at).unwrap()
+    }
+
+    /// Asks a host; the answer is there once time has passed.
+    pub(crate) fn ask(&mut self, n: usize, question: Question) -> (usize, Ticket) {
+        self.serial += 1;
+        let ticket = Ticket(self.serial);
+        self.step(n, Some(Input::Ask(ticket, question)));
+        (n, ticket)
+    }
+
+    /// The answer to a question, if it came.
+    pub(crate) fn answer(&mut self, asked: (usize, Ticket)) -> Option<Reply> {
+        self.replies.remove(&asked)
+    }
+
+    /// Who holds the lease.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let now = Tick(self.now);
+        let leads = |core: &Option<Govern<Packed>>| {
+            core.as_ref()
+                .is_some_and(|core| core.authority(now).is_some())
+        };
+        let leaders: Vec<_> = (0..self.cores.len())
+            .filter(|n| leads(&self.cores[*n]))
+            .collect();
+        assert!(leaders.len() <= 1, "{leaders:?} hold the lease at once");
+        leaders.first().copied()
+    }
+
+    /// Puts a plan in force by its leader, and says whether it was acknowledged.
+    pub(crate) fn install(&mut self, version: u64) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let document = Document {
+            version,
+            bytes: version.to_string().into_bytes(),
+        };
+        let asked = self.ask(leader, Question::Run(Command::Install(document)));
+        self.run(300);
+        matches!(self.answer(asked), Some(Reply::Outcome(_)))
+    }
+
+    /// The plan's version as a host confirms it.
+    pub(crate) fn read(&mut self, n: usize) -> Option<u64> {
+        let asked = self.ask(n, Question::Document);
+        self.run(1000);
+        match self.answer(asked) {
+            Some(Reply::Document(document)) => document.map(|document| document.version),
+            _ => None,
+        }
+    }
+
+    /// What a front is told that holds nothing.
+    pub(crate) fn board(&mut self, n: usize, directory: u64) -> Option<BoardReply> {
+        let front = ViewerId {
+            host: "front".try_into().unwrap(),
+            side: ViewerSide::Entry,
+            run: Incarnation(1),
+        };
+        let held = Held {
+            edition: 0,
+            directory,
+        };
+        let asked = self.ask(n, Question::Board(front, held, Duration::from_millis(150)));
+        self.run(300);
+        match self.answer(asked) {
+            Some(Reply::Board(reply)) => Some(*reply),
+            _ => None,
+        }
+    }
+
+    /// The last entry of a host's log.
+    pub(crate) fn log_end(&mut self, n: usize) -> u64 {
+        let asked = self.ask(n, Question::Status);
+        match self.answer(asked) {
+            Some(Reply::Status(status)) => status.standing.last.0,
+            _ => 0,
+        }
+    }
+
+    /// The voters that a host knows, by number.
+    pub(crate) fn voters(&mut self, n: usize) -> Vec<usize> {
+        let asked = self.ask(n, Question::Status);
+        let Some(Reply::Status(status)) = self.answer(asked) else {
+            return Vec::new();
+        };
+        let voters = status.members.iter().filter(|m| m.stage == Stage::Voter);
+        let mut numbers: Vec<_> = voters
+            .filter(|m| self.disks.iter().any(|disk| MemberId(disk.id) == m.id))
+            .map(|m| self.number(m.address))
+            .collect();
+        numbers.sort_unstable();
+        numbers
+    }
+
+    /// Reports runs of window `window` from a front.
+    pub(crate) fn tally(&mut self, host: &str, windows: &[(u64, u64)]) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let counter = usage::Counter {
+            host: host.to_owned(),
+            run: 1,
+        };
+        let runs = |count: u64| [("ana".to_owned(), count)].into();
+        let windows = windows
+            .iter()
+            .map(|(window, count)| (*window, runs(*count)));
+        self.ask(leader, Question::Tally((counter, windows.collect())));
+    }
+
+    /// The number of the usage window that is open now.
+    pub(crate) fn window(&self) -> u64 {
+        (1_700_000_000_000 + self.now / 1000) / 5000
+    }
+}
