--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -42,7 +42,7 @@
 
 /// The sender broke off; the connection is closed without a regular end of the body.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Aborted;
+pub struct Aborted;
 
 impl fmt::Display for Aborted {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -52,22 +52,27 @@
 
 impl std::error::Error for Aborted {}
 
+/// A piece of a streamed answer.
 #[derive(Debug)]
-pub(crate) enum Piece {
+pub enum Piece {
+    /// Bytes to pass on.
     Data(Bytes),
+    /// The regular end. Without it the answer is broken off.
     End,
 }
 
-/// The body of an answer.
+/// The body of an answer. `G` is held as long as the caller listens.
 #[derive(Debug)]
-pub(crate) enum Body {
+pub enum Body<G = ()> {
+    /// The whole body at once.
     Whole(Option<Bytes>),
-    Pieces(Pin<Box<Receiver<Piece>>>),
+    /// Pieces from a sender.
+    Pieces(Pin<Box<Receiver<Piece>>>, G),
     /// The sender broke off; what it sent before is still on its way out.
     Aborting(Timer),
 }
 
-impl http_body::Body for Body {
+impl<G: Unpin> http_body::Body for Body<G> {
     type Data = Bytes;
     type Error = Aborted;
 
@@ -79,7 +84,7 @@
         let this = self.get_mut();
         match this {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Pieces(pieces) => match ready!(pieces.as_mut().poll_next(cx)) {
+            Self::Pieces(pieces, _) => match ready!(pieces.as_mut().poll_next(cx)) {
                 Some(Piece::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 Some(Piece::End) => Poll::Ready(None),
                 None => {
@@ -103,7 +108,7 @@
             Self::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Self::Pieces(_) | Self::Aborting(_) => SizeHint::default(),
+            Self::Pieces(..) | Self::Aborting(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -78,7 +78,7 @@
         let (tx, rx) = bounded(PIECES_WAITING);
         let _ = self
             .answer
-            .try_send(response(status, headers, Body::Pieces(Box::pin(rx))));
+            .try_send(response(status, headers, Body::Pieces(Box::pin(rx), ())));
         Stream::new(tx, SLOW_CALLER)
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,7 +11,10 @@
 mod server;
 
 pub use body::{
+    Aborted,
+    Body,
     Gone,
+    Piece,
     Stream, //
 };
 pub use client::{
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -15,6 +15,7 @@
     Head,
     Limits,
     Loop,
+    Piece,
     Service,
     Unanswered,
     read_body, //
@@ -72,8 +73,7 @@
 use crate::event::Events;
 use crate::flow::{
     Flow,
-    PIECES,
-    Piece, //
+    PIECES, //
 };
 use crate::metrics::{
     Metrics,
@@ -376,10 +376,7 @@
             }
         });
         self.desk.counters.count(Counter::Answered);
-        let body = Flow::Pieces {
-            pieces: Box::pin(rx),
-            _carrier: task,
-        };
+        let body = Flow::Pieces(Box::pin(rx), task);
         with_body(status, headers, body)
     }
 
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -3,7 +3,10 @@
 
 use std::time::Duration;
 
-use edge::Head;
+use edge::{
+    Head,
+    Piece, //
+};
 use hyper::body::Bytes;
 use ids::{
     Clock,
@@ -25,7 +28,6 @@
 };
 use crate::dialect::Dialect;
 use crate::event::Events;
-use crate::flow::Piece;
 use crate::serve::{
     Next,
     Office, //
