--- a/cmd/berg/src/explain.rs
+++ b/cmd/berg/src/explain.rs
@@ -1,4 +1,4 @@
-//! Tells the story of one request from log files.
+//! Tells the timeline of one request from log files.
 
 use std::fs;
 use std::io::{
@@ -11,14 +11,14 @@
 };
 
 use ops::{
-    Story,
+    Timeline,
     explain, //
 };
 use serde_json::json;
 
 use crate::flags::Explain;
 
-/// Why no story is told.
+/// Why no timeline is told.
 #[derive(Debug)]
 pub(crate) enum ExplainError {
     /// A log cannot be read.
@@ -38,7 +38,7 @@
 
 impl std::error::Error for ExplainError {}
 
-/// Reads the logs, or standard input if none is named, and prints the story.
+/// Reads the logs, or standard input if none is named, and prints the timeline.
 pub(crate) fn run(args: &Explain, as_json: bool) -> Result<(), ExplainError> {
     let mut text = String::new();
     if args.log.is_empty() {
@@ -49,11 +49,11 @@
         text.push_str(&read(path)?);
         text.push('\n');
     }
-    let story = explain(text.lines(), &args.request);
-    if story.lines.is_empty() {
+    let timeline = explain(text.lines(), &args.request);
+    if timeline.lines.is_empty() {
         return Err(ExplainError::Unknown(args.request.clone()));
     }
-    show(&story, as_json);
+    show(&timeline, as_json);
     Ok(())
 }
 
@@ -61,8 +61,8 @@
     fs::read_to_string(path).map_err(|fault| ExplainError::File(path.to_owned(), fault))
 }
 
-fn show(story: &Story, as_json: bool) {
-    for line in &story.lines {
+fn show(timeline: &Timeline, as_json: bool) {
+    for line in &timeline.lines {
         let fields = line.fields.join(" ");
         if as_json {
             let object = json!({
@@ -78,7 +78,7 @@
             );
         }
     }
-    if story.skipped > 0 {
-        eprintln!("berg: {} lines are no log lines", story.skipped);
+    if timeline.skipped > 0 {
+        eprintln!("berg: {} lines are no log lines", timeline.skipped);
     }
 }
--- a/cmd/berg/src/flags.rs
+++ b/cmd/berg/src/flags.rs
@@ -23,7 +23,7 @@
 
         /// Show the control group and who follows it.
         cmd status {}
-        /// Tell the story of one request from log lines, in order of time.
+        /// Show the timeline of one request from log lines.
         cmd explain {
             /// The request's identity.
             required request: String
--- a/crates/control/src/front.rs
+++ b/crates/control/src/front.rs
@@ -44,9 +44,9 @@
 use usage::Report;
 use wire::{
     Answer,
-    BoardAnswer,
-    BoardAsk,
     ClaimAsk,
+    DeploymentAnswer,
+    DeploymentAsk,
     Mail,
     Sealer,
     SettleAsk,
@@ -75,7 +75,7 @@
     Claim,
     Settle,
     Usage,
-    Board,
+    Deployment,
     Join,
     Tally,
 }
@@ -117,7 +117,12 @@
                 let usage = |report: Report| Question::Run(Command::Usage(report));
                 self.peer(exchange, paths::USAGE, PeerKind::Usage, usage);
             }
-            paths::BOARD => self.peer(exchange, paths::BOARD, PeerKind::Board, board),
+            paths::DEPLOYMENT => self.peer(
+                exchange,
+                paths::DEPLOYMENT,
+                PeerKind::Deployment,
+                deployment,
+            ),
             paths::JOIN => self.peer(exchange, paths::JOIN, PeerKind::Join, Question::Join),
             paths::TALLY => {
                 self.counters.count(Counter::UsageMerged);
@@ -214,12 +219,12 @@
     Question::View(id, ask.revision, ask.wait)
 }
 
-fn board(ask: BoardAsk) -> Question {
+fn deployment(ask: DeploymentAsk) -> Question {
     let held = Held {
         edition: ask.edition,
         directory: ask.directory,
     };
-    Question::Board(follower(ask.host, ask.run), held, ask.wait)
+    Question::Deployment(follower(ask.host, ask.run), held, ask.wait)
 }
 
 fn tally(ask: TallyAsk) -> Question {
@@ -261,7 +266,7 @@
     pub(crate) sealer: Sealer,
     pub(crate) cluster: ClusterName,
     pub(crate) host: HostName,
-    /// How long followers of the board may go by an answer.
+    /// How long followers of the deployment may go by an answer.
     pub(crate) fresh: Duration,
     /// Where control hosts take orders about the plan.
     pub(crate) port: u16,
@@ -288,8 +293,8 @@
             (PeerKind::Usage, Reply::Outcome(Outcome::Noted)) => {
                 self.seal(exchange, &Answer::Done(()));
             }
-            (PeerKind::Board, Reply::Board(reply)) => {
-                let answer = BoardAnswer {
+            (PeerKind::Deployment, Reply::Deployment(reply)) => {
+                let answer = DeploymentAnswer {
                     copy: reply.copy,
                     directory: reply.directory,
                     age: reply.age,
@@ -315,7 +320,9 @@
             PeerKind::View => self.seal(exchange, &Answer::<ViewAnswer>::Elsewhere(leader)),
             PeerKind::Claim => self.seal(exchange, &Answer::<Claimed>::Elsewhere(leader)),
             PeerKind::Settle => self.seal(exchange, &Answer::<bool>::Elsewhere(leader)),
-            PeerKind::Board => self.seal(exchange, &Answer::<BoardAnswer>::Elsewhere(leader)),
+            PeerKind::Deployment => {
+                self.seal(exchange, &Answer::<DeploymentAnswer>::Elsewhere(leader))
+            }
             PeerKind::Tally => self.seal(exchange, &Answer::<Option<u64>>::Elsewhere(leader)),
             PeerKind::Usage | PeerKind::Join => {
                 self.seal(exchange, &Answer::<()>::Elsewhere(leader));
@@ -328,7 +335,7 @@
             PeerKind::View => self.seal(exchange, &Answer::<ViewAnswer>::Unavailable),
             PeerKind::Claim => self.seal(exchange, &Answer::<Claimed>::Unavailable),
             PeerKind::Settle => self.seal(exchange, &Answer::<bool>::Unavailable),
-            PeerKind::Board => self.seal(exchange, &Answer::<BoardAnswer>::Unavailable),
+            PeerKind::Deployment => self.seal(exchange, &Answer::<DeploymentAnswer>::Unavailable),
             PeerKind::Tally => self.seal(exchange, &Answer::<Option<u64>>::Unavailable),
             PeerKind::Usage | PeerKind::Join => {
                 self.seal(exchange, &Answer::<()>::Unavailable);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,7 +2,6 @@
 
 mod admin;
 mod codec;
-mod desk;
 mod disk;
 mod effects;
 mod front;
@@ -10,15 +9,16 @@
 mod list;
 mod order;
 mod post;
+mod protocol;
 mod report;
 mod role;
 mod settings;
 
-pub use desk::{
+pub use protocol::{
     Bill,
-    Desk,
-    NoDesk,
+    NoProtocol,
     Order,
+    Protocol,
     Refusal, //
 };
 pub use role::{
--- a/crates/control/src/list.rs
+++ b/crates/control/src/list.rs
@@ -19,8 +19,8 @@
 use peer::read_list;
 use serde_bytes::ByteBuf;
 
-use crate::desk::Desk;
 use crate::effects::ControlInbox;
+use crate::protocol::Protocol;
 
 /// The channel to a reading thread; a reading that finds one under way is left out.
 pub(crate) fn channel() -> (Sender<()>, Receiver<()>) {
@@ -34,7 +34,7 @@
 
 /// What the thread reads by.
 pub(crate) struct List<D> {
-    pub(crate) desk: D,
+    pub(crate) protocol: D,
     pub(crate) platform: Option<SocketAddr>,
     pub(crate) inbox: ControlInbox,
     pub(crate) log: Logger,
@@ -42,7 +42,10 @@
 
 impl Lister {
     /// Starts the thread; it ends when the sender is gone.
-    pub(crate) fn start<D: Desk>(list: List<D>, readings: Receiver<()>) -> std::io::Result<Self> {
+    pub(crate) fn start<D: Protocol>(
+        list: List<D>,
+        readings: Receiver<()>,
+    ) -> std::io::Result<Self> {
         let read = move || {
             let mut reached = true;
             for () in readings {
@@ -74,10 +77,10 @@
     }
 }
 
-impl<D: Desk> List<D> {
+impl<D: Protocol> List<D> {
     fn read(&self) -> Result<Vec<ByteBuf>, String> {
         let platform = self.platform.ok_or("the settings name no platform")?;
-        let pages = read_list(&self.desk, platform)?;
+        let pages = read_list(&self.protocol, platform)?;
         Ok(pages.into_iter().map(ByteBuf::from).collect())
     }
 }
--- a/crates/control/src/order.rs
+++ b/crates/control/src/order.rs
@@ -35,15 +35,15 @@
 };
 
 use crate::admin;
-use crate::desk::{
-    Desk,
-    Order, //
-};
 use crate::effects::{
     ControlInbox,
     Waiting, //
 };
 use crate::front::Form;
+use crate::protocol::{
+    Order, //
+    Protocol,
+};
 
 /// What an answer to an order holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,16 +56,16 @@
 
 /// Takes orders on the event loop.
 pub(crate) struct Orders<D> {
-    pub(crate) desk: D,
+    pub(crate) protocol: D,
     pub(crate) inbox: ControlInbox,
     pub(crate) tickets: Arc<AtomicU64>,
     pub(crate) counters: Counters,
     pub(crate) log: Logger,
 }
 
-impl<D: Desk> Handler for Orders<D> {
+impl<D: Protocol> Handler for Orders<D> {
     fn handle(&self, exchange: Exchange) {
-        let order = match self.desk.order(&exchange.head, &exchange.body) {
+        let order = match self.protocol.order(&exchange.head, &exchange.body) {
             Ok(order) => order,
             Err(refusal) => {
                 event!(self.log, PlanAsked, "path" => exchange.head.uri.path().to_owned(),
--- a/crates/control/src/desk.rs
+++ b/crates/control/src/protocol.rs
@@ -37,7 +37,7 @@
 }
 
 /// Names and formats of orders and reports. It decides nothing.
-pub trait Desk: Pages + Clone + Send + Sync + 'static {
+pub trait Protocol: Pages + Clone + Send + Sync + 'static {
     /// Reads an operator's order.
     ///
     /// # Errors
@@ -51,9 +51,9 @@
 
 /// For a control host that serves no plan.
 #[derive(Clone, Copy, Debug)]
-pub struct NoDesk;
+pub struct NoProtocol;
 
-impl Pages for NoDesk {
+impl Pages for NoProtocol {
     fn target(&self, _: Option<&str>) -> String {
         "/".to_owned()
     }
@@ -63,7 +63,7 @@
     }
 }
 
-impl Desk for NoDesk {
+impl Protocol for NoProtocol {
     fn order(&self, _: &Head, _: &[u8]) -> Result<Order, Refusal> {
         Err(Refusal {
             status: 404,
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -29,11 +29,11 @@
     Window, //
 };
 
-use crate::desk::{
+use crate::effects::ControlInbox;
+use crate::protocol::{
     Bill,
-    Desk, //
+    Protocol, //
 };
-use crate::effects::ControlInbox;
 
 /// What must be left of the lease when a delivery begins; the delivery's time-out is half of it.
 const LEAST_LEFT: Duration = Duration::from_millis(150);
@@ -58,7 +58,7 @@
 
 /// Where and as whom windows are delivered.
 pub(crate) struct Delivery<D> {
-    pub(crate) desk: D,
+    pub(crate) protocol: D,
     pub(crate) platform: Option<SocketAddr>,
     pub(crate) holder: String,
     pub(crate) inbox: ControlInbox,
@@ -68,7 +68,7 @@
 
 impl Deliverer {
     /// Starts the thread; it ends when the sender is gone.
-    pub(crate) fn start<D: Desk>(
+    pub(crate) fn start<D: Protocol>(
         delivery: Delivery<D>,
         windows: Receiver<Due>,
     ) -> std::io::Result<Self> {
@@ -90,7 +90,7 @@
     }
 }
 
-impl<D: Desk> Delivery<D> {
+impl<D: Protocol> Delivery<D> {
     /// Delivers figures and says what became of them.
     fn carry(&self, due: Due) -> Input {
         match due {
@@ -100,7 +100,7 @@
             }
             Due::Statement(statement, authority) => {
                 let fence = authority.term.0;
-                let call = self.desk.bill(&statement, &self.holder, fence);
+                let call = self.protocol.bill(&statement, &self.holder, fence);
                 let number = statement.window;
                 let runs: u64 = statement.runs.values().sum();
                 event!(self.log, WindowReported, "window" => number, "runs" => runs,
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -70,10 +70,6 @@
     Operators, //
 };
 use crate::codec;
-use crate::desk::{
-    Desk,
-    NoDesk, //
-};
 use crate::disk::{
     self,
     Disk, //
@@ -97,6 +93,10 @@
 };
 use crate::order::Orders;
 use crate::post::Post;
+use crate::protocol::{
+    NoProtocol, //
+    Protocol,
+};
 use crate::report::{
     self,
     Deliverer,
@@ -210,18 +210,18 @@
 ///
 /// [`RunError`]; nothing keeps running then.
 pub fn run(settings: &Settings, log: Logger, counters: Counters) -> Result<Handle, RunError> {
-    run_with(settings, NoDesk, log, counters)
+    run_with(settings, NoProtocol, log, counters)
 }
 
-/// Starts a control host that serves a plan in the language of a desk. A data folder without
+/// Starts a control host that serves a plan in the language of a protocol. A data folder without
 /// state is initialised.
 ///
 /// # Errors
 ///
 /// [`RunError`]; nothing keeps running then.
-pub fn run_with<D: Desk>(
+pub fn run_with<D: Protocol>(
     settings: &Settings,
-    desk: D,
+    protocol: D,
     log: Logger,
     counters: Counters,
 ) -> Result<Handle, RunError> {
@@ -286,7 +286,7 @@
     let disk = Disk::start(vault, disk_jobs, inbox.clone(), failed, log.clone());
     let disk = disk.map_err(RunError::Thread)?;
     let delivery = Delivery {
-        desk: desk.clone(),
+        protocol: protocol.clone(),
         platform: settings.platform,
         holder: common.host.to_string(),
         inbox: inbox.clone(),
@@ -295,7 +295,7 @@
     };
     let deliverer = Deliverer::start(delivery, deliveries).map_err(RunError::Thread)?;
     let list = List {
-        desk: desk.clone(),
+        protocol: protocol.clone(),
         platform: settings.platform,
         inbox: inbox.clone(),
         log: log.clone(),
@@ -309,7 +309,7 @@
             let path = plan.path.clone();
             let joiner = Joiner::start(path, peers, requests, log.clone());
             let orders = Orders {
-                desk,
+                protocol,
                 inbox: inbox.clone(),
                 tickets: Arc::clone(&tickets),
                 counters: counters.clone(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,10 +34,10 @@
 };
 pub use pool::Pool;
 pub use server::{
-    Door,
     EdgeError,
     Handler,
     Limits,
+    ListenerId,
     Loop,
     Server,
     Service,
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -73,7 +73,7 @@
     fn call(
         &self,
         request: Request<Incoming>,
-        door: Door,
+        id: ListenerId,
     ) -> impl Future<Output = Result<Response<Self::Body>, Unanswered>>;
 }
 
@@ -82,7 +82,7 @@
 
 /// The one of a server's listening addresses that a request came in by, in the order given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Door(pub usize);
+pub struct ListenerId(pub usize);
 
 /// A body's error as the HTTP library wants it.
 type BoxedFault = Box<dyn std::error::Error + Send + Sync>;
@@ -240,15 +240,15 @@
         open: Cell::new(0),
         stop,
     });
-    let doors = listeners.into_iter().enumerate().map(|(at, listener)| {
+    let accepting = listeners.into_iter().enumerate().map(|(at, listener)| {
         let shared = Rc::clone(&shared);
         let tasks = Rc::clone(&executor);
-        executor.spawn(async move { listen(&tasks, &shared, &listener, Door(at)).await })
+        executor.spawn(async move { listen(&tasks, &shared, &listener, ListenerId(at)).await })
     });
-    let doors: Vec<_> = doors.collect();
+    let accepting: Vec<_> = accepting.collect();
     smol::block_on(executor.run(async {
-        for door in doors {
-            door.await;
+        for task in accepting {
+            task.await;
         }
         while shared.open.get() > 0 {
             Timer::after(Duration::from_millis(5)).await;
@@ -261,7 +261,7 @@
     executor: &Loop,
     shared: &Rc<Shared<S>>,
     listener: &TcpListener,
-    door: Door,
+    id: ListenerId,
 ) {
     loop {
         let next = async { Some(listener.accept().await) };
@@ -271,7 +271,7 @@
         };
         match stop.or(next).await {
             None => return,
-            Some(Ok((stream, _))) => accept(executor, shared, stream, door),
+            Some(Ok((stream, _))) => accept(executor, shared, stream, id),
             // Out of descriptors, most likely; wait for some to be closed.
             Some(Err(_)) => {
                 Timer::after(Duration::from_millis(50)).await;
@@ -280,7 +280,7 @@
     }
 }
 
-fn accept<S: Service>(executor: &Loop, shared: &Rc<Shared<S>>, stream: TcpStream, door: Door) {
+fn accept<S: Service>(executor: &Loop, shared: &Rc<Shared<S>>, stream: TcpStream, id: ListenerId) {
     if shared.open.get() >= shared.limits.connections {
         return;
     }
@@ -288,14 +288,14 @@
     let shared = Rc::clone(shared);
     let task = async move {
         let _ = stream.set_nodelay(true);
-        connection(&shared, stream, door).await;
+        connection(&shared, stream, id).await;
         shared.open.set(shared.open.get() - 1);
     };
     executor.spawn(task).detach();
 }
 
-async fn connection<S: Service>(shared: &Rc<Shared<S>>, stream: TcpStream, door: Door) {
-    let service = service_fn(|request| shared.service.call(request, door));
+async fn connection<S: Service>(shared: &Rc<Shared<S>>, stream: TcpStream, id: ListenerId) {
+    let service = service_fn(|request| shared.service.call(request, id));
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(shared.limits.idle)
@@ -329,7 +329,7 @@
     async fn call(
         &self,
         request: Request<Incoming>,
-        _: Door,
+        _: ListenerId,
     ) -> Result<Response<Body>, Unanswered> {
         let (parts, body) = request.into_parts();
         let head = Head {
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -67,7 +67,7 @@
 }
 
 /// A request as it is sent.
-pub(crate) struct Parcel<'a> {
+pub(crate) struct Outgoing<'a> {
     pub(crate) head: &'a Head,
     pub(crate) body: &'a Bytes,
     /// The last event that the caller has.
@@ -84,13 +84,15 @@
 
 impl<D: Dialect> Attempts<D> {
     /// Sends a request and waits for the head of the answer.
-    pub(crate) async fn open(&self, go: &Go, parcel: &Parcel<'_>) -> Result<Opened, Failure> {
+    pub(crate) async fn open(&self, go: &Go, outgoing: &Outgoing<'_>) -> Result<Opened, Failure> {
         let left = go.until.since(self.clock.now());
-        let mut request = Request::new(Full::new(parcel.body.clone()));
-        *request.method_mut() = parcel.head.method.clone();
-        *request.uri_mut() = parcel.head.uri.clone();
-        *request.headers_mut() = self.dialect.forward(parcel.head, go, left, parcel.after);
-        if let Some(host) = parcel.head.headers.get(HOST) {
+        let mut request = Request::new(Full::new(outgoing.body.clone()));
+        *request.method_mut() = outgoing.head.method.clone();
+        *request.uri_mut() = outgoing.head.uri.clone();
+        *request.headers_mut() = self
+            .dialect
+            .forward(outgoing.head, go, left, outgoing.after);
+        if let Some(host) = outgoing.head.headers.get(HOST) {
             request.headers_mut().insert(HOST, host.clone());
         } else if let Ok(host) = HeaderValue::from_str(&go.address.to_string()) {
             request.headers_mut().insert(HOST, host);
@@ -105,7 +107,7 @@
         let (parts, body) = response.into_parts();
         let answered = self
             .dialect
-            .answered(parcel.head, parts.status.as_u16(), &parts.headers);
+            .answered(outgoing.head, parts.status.as_u16(), &parts.headers);
         if !answered.matches || parts.headers.contains_key(CONTENT_ENCODING) {
             return Err(Failure::Garbled);
         }
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the board by long poll, on a thread of its own.
+//! Follows the deployment by long poll, on a thread of its own.
 
 use std::io;
 use std::net::SocketAddr;
@@ -33,7 +33,7 @@
     PeerError, //
 };
 use plan::{
-    BoardCopy,
+    DeploymentCopy,
     Directory,
     Plan, //
 };
@@ -43,8 +43,8 @@
 };
 use wire::{
     Answer,
-    BoardAnswer,
-    BoardAsk,
+    DeploymentAnswer,
+    DeploymentAsk,
     paths, //
 };
 
@@ -89,12 +89,12 @@
 }
 
 /// A thread that repeats its turn until it is told to end.
-pub(crate) struct Turning {
+pub(crate) struct Worker {
     stop: Arc<AtomicBool>,
     thread: JoinHandle<()>,
 }
 
-impl Turning {
+impl Worker {
     /// Starts a thread that repeats `turn` until it is stopped or `turn` says that it is over.
     pub(crate) fn start(
         name: &str,
@@ -153,7 +153,7 @@
             .prefer(leader.filter(|leader| !avoided(leader)).unwrap_or(host));
     }
 
-    fn ask(&mut self, host: SocketAddr) -> Result<BoardAnswer, PeerError> {
+    fn ask(&mut self, host: SocketAddr) -> Result<DeploymentAnswer, PeerError> {
         self.counters.count(Counter::ViewAsked);
         let eager = self.edition == 0 || !self.reached;
         let (wait, patience) = if eager {
@@ -161,22 +161,24 @@
         } else {
             (POLL_WAIT, POLL_PATIENCE)
         };
-        let ask = BoardAsk {
+        let ask = DeploymentAsk {
             host: self.host.clone(),
             run: self.run,
             edition: self.edition,
             directory: self.directory,
             wait,
         };
-        let body = self.control.seal(paths::BOARD, &ask)?;
-        let answer = self.control.call_one(host, paths::BOARD, body, patience)?;
+        let body = self.control.seal(paths::DEPLOYMENT, &ask)?;
+        let answer = self
+            .control
+            .call_one(host, paths::DEPLOYMENT, body, patience)?;
         match answer {
             Answer::Done(answer) => Ok(answer),
             Answer::Elsewhere(_) | Answer::Unavailable => Err(PeerError::Unavailable),
         }
     }
 
-    fn take(&mut self, asked: Tick, answer: BoardAnswer) -> Option<()> {
+    fn take(&mut self, asked: Tick, answer: DeploymentAnswer) -> Option<()> {
         if !std::mem::replace(&mut self.reached, true) {
             event!(self.log, ControlReached);
         }
@@ -231,7 +233,7 @@
         }
     }
 
-    fn decode(&self, copy: BoardCopy) -> Option<(u64, relay::Content)> {
+    fn decode(&self, copy: DeploymentCopy) -> Option<(u64, relay::Content)> {
         let plan = copy.document.map(|document| {
             let spec = self.dialect.plan(&document.bytes)?;
             Plan::try_from(spec).map_err(|fault| fault.to_string())
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,7 +1,7 @@
 //! A front: takes callers' requests and carries them to endpoints, without an agent between.
 //!
 //! Decisions are [`relay::Relay`]'s, on the control thread. This crate carries bytes on one event
-//! loop, and three threads follow the board, the list of endpoints and the usage. What stands on
+//! loop, and three threads follow the deployment, the list of endpoints and the usage. What stands on
 //! the wire is the business of a [`Dialect`].
 
 mod answer;
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -41,13 +41,13 @@
 use crate::dialect::Dialect;
 use crate::follow::{
     Follow,
-    Turning, //
+    Worker, //
 };
 use crate::link::Links;
 use crate::list::Reader;
 use crate::metrics::Metrics;
 use crate::serve::{
-    Desk,
+    Context,
     front, //
 };
 use crate::settings::Settings;
@@ -58,9 +58,9 @@
 /// A running front.
 pub struct Handle {
     server: Server,
-    follow: Turning,
-    reader: Turning,
-    sender: Turning,
+    follow: Worker,
+    reader: Worker,
+    sender: Worker,
     last: Sender,
     control: step::Control<Input, Attachment>,
     leaving: Arc<AtomicBool>,
@@ -117,7 +117,7 @@
         avoided: None,
         reached: true,
     };
-    let follow = Turning::start("front-follow", move || follow.turn());
+    let follow = Worker::start("front-follow", move || follow.turn());
     let mut reader = Reader {
         address: settings.list,
         dialect: dialect.clone(),
@@ -128,7 +128,7 @@
         reached: true,
         skipped: 0,
     };
-    let reader = Turning::start("front-list", move || reader.turn());
+    let reader = Worker::start("front-list", move || reader.turn());
     let sender = || Sender {
         host: common.host.clone(),
         run,
@@ -139,9 +139,9 @@
         reached: true,
     };
     let (mut regular, last) = (sender(), sender());
-    let sender = Turning::start("front-usage", move || regular.turn());
+    let sender = Worker::start("front-usage", move || regular.turn());
     let leaving = Arc::new(AtomicBool::new(false));
-    let desk = Desk {
+    let context = Context {
         inbox,
         tickets: Arc::new(AtomicU64::new(0)),
         counters,
@@ -151,9 +151,9 @@
         leaving: Arc::clone(&leaving),
     };
     let inbox = control.inbox();
-    let mut doors = vec![common.listen, settings.ready];
-    doors.extend(settings.metrics);
-    let server = Server::host("front-edge", &doors, common.limits, move |tasks| {
+    let mut listeners = vec![common.listen, settings.ready];
+    listeners.extend(settings.metrics);
+    let server = Server::host("front-edge", &listeners, common.limits, move |tasks| {
         let forget = async move {
             while let Ok(request) = left.recv().await {
                 let _ = inbox.send(Input::Gone(request));
@@ -165,7 +165,7 @@
             links: Links::new(tasks.clone(), clock),
             clock,
         };
-        front(desk, attempts, tasks)
+        front(context, attempts, tasks)
     })?;
     event!(log, Started, "listen" => server.address().to_string());
     Ok(Handle {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use edge::{
-    Door,
     Head,
     Limits,
+    ListenerId,
     Loop,
     Piece,
     Service,
@@ -61,7 +61,7 @@
 use crate::attempt::{
     Attempts,
     Opened,
-    Parcel,
+    Outgoing,
     Whole,
     next, //
 };
@@ -81,10 +81,10 @@
 };
 use crate::stream::Carrier;
 
-/// The door of callers.
-pub(crate) const CALLERS: Door = Door(0);
-/// The door of the balancer's probes.
-pub(crate) const PROBES: Door = Door(1);
+/// The listener of callers.
+pub(crate) const CALLERS: ListenerId = ListenerId(0);
+/// The listener of the balancer's probes.
+pub(crate) const PROBES: ListenerId = ListenerId(1);
 
 /// What comes after an attempt that failed.
 pub(crate) enum Next {
@@ -95,14 +95,14 @@
 }
 
 /// The way to the core. Dropping it ends the request that it was opened for.
-pub(crate) struct Office {
+pub(crate) struct CoreClient {
     inbox: FrontInbox,
     tickets: Arc<AtomicU64>,
     pub(crate) counters: Counters,
     open: Cell<Option<RequestId>>,
 }
 
-impl Office {
+impl CoreClient {
     fn ticket(&self) -> Ticket {
         Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
     }
@@ -166,7 +166,7 @@
     }
 }
 
-impl Drop for Office {
+impl Drop for CoreClient {
     fn drop(&mut self) {
         if let Some(request) = self.open.get() {
             let _ = self.inbox.send(Input::Gone(request));
@@ -176,7 +176,7 @@
 
 /// What every request needs.
 #[derive(Clone)]
-pub(crate) struct Desk {
+pub(crate) struct Context {
     pub(crate) inbox: FrontInbox,
     pub(crate) tickets: Arc<AtomicU64>,
     pub(crate) counters: Counters,
@@ -189,13 +189,13 @@
 
 /// Answers callers and probes.
 pub(crate) struct Front<D> {
-    pub(crate) desk: Desk,
+    pub(crate) context: Context,
     pub(crate) attempts: Attempts<D>,
     pub(crate) tasks: Loop,
 }
 
 /// A request whose head and body are read.
-struct Visit {
+struct Received {
     head: Head,
     body: Bytes,
     arrived: Tick,
@@ -208,14 +208,14 @@
     async fn call(
         &self,
         request: Request<Incoming>,
-        door: Door,
+        listener: ListenerId,
     ) -> Result<Response<Flow>, Unanswered> {
-        let mut response = match door {
+        let mut response = match listener {
             CALLERS => self.serve(request).await,
             PROBES => self.probe().await,
             _ => self.show(),
         };
-        if self.desk.leaving.load(Ordering::Relaxed) {
+        if self.context.leaving.load(Ordering::Relaxed) {
             close_after(&mut response);
         }
         Ok(response)
@@ -224,7 +224,7 @@
 
 impl<D: Dialect> Front<D> {
     async fn probe(&self) -> Response<Flow> {
-        let status = if self.office().ready().await {
+        let status = if self.client().ready().await {
             200
         } else {
             503
@@ -233,22 +233,22 @@
     }
 
     fn show(&self) -> Response<Flow> {
-        let text = self.desk.metrics.text(&self.desk.counters);
+        let text = self.context.metrics.text(&self.context.counters);
         whole(200, Default::default(), text.into())
     }
 
-    fn office(&self) -> Office {
-        Office {
-            inbox: self.desk.inbox.clone(),
-            tickets: Arc::clone(&self.desk.tickets),
-            counters: self.desk.counters.clone(),
+    fn client(&self) -> CoreClient {
+        CoreClient {
+            inbox: self.context.inbox.clone(),
+            tickets: Arc::clone(&self.context.tickets),
+            counters: self.context.counters.clone(),
             open: Cell::new(None),
         }
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Response<Flow> {
         let arrived = self.attempts.clock.now();
-        self.desk.counters.count(Counter::Received);
+        self.context.counters.count(Counter::Received);
         let (parts, body) = request.into_parts();
         let head = Head {
             method: parts.method,
@@ -259,66 +259,71 @@
             Ok(ask) => ask,
             Err(kind) => return self.refuse("", kind, Duration::ZERO, arrived),
         };
-        let body = match read_body(body, self.desk.limits).await {
+        let body = match read_body(body, self.context.limits).await {
             Ok(body) => body,
             Err(kind) => return self.refuse(&ask.name, kind, Duration::ZERO, arrived),
         };
-        let visit = Visit {
+        let received = Received {
             head,
             body,
             arrived,
             name: ask.name.clone(),
         };
-        ask.size = visit.body.len();
+        ask.size = received.body.len();
         // The caller's patience runs from its first byte.
         let read = self.attempts.clock.now().since(arrived);
         ask.patience = ask.patience.map(|patience| patience.saturating_sub(read));
-        self.dispatch(visit, ask).await
+        self.dispatch(received, ask).await
     }
 
-    async fn dispatch(&self, visit: Visit, ask: Ask) -> Response<Flow> {
-        let office = self.office();
-        let mut next = office.arrive(ask).await;
+    async fn dispatch(&self, received: Received, ask: Ask) -> Response<Flow> {
+        let client = self.client();
+        let mut next = client.arrive(ask).await;
         let mut kept: Option<Whole> = None;
         loop {
             let go = match next {
                 Next::Go(go) => go,
                 Next::End(Some((kind, wait))) => {
-                    return self.refuse(&visit.name, kind, wait, visit.arrived);
+                    return self.refuse(&received.name, kind, wait, received.arrived);
                 }
-                Next::End(None) => return self.pass(&visit, kept),
+                Next::End(None) => return self.pass(&received, kept),
             };
             let request = go.request;
-            let failure = match self.attempt(&go, &visit, &office).await {
+            let failure = match self.attempt(&go, &received, &client).await {
                 Ok(Attempted::Whole(answer)) if answer.status >= 500 => {
                     kept = Some(answer);
                     Failure::Errored
                 }
                 Ok(Attempted::Whole(answer)) => {
-                    office.done(request);
-                    return self.pass(&visit, Some(answer));
+                    client.done(request);
+                    return self.pass(&received, Some(answer));
                 }
                 Ok(Attempted::Stream(opened, events, first)) => {
-                    return self.stream(visit, *go, office, *opened, events, first);
+                    return self.stream(received, *go, client, *opened, events, first);
                 }
                 Err(failure) => failure,
             };
-            next = office.failed(request, failure).await;
+            next = client.failed(request, failure).await;
         }
     }
 
     /// One attempt, up to the whole answer or the first event of a stream.
-    async fn attempt(&self, go: &Go, visit: &Visit, office: &Office) -> Result<Attempted, Failure> {
-        let parcel = Parcel {
-            head: &visit.head,
-            body: &visit.body,
+    async fn attempt(
+        &self,
+        go: &Go,
+        received: &Received,
+        client: &CoreClient,
+    ) -> Result<Attempted, Failure> {
+        let outgoing = Outgoing {
+            head: &received.head,
+            body: &received.body,
             after: None,
         };
-        let mut opened = self.attempts.open(go, &parcel).await?;
+        let mut opened = self.attempts.open(go, &outgoing).await?;
         if opened.fresh {
-            self.desk.counters.count(Counter::LinkOpened);
+            self.context.counters.count(Counter::LinkOpened);
         }
-        office.began(go.request, opened.load);
+        client.began(go.request, opened.load);
         if !go.repeat.streams() || opened.status != 200 {
             return Ok(Attempted::Whole(self.attempts.whole(go, opened).await?));
         }
@@ -341,14 +346,14 @@
     /// Begins a streamed answer and leaves the rest to a task of its own.
     fn stream(
         &self,
-        visit: Visit,
+        received: Received,
         go: Go,
-        office: Office,
+        client: CoreClient,
         opened: Opened,
         events: Events,
         first: Vec<u8>,
     ) -> Response<Flow> {
-        self.observe(Stage::First, visit.arrived);
+        self.observe(Stage::First, received.arrived);
         let headers = passed_on(&opened.headers);
         let status = opened.status;
         let (tx, rx) = bounded(PIECES);
@@ -356,14 +361,14 @@
         let _ = tx.try_send(Piece::Data(first.into()));
         let carrier = Carrier {
             attempts: self.attempts.clone(),
-            office,
-            head: visit.head,
-            body: visit.body,
+            client,
+            head: received.head,
+            body: received.body,
             events,
             pieces: tx,
         };
-        let (metrics, clock) = (self.desk.metrics.clone(), self.attempts.clock);
-        let (log, arrived, name) = (self.desk.log.clone(), visit.arrived, visit.name);
+        let (metrics, clock) = (self.context.metrics.clone(), self.attempts.clock);
+        let (log, arrived, name) = (self.context.log.clone(), received.arrived, received.name);
         let task = self.tasks.spawn(async move {
             let whole = carrier.carry(go, opened).await;
             let spent = clock.now().since(arrived);
@@ -375,37 +380,42 @@
                 event!(log, StreamBroken, "request" => name, "ms" => spent);
             }
         });
-        self.desk.counters.count(Counter::Answered);
+        self.context.counters.count(Counter::Answered);
         let body = Flow::Pieces(Box::pin(rx), task);
         with_body(status, headers, body)
     }
 
     /// Passes an endpoint's whole answer on.
-    fn pass(&self, visit: &Visit, answer: Option<Whole>) -> Response<Flow> {
+    fn pass(&self, received: &Received, answer: Option<Whole>) -> Response<Flow> {
         let Some(answer) = answer else {
-            return self.refuse(&visit.name, Kind::Internal, Duration::ZERO, visit.arrived);
+            return self.refuse(
+                &received.name,
+                Kind::Internal,
+                Duration::ZERO,
+                received.arrived,
+            );
         };
-        self.desk.counters.count(Counter::Answered);
-        self.observe(Stage::Whole, visit.arrived);
-        let spent = self.attempts.clock.now().since(visit.arrived);
+        self.context.counters.count(Counter::Answered);
+        self.observe(Stage::Whole, received.arrived);
+        let spent = self.attempts.clock.now().since(received.arrived);
         let spent = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
-        event!(self.desk.log, RequestAnswered, "request" => visit.name.clone(),
+        event!(self.context.log, RequestAnswered, "request" => received.name.clone(),
             "status" => answer.status, "ms" => spent);
         whole(answer.status, passed_on(&answer.headers), answer.body)
     }
 
     fn refuse(&self, name: &str, kind: Kind, wait: Duration, arrived: Tick) -> Response<Flow> {
-        self.desk.counters.refuse(kind);
+        self.context.counters.refuse(kind);
         let spent = self.attempts.clock.now().since(arrived);
         let spent = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
-        event!(self.desk.log, RequestRefused, "request" => name.to_owned(),
+        event!(self.context.log, RequestRefused, "request" => name.to_owned(),
             "kind" => kind.to_string(), "ms" => spent);
         refusal(kind, wait)
     }
 
     fn observe(&self, stage: Stage, arrived: Tick) {
         let spent = self.attempts.clock.now().since(arrived);
-        self.desk.metrics.observe(stage, spent);
+        self.context.metrics.observe(stage, spent);
     }
 }
 
@@ -418,9 +428,9 @@
 }
 
 /// Makes the service of a front on its event loop.
-pub(crate) fn front<D: Dialect>(desk: Desk, attempts: Attempts<D>, tasks: &Loop) -> Front<D> {
+pub(crate) fn front<D: Dialect>(context: Context, attempts: Attempts<D>, tasks: &Loop) -> Front<D> {
     Front {
-        desk,
+        context,
         attempts,
         tasks: Rc::clone(tasks),
     }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -23,14 +23,14 @@
 use crate::attempt::{
     Attempts,
     Opened,
-    Parcel,
+    Outgoing,
     next, //
 };
 use crate::dialect::Dialect;
 use crate::event::Events;
 use crate::serve::{
+    CoreClient, //
     Next,
-    Office, //
 };
 
 /// How long a caller may take to read what is sent before the stream is broken off.
@@ -39,7 +39,7 @@
 /// A stream under way.
 pub(crate) struct Carrier<D> {
     pub(crate) attempts: Attempts<D>,
-    pub(crate) office: Office,
+    pub(crate) client: CoreClient,
     pub(crate) head: Head,
     pub(crate) body: Bytes,
     pub(crate) events: Events,
@@ -55,14 +55,14 @@
         loop {
             match self.run(&go, opened).await {
                 Ok(()) => {
-                    self.office.done(request);
+                    self.client.done(request);
                     return self.send(go.until, Piece::End).await.is_ok();
                 }
                 Err(None) => return false,
                 Err(Some(failure)) => match self.resume(request, failure).await {
                     Some(next) => (go, opened) = next,
                     None => {
-                        self.office.counters.count(Counter::StreamAborted);
+                        self.client.counters.count(Counter::StreamAborted);
                         return false;
                     }
                 },
@@ -100,16 +100,16 @@
         // What came of an event that was not finished is sent again by the next endpoint.
         drop(self.events.rest());
         loop {
-            let go = match self.office.failed(request, failure).await {
+            let go = match self.client.failed(request, failure).await {
                 Next::Go(go) => go,
                 Next::End(_) => return None,
             };
-            let parcel = Parcel {
+            let outgoing = Outgoing {
                 head: &self.head,
                 body: &self.body,
                 after: self.events.last(),
             };
-            match self.attempts.open(&go, &parcel).await {
+            match self.attempts.open(&go, &outgoing).await {
                 Ok(opened) if opened.status == 200 => return Some((*go, opened)),
                 Ok(_) => failure = Failure::Errored,
                 Err(fault) => failure = fault,
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -80,7 +80,7 @@
     pending: BTreeMap<Index, (Term, Ticket)>,
     group_pending: BTreeMap<Index, Ticket>,
     viewers: Viewers<Revision>,
-    pub(crate) boards: Viewers<Held>,
+    pub(crate) deployments: Viewers<Held>,
     pub(crate) reading: Reading,
     documents: Vec<Read>,
     pub(crate) roster: Roster,
@@ -115,7 +115,7 @@
             pending: BTreeMap::new(),
             group_pending: BTreeMap::new(),
             viewers: Viewers::default(),
-            boards: Viewers::default(),
+            deployments: Viewers::default(),
             reading: Reading::default(),
             documents: Vec::new(),
             roster: Roster::default(),
@@ -161,8 +161,8 @@
             Question::View(id, revision, wait) => {
                 self.viewers.ask(now, ticket, id, revision, wait);
             }
-            Question::Board(id, held, wait) => {
-                self.boards.ask(now, ticket, id, held, wait);
+            Question::Deployment(id, held, wait) => {
+                self.deployments.ask(now, ticket, id, held, wait);
             }
             Question::Config => {
                 let read = self.read(now, ticket, out);
@@ -386,7 +386,7 @@
 
     fn confirmed(&mut self, token: u64, index: Index) {
         self.viewers.confirm(token, index);
-        self.boards.confirm(token, index);
+        self.deployments.confirm(token, index);
         let reads = self.reads.iter_mut().chain(&mut self.documents);
         for read in reads.filter(|read| read.token == token) {
             read.confirmed = Some(index);
@@ -420,7 +420,7 @@
             }
             !ready
         });
-        let document = self.machine.board.document();
+        let document = self.machine.deployment.document();
         self.documents.retain(|read| {
             let ready = read.confirmed.is_some_and(|index| index <= applied);
             if ready {
@@ -436,7 +436,7 @@
         self.note_lead(out);
         self.answer_reads(out);
         self.answer_views(now, out);
-        self.answer_boards(now, out);
+        self.answer_deployments(now, out);
         if self.node.log_len() > COMPACT_ENTRIES && !self.broken {
             self.compact(now, out);
         }
@@ -627,7 +627,7 @@
         [
             node,
             self.viewers.deadline(),
-            self.boards.deadline(),
+            self.deployments.deadline(),
             reads,
             seek,
         ]
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -25,7 +25,7 @@
     MachineState, //
 };
 pub use message::{
-    BoardReply,
+    DeploymentReply,
     Held,
     Input,
     Mail,
--- a/crates/govern/src/machine.rs
+++ b/crates/govern/src/machine.rs
@@ -6,7 +6,7 @@
     RegistryState, //
 };
 use ledger::Ledger;
-use plan::Board;
+use plan::Deployment;
 use serde::{
     Deserialize,
     Serialize, //
@@ -31,7 +31,7 @@
     /// The usage windows.
     pub book: Book,
     /// The plan in force and the closed zones.
-    pub board: Board,
+    pub deployment: Deployment,
     /// The usage windows of the wall clock.
     pub statements: Statements,
 }
@@ -43,7 +43,7 @@
     registry: RegistryState,
     ledger: Ledger,
     book: Book,
-    board: Board,
+    deployment: Deployment,
     statements: Statements,
 }
 
@@ -76,11 +76,11 @@
                 Outcome::Noted
             }
             Command::Install(document) => {
-                self.board.install(document);
+                self.deployment.install(document);
                 Outcome::Noted
             }
             Command::Zone(zone, closed) => {
-                self.board.set_zone(&zone, closed);
+                self.deployment.set_zone(&zone, closed);
                 Outcome::Noted
             }
             Command::Tally(tallies) => {
@@ -106,7 +106,7 @@
             registry: self.registry.export(),
             ledger: self.ledger.clone(),
             book: self.book.clone(),
-            board: self.board.clone(),
+            deployment: self.deployment.clone(),
             statements: self.statements.clone(),
         }
     }
@@ -120,7 +120,7 @@
             registry: state.registry.try_into()?,
             ledger: state.ledger,
             book: state.book,
-            board: state.board,
+            deployment: state.deployment,
             statements: state.statements,
         })
     }
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -26,7 +26,7 @@
     Ticket, //
 };
 use plan::{
-    BoardCopy,
+    DeploymentCopy,
     Directory,
     Document, //
 };
@@ -86,9 +86,9 @@
     Member(MemberChange),
     /// Tell where this host stands.
     Status,
-    /// Tell about a newer edition of the board or a newer directory: who asks, what it holds, how
+    /// Tell about a newer edition of the deployment or a newer directory: who asks, what it holds, how
     /// long it waits.
-    Board(ViewerId, Held, Duration),
+    Deployment(ViewerId, Held, Duration),
     /// Tell the plan's document, confirmed.
     Document,
     /// Take a host into the control group.
@@ -97,20 +97,20 @@
     Tally(Tally),
 }
 
-/// What a follower of the board holds.
+/// What a follower of the deployment holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Held {
-    /// The board's edition.
+    /// The deployment's edition.
     pub edition: u64,
     /// The directory's version.
     pub directory: u64,
 }
 
-/// What brings a follower of the board up to date.
+/// What brings a follower of the deployment up to date.
 #[derive(Clone, Debug)]
-pub struct BoardReply {
-    /// The board; none if the follower has the newest edition.
-    pub copy: Option<BoardCopy>,
+pub struct DeploymentReply {
+    /// The deployment; none if the follower has the newest edition.
+    pub copy: Option<DeploymentCopy>,
     /// The directory, if this host leads and the follower has another one.
     pub directory: Option<Directory>,
     /// How long ago the directory was read, if this host leads and has read it.
@@ -119,7 +119,7 @@
     pub leader: Option<SocketAddr>,
     /// Where the control hosts are.
     pub hosts: Vec<SocketAddr>,
-    /// How many processes follow the board.
+    /// How many processes follow the deployment.
     pub followers: usize,
     /// Unix time, in milliseconds.
     pub wall: u64,
@@ -172,8 +172,8 @@
     Member(Result<(), MemberError>),
     /// Where this host stands.
     Status(Box<Status>),
-    /// The board and what comes with it.
-    Board(Box<BoardReply>),
+    /// The deployment and what comes with it.
+    Deployment(Box<DeploymentReply>),
     /// The plan's document; none before the first.
     Document(Option<Document>),
     /// The last usage window that is sealed.
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -18,13 +18,13 @@
 };
 use crate::govern::Govern;
 use crate::message::{
-    BoardReply,
+    DeploymentReply,
     Held,
     Output,
     Reply, //
 };
 
-/// A process that asked for the board within this time follows it.
+/// A process that asked for the deployment within this time follows it.
 const FOLLOWING: Duration = Duration::from_secs(3);
 
 impl<K: Codec> Govern<K> {
@@ -112,39 +112,39 @@
         }
     }
 
-    pub(crate) fn answer_boards(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        if self.boards.wants_round(now) {
+    pub(crate) fn answer_deployments(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        if self.deployments.wants_round(now) {
             let mut inner = Outbox::default();
             let token = self.node.ask(now, &mut inner);
-            self.boards.begin_round(now, token);
+            self.deployments.begin_round(now, token);
             for output in inner.drain() {
                 self.carry_one(output, out);
             }
         }
         let held = Held {
-            edition: self.machine.board.edition(),
+            edition: self.machine.deployment.edition(),
             directory: self.reading.directory().map_or(0, |list| list.version),
         };
         let leads = self.node.leads();
         let news = |other: &Held| {
             other.edition != held.edition || (leads && other.directory < held.directory)
         };
-        for (ticket, other) in self.boards.take_ready(now, self.applied, news) {
-            let reply = self.board_reply(now, other);
-            out.push(Output::Reply(ticket, Reply::Board(Box::new(reply))));
+        for (ticket, other) in self.deployments.take_ready(now, self.applied, news) {
+            let reply = self.deployment_reply(now, other);
+            out.push(Output::Reply(ticket, Reply::Deployment(Box::new(reply))));
         }
-        for (ticket, _) in self.boards.take_late(now) {
+        for (ticket, _) in self.deployments.take_late(now) {
             out.push(Output::Reply(ticket, Reply::Unavailable));
         }
     }
 
-    fn board_reply(&self, now: Tick, held: Held) -> BoardReply {
-        let board = &self.machine.board;
+    fn deployment_reply(&self, now: Tick, held: Held) -> DeploymentReply {
+        let deployment = &self.machine.deployment;
         let newer = |list: &&::plan::Directory| list.version > held.directory;
         // Followers ask any host, so one host sees a part of them; all of them report usage.
-        let here = self.boards.live(now, FOLLOWING);
-        BoardReply {
-            copy: (held.edition != board.edition()).then(|| board.copy()),
+        let here = self.deployments.live(now, FOLLOWING);
+        DeploymentReply {
+            copy: (held.edition != deployment.edition()).then(|| deployment.copy()),
             directory: self.reading.directory().filter(newer).cloned(),
             age: self.reading.age(now),
             leader: self.address(self.node.standing().leader),
--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -22,8 +22,8 @@
     Timing, //
 };
 use govern::{
-    BoardReply,
     Command,
+    DeploymentReply,
     Govern,
     Held,
     Input,
@@ -386,7 +386,7 @@
     }
 
     /// What a front is told that holds nothing.
-    pub(crate) fn board(&mut self, n: usize, directory: u64) -> Option<BoardReply> {
+    pub(crate) fn deployment(&mut self, n: usize, directory: u64) -> Option<DeploymentReply> {
         let front = ViewerId {
             host: "front".try_into().unwrap(),
             side: ViewerSide::Entry,
@@ -396,10 +396,13 @@
             edition: 0,
             directory,
         };
-        let asked = self.ask(n, Question::Board(front, held, Duration::from_millis(150)));
+        let asked = self.ask(
+            n,
+            Question::Deployment(front, held, Duration::from_millis(150)),
+        );
         self.run(300);
         match self.answer(asked) {
-            Some(Reply::Board(reply)) => Some(*reply),
+            Some(Reply::Deployment(reply)) => Some(*reply),
             _ => None,
         }
     }
--- a/crates/govern/tests/plan.rs
+++ b/crates/govern/tests/plan.rs
@@ -118,7 +118,7 @@
         assert_ne!(group.leader(), Some(leader));
         assert!(group.install(2));
         assert_eq!(group.read(leader), None);
-        assert!(group.board(leader, 0).is_none());
+        assert!(group.deployment(leader, 0).is_none());
     };
     older_plan_and_other_content_are_acknowledged_and_change_nothing: {
         let (mut group, leader) = led();
@@ -131,30 +131,30 @@
         let (mut group, leader) = led();
         group.run(3000);
         assert!(others(leader).iter().all(|n| group.reads[*n] == 0));
-        let reply = group.board(leader, 0).unwrap();
+        let reply = group.deployment(leader, 0).unwrap();
         let directory = reply.directory.unwrap();
         assert_eq!(directory.pages[0].as_slice(), b"list");
-        assert!(group.board(leader, directory.version).unwrap().directory.is_none());
+        assert!(group.deployment(leader, directory.version).unwrap().directory.is_none());
         group.list = b"longer list".to_vec();
         group.run(1000);
-        let newer = group.board(leader, directory.version).unwrap().directory.unwrap();
+        let newer = group.deployment(leader, directory.version).unwrap().directory.unwrap();
         assert!(newer.version > directory.version);
     };
     follower_names_the_leader_and_has_no_list: {
         let (mut group, leader) = led();
         let [follower, _] = others(leader);
-        let reply = group.board(follower, 0).unwrap();
+        let reply = group.deployment(follower, 0).unwrap();
         assert!(reply.directory.is_none() && reply.age.is_none());
         assert_eq!(reply.leader.unwrap().ip().to_string(), format!("10.0.0.{leader}"));
     };
     next_leader_s_list_is_newer: {
         let (mut group, leader) = led();
         group.run(2000);
-        let old = group.board(leader, 0).unwrap().directory.unwrap().version;
+        let old = group.deployment(leader, 0).unwrap().directory.unwrap().version;
         group.crash(leader);
         group.run(4000);
         let leader = group.leader().unwrap();
-        assert!(group.board(leader, old).unwrap().directory.is_some());
+        assert!(group.deployment(leader, old).unwrap().directory.is_some());
     };
     window_is_reported_once_with_the_sum_of_all_fronts: {
         let (mut group, leader) = led();
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -10,8 +10,8 @@
     OpsError, //
 };
 pub use explain::{
-    Story,
-    StoryLine,
+    Timeline,
+    TimelineEntry,
     explain, //
 };
 pub use plan::{
--- a/crates/ops/tests/explain.rs
+++ b/crates/ops/tests/explain.rs
@@ -1,4 +1,4 @@
-//! Stories of requests from log lines.
+//! Timelines of requests from log lines.
 
 use ops::explain;
 
@@ -15,8 +15,8 @@
 "#;
 
 fn told(request: &str) -> Vec<(String, u64)> {
-    let story = explain(LOG.lines(), request);
-    story
+    let timeline = explain(LOG.lines(), request);
+    timeline
         .lines
         .into_iter()
         .map(|line| (line.time, line.event))
@@ -34,8 +34,8 @@
     unknown_request_has_no_story: assert_eq!(told("r9"), []);
     lines_that_are_no_objects_are_counted: assert_eq!(explain(LOG.lines(), "r1").skipped, 1);
     fields_keep_their_names: {
-        let story = explain(LOG.lines(), "r1");
-        let sent = story.lines.iter().find(|line| line.event == 2005).unwrap();
+        let timeline = explain(LOG.lines(), "r1");
+        let sent = timeline.lines.iter().find(|line| line.event == 2005).unwrap();
         assert!(sent.fields.contains(&"endpoint=i-1".to_owned()));
         assert!(sent.own);
     };
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/deployment.rs
@@ -21,7 +21,7 @@
 /// The plan in force and the closed zones, under an edition that rises with each change.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct Board {
+pub struct Deployment {
     edition: u64,
     document: Option<Document>,
     closed: BTreeSet<String>,
@@ -37,7 +37,7 @@
     pub pages: Vec<serde_bytes::ByteBuf>,
 }
 
-/// What a follower of the board holds.
+/// What a follower of the deployment holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Copy {
@@ -49,7 +49,7 @@
     pub closed: Vec<String>,
 }
 
-impl Board {
+impl Deployment {
     /// The edition: 0 at first, one more for each change.
     pub fn edition(&self) -> u64 {
         self.edition
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -2,18 +2,18 @@
 //!
 //! Where [`conf`] changes one record at a time, a plan is replaced as a whole, and the highest
 //! version wins. A [`Plan`] is checked once, when it enters, and keeps its rules from then on. The
-//! control group replicates a [`Board`]: the plan's document as it was sent, and the zones that
+//! control group replicates a [`Deployment`]: the plan's document as it was sent, and the zones that
 //! are closed.
 //!
 //! [`conf`]: https://docs.rs/conf
 
-mod board;
+mod deployment;
 mod plan;
 mod spec;
 
-pub use board::{
-    Board,
-    Copy as BoardCopy,
+pub use deployment::{
+    Copy as DeploymentCopy,
+    Deployment,
     Directory,
     Document, //
 };
--- a/crates/plan/tests/rules.rs
+++ b/crates/plan/tests/rules.rs
@@ -1,11 +1,11 @@
-//! The rules of plans and of the board.
+//! The rules of plans and of the deployment.
 
 use std::time::Duration;
 
 use assert_matches::assert_matches;
 use plan::{
     AccountSpec,
-    Board,
+    Deployment,
     Document,
     Plan,
     PlanError,
@@ -117,30 +117,30 @@
         PlanError::SharedKey(..)
     );
     higher_version_takes_effect: {
-        let mut board = Board::default();
-        assert!(board.install(document(7, b"a")));
-        assert!(board.install(document(12, b"b")));
-        assert_eq!(board.document(), Some(&document(12, b"b")));
-        assert_eq!(board.edition(), 2);
+        let mut deployment = Deployment::default();
+        assert!(deployment.install(document(7, b"a")));
+        assert!(deployment.install(document(12, b"b")));
+        assert_eq!(deployment.document(), Some(&document(12, b"b")));
+        assert_eq!(deployment.edition(), 2);
     };
     older_version_changes_nothing: {
-        let mut board = Board::default();
-        board.install(document(7, b"a"));
-        assert!(!board.install(document(3, b"b")));
-        assert_eq!(board.document(), Some(&document(7, b"a")));
+        let mut deployment = Deployment::default();
+        deployment.install(document(7, b"a"));
+        assert!(!deployment.install(document(3, b"b")));
+        assert_eq!(deployment.document(), Some(&document(7, b"a")));
     };
     other_content_under_the_same_version_changes_nothing: {
-        let mut board = Board::default();
-        board.install(document(7, b"a"));
-        assert!(!board.install(document(7, b"b")));
-        assert_eq!((board.document(), board.edition()), (Some(&document(7, b"a")), 1));
+        let mut deployment = Deployment::default();
+        deployment.install(document(7, b"a"));
+        assert!(!deployment.install(document(7, b"b")));
+        assert_eq!((deployment.document(), deployment.edition()), (Some(&document(7, b"a")), 1));
     };
     closing_a_zone_twice_is_one_change: {
-        let mut board = Board::default();
-        assert!(board.set_zone("z", true));
-        assert!(!board.set_zone("z", true));
-        assert_eq!(board.copy().closed, ["z"]);
-        assert!(board.set_zone("z", false));
-        assert_eq!((board.copy().closed.len(), board.edition()), (0, 2));
+        let mut deployment = Deployment::default();
+        assert!(deployment.set_zone("z", true));
+        assert!(!deployment.set_zone("z", true));
+        assert_eq!(deployment.copy().closed, ["z"]);
+        assert!(deployment.set_zone("z", false));
+        assert_eq!((deployment.copy().closed.len(), deployment.edition()), (0, 2));
     };
 }
--- a/crates/relay/src/hold.rs
+++ b/crates/relay/src/hold.rs
@@ -1,4 +1,4 @@
-//! Requests that wait for a view of the board, for a moment after it ran out or the front started.
+//! Requests that wait for a view of the deployment, for a moment after it ran out or the front started.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -37,7 +37,7 @@
 /// A plan, if there is one, and the zones that are closed.
 pub type Content = (Option<Arc<Plan>>, Vec<String>);
 
-/// A view of the board.
+/// A view of the deployment.
 #[derive(Clone, Debug)]
 pub struct View {
     /// The edition.
@@ -46,7 +46,7 @@
     pub content: Option<Content>,
     /// Until when the front may go by the view.
     pub fresh: Tick,
-    /// How many fronts follow the board.
+    /// How many fronts follow the deployment.
     pub fronts: usize,
     /// Unix time in milliseconds as the control group sees it, and when it was told.
     pub wall: (u64, Tick),
@@ -182,7 +182,7 @@
 /// What the core is told.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// A view of the board.
+    /// A view of the deployment.
     View(Box<View>),
     /// The list of endpoints.
     Listed(Vec<Listing>),
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -34,7 +34,7 @@
 const BYTE_S: f64 = 2.0e-6;
 /// How much worse it is to read shared parts again than the time it takes: the price of tokens
 /// read again, as time.
-const ASTRAY: f64 = 2.5;
+const MISS_COST: f64 = 2.5;
 
 /// What the requests that wait at an endpoint say of it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -93,9 +93,9 @@
             if let Some(prompt) = &request.prompt {
                 let at_home = home == Some(*id);
                 let to_read = endpoint.to_read(now, prompt, at_home);
-                let astray = shared(prompt) as f64 / READ_PER_MS * ASTRAY;
+                let miss = shared(prompt) as f64 / READ_PER_MS * MISS_COST;
                 estimate.tokens = Some((to_read + endpoint.unread) as f64);
-                estimate.place = lanes.cost(*id, prompt) + if at_home { 0.0 } else { astray };
+                estimate.place = lanes.cost(*id, prompt) + if at_home { 0.0 } else { miss };
             }
             estimate
         };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -43,9 +43,9 @@
 pub use packed::Packed;
 pub use peer::{
     Answer,
-    BoardAnswer,
-    BoardAsk,
     ClaimAsk,
+    DeploymentAnswer,
+    DeploymentAsk,
     Mail,
     SettleAsk,
     Side,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -21,7 +21,7 @@
     Settlement, //
 };
 use plan::{
-    BoardCopy,
+    DeploymentCopy,
     Directory, //
 };
 use serde::{
@@ -48,8 +48,8 @@
     pub const SETTLE: &str = "/peer/settle";
     /// A usage report.
     pub const USAGE: &str = "/peer/usage";
-    /// A question for a newer edition of the board.
-    pub const BOARD: &str = "/peer/board";
+    /// A question for a newer edition of the deployment.
+    pub const DEPLOYMENT: &str = "/peer/deployment";
     /// A request to be taken into the control group.
     pub const JOIN: &str = "/peer/join";
     /// A front's usage by windows.
@@ -117,11 +117,11 @@
     pub hosts: Vec<SocketAddr>,
 }
 
-/// Asks for an edition of the board newer than the one held.
+/// Asks for an edition of the deployment newer than the one held.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct BoardAsk {
+pub struct DeploymentAsk {
     /// The host that asks.
     pub host: HostName,
     /// Its run.
@@ -135,13 +135,13 @@
     pub wait: Duration,
 }
 
-/// What brings a follower of the board up to date.
+/// What brings a follower of the deployment up to date.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct BoardAnswer {
-    /// The board; none if the follower has the newest edition.
-    pub copy: Option<BoardCopy>,
+pub struct DeploymentAnswer {
+    /// The deployment; none if the follower has the newest edition.
+    pub copy: Option<DeploymentCopy>,
     /// The directory, if the host leads and the follower has another one.
     pub directory: Option<Directory>,
     /// How long ago the directory was read, if the host leads and has read it.
@@ -154,7 +154,7 @@
     pub fresh: Duration,
     /// The control hosts.
     pub hosts: Vec<SocketAddr>,
-    /// How many processes follow the board here.
+    /// How many processes follow the deployment here.
     pub followers: u64,
     /// Unix time in milliseconds.
     pub wall: u64,
