--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -123,10 +123,9 @@
         match answered.outcome {
             Outcome::Ran => Ok(opened),
             Outcome::Full | Outcome::Misdirected => {
-                // The connection is as good as before; its answer is short.
-                if self.whole(go, opened).await.is_err() {
-                    // The promise stands in the head, whatever becomes of the body.
-                }
+                // The connection is as good as before and its answer short. What the head says
+                // holds, whatever becomes of the body.
+                let _ = self.whole(go, opened).await;
                 Err(match answered.outcome {
                     Outcome::Misdirected => Failure::Misdirected,
                     _ => Failure::Full,
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{
     AtomicBool,
     AtomicU64,
+    AtomicUsize,
     Ordering, //
 };
 use std::thread::{
@@ -83,6 +84,8 @@
     pub(crate) directory: u64,
     /// When the list that the control group last told of was read, in microseconds of the clock.
     pub(crate) listed: Arc<AtomicU64>,
+    /// Most bytes of a request's body, as the plan says.
+    pub(crate) body: Arc<AtomicUsize>,
     /// A leader that did not answer, and when; it is not sought for a while.
     pub(crate) avoided: Option<(SocketAddr, Tick)>,
     pub(crate) reached: bool,
@@ -239,7 +242,12 @@
             Plan::try_from(spec).map_err(|fault| fault.to_string())
         });
         match plan.transpose() {
-            Ok(plan) => Some((copy.edition, (plan.map(Arc::new), copy.closed))),
+            Ok(plan) => {
+                if let Some(bounds) = plan.as_ref().and_then(Plan::bounds) {
+                    self.body.store(bounds.body, Ordering::Release);
+                }
+                Some((copy.edition, (plan.map(Arc::new), copy.closed)))
+            }
             Err(fault) => {
                 event!(self.log, ViewRefused, "edition" => copy.edition, "fault" => fault);
                 None
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{
     AtomicBool,
     AtomicU64,
+    AtomicUsize,
     Ordering, //
 };
 use std::time::Duration;
@@ -101,6 +102,7 @@
     let peers = Control::new(sealer, settings.control.clone());
     peers.turn(run.0);
     let listed = Arc::new(AtomicU64::new(0));
+    let body = Arc::new(AtomicUsize::new(common.limits.body));
     let mut follow = Follow {
         host: common.host.clone(),
         run,
@@ -114,6 +116,7 @@
         edition: 0,
         directory: 0,
         listed: Arc::clone(&listed),
+        body: Arc::clone(&body),
         avoided: None,
         reached: true,
     };
@@ -148,6 +151,7 @@
         metrics: Metrics::default(),
         log: log.clone(),
         limits: common.limits,
+        body,
         leaving: Arc::clone(&leaving),
     };
     let inbox = control.inbox();
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{
     AtomicBool,
     AtomicU64,
+    AtomicUsize,
     Ordering, //
 };
 use std::time::Duration;
@@ -183,6 +184,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) limits: Limits,
+    /// Most bytes of a body, as the plan says.
+    pub(crate) body: Arc<AtomicUsize>,
     /// Set once the front is told to stop.
     pub(crate) leaving: Arc<AtomicBool>,
 }
@@ -259,7 +262,9 @@
             Ok(ask) => ask,
             Err(kind) => return self.refuse("", kind, Duration::ZERO, arrived),
         };
-        let body = match read_body(body, self.context.limits).await {
+        let mut limits = self.context.limits;
+        limits.body = limits.body.min(self.context.body.load(Ordering::Acquire));
+        let body = match read_body(body, limits).await {
             Ok(body) => body,
             Err(kind) => return self.refuse(&ask.name, kind, Duration::ZERO, arrived),
         };
