--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -1,5 +1,7 @@
 //! A handful of control hosts under a virtual clock, with disks, cuts and losses.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::cmp::Reverse;
 use std::collections::{
     BTreeMap,
@@ -206,6 +208,16 @@
         };
     }
 
+    /// Empties a stopped host's disk and lets it keep its identity, which no host may.
+    pub(crate) fn empty(&mut self, n: usize) {
+        let disk = &mut self.disks[n];
+        *disk = Disk {
+            id: disk.id,
+            records: vec![Record::default()],
+            ..Disk::default()
+        };
+    }
+
     /// Cuts a host off from all others, both ways.
     pub(crate) fn isolate(&mut self, n: usize) {
         for other in 0..self.cores.len() {
