Keep one list of reads and one round of confirmations in a control host

Reads of the configuration and of the plan's document had a list each, and each step walked both; followers of the two kinds began rounds of their own by the same lines. A read now says what it is for, one round covers the questions of both kinds, and where the leader is has one method. Answers and times stay as they are. The span in milliseconds that govern wrote three ways is ids::millis.

--- a/crates/govern/src/bill.rs
+++ b/crates/govern/src/bill.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ids::Tick;
+use ids::{
+    Tick,
+    millis, //
+};
 use usage::{
     Counter,
     Runs,
@@ -114,7 +117,6 @@
             return None;
         }
         let window = statements.next()?;
-        let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         let end = (window + 1).saturating_mul(millis(length));
         let complete = statements.reported(window) >= statements.sources().max(1);
         let due = if complete { SEAL_AFTER } else { SEAL_ANYWAY };
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -20,7 +20,8 @@
     Revision,
     Term,
     Tick,
-    Ticket, //
+    Ticket,
+    millis, //
 };
 use step::{
     Core,
@@ -58,9 +59,19 @@
 /// How long the delivery of a window waits after it was refused.
 const DELIVER_AGAIN: Duration = Duration::from_secs(2);
 
-/// A question for the whole configuration that waits for a leader's confirmation.
+/// What a read is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wanted {
+    /// The whole configuration.
+    Config,
+    /// The plan's document.
+    Document,
+}
+
+/// A question for what is in force that waits for a leader's confirmation.
 #[derive(Debug)]
 struct Read {
+    wanted: Wanted,
     token: u64,
     ticket: Ticket,
     /// When a leader was asked last.
@@ -82,7 +93,6 @@
     viewers: Viewers<Revision>,
     pub(crate) deployments: Viewers<Held>,
     pub(crate) reading: Reading,
-    documents: Vec<Read>,
     pub(crate) roster: Roster,
     pub(crate) biller: Biller,
     reads: Vec<Read>,
@@ -117,7 +127,6 @@
             viewers: Viewers::default(),
             deployments: Viewers::default(),
             reading: Reading::default(),
-            documents: Vec::new(),
             roster: Roster::default(),
             biller: Biller::default(),
             reads: Vec::new(),
@@ -143,8 +152,7 @@
 
     /// Unix time, in milliseconds.
     pub(crate) fn wall(&self, now: Tick) -> u64 {
-        let passed = u64::try_from(now.since(self.began).as_millis()).unwrap_or(u64::MAX);
-        self.seed.wall.saturating_add(passed)
+        self.seed.wall.saturating_add(millis(now.since(self.began)))
     }
 
     fn ask(&mut self, now: Tick, ticket: Ticket, question: Question, out: &mut Outbox<Output>) {
@@ -164,14 +172,8 @@
             Question::Deployment(id, held, wait) => {
                 self.deployments.ask(now, ticket, id, held, wait);
             }
-            Question::Config => {
-                let read = self.read(now, ticket, out);
-                self.reads.push(read);
-            }
-            Question::Document => {
-                let read = self.read(now, ticket, out);
-                self.documents.push(read);
-            }
+            Question::Config => self.read(now, ticket, Wanted::Config, out),
+            Question::Document => self.read(now, ticket, Wanted::Document, out),
             Question::Join(member) => self.join(now, ticket, member, out),
             Question::Tally(tally) => self.tally(now, ticket, tally, out),
             Question::Member(change) => self.change_group(now, ticket, &change, out),
@@ -242,18 +244,18 @@
                 self.carry(now, inner, out);
             }
             Err(MemberError::NotLeader) => {
-                let leader = self.address(self.node.standing().leader);
-                out.push(Output::Reply(ticket, Reply::Elsewhere(leader)));
+                out.push(Output::Reply(ticket, Reply::Elsewhere(self.leader())));
             }
             Err(fault) => out.push(Output::Reply(ticket, Reply::Member(Err(fault)))),
         }
     }
 
     /// Asks a leader to confirm how far the log is committed, for a read of what is in force.
-    fn read(&mut self, now: Tick, ticket: Ticket, out: &mut Outbox<Output>) -> Read {
+    fn read(&mut self, now: Tick, ticket: Ticket, wanted: Wanted, out: &mut Outbox<Output>) {
         let mut inner = Outbox::default();
         let token = self.node.ask(now, &mut inner);
         let mut read = Read {
+            wanted,
             token,
             ticket,
             asked: now,
@@ -268,7 +270,12 @@
                 other => self.carry_one(other, out),
             }
         }
-        read
+        self.reads.push(read);
+    }
+
+    /// Where the leader is reached, as far as is known.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        self.address(self.node.standing().leader)
     }
 
     pub(crate) fn address(&self, id: Option<MemberId>) -> Option<SocketAddr> {
@@ -387,8 +394,7 @@
     fn confirmed(&mut self, token: u64, index: Index) {
         self.viewers.confirm(token, index);
         self.deployments.confirm(token, index);
-        let reads = self.reads.iter_mut().chain(&mut self.documents);
-        for read in reads.filter(|read| read.token == token) {
+        for read in self.reads.iter_mut().filter(|read| read.token == token) {
             read.confirmed = Some(index);
         }
     }
@@ -396,13 +402,12 @@
     /// Asks again for the reads that no leader has confirmed, since there may be one by now.
     fn ask_reads_again(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let due = |read: &Read| read.confirmed.is_none() && now.since(read.asked) >= ASK_AGAIN;
-        if !self.reads.iter().chain(&self.documents).any(due) {
+        if !self.reads.iter().any(due) {
             return;
         }
         let mut inner = Outbox::default();
         let token = self.node.ask(now, &mut inner);
-        let reads = self.reads.iter_mut().chain(&mut self.documents);
-        for read in reads.filter(|read| due(read)) {
+        for read in self.reads.iter_mut().filter(|read| due(read)) {
             read.token = token;
             read.asked = now;
         }
@@ -412,19 +417,14 @@
     fn answer_reads(&mut self, out: &mut Outbox<Output>) {
         let applied = self.applied;
         let config = self.machine.registry.config();
-        self.reads.retain(|read| {
-            let ready = read.confirmed.is_some_and(|index| index <= applied);
-            if ready {
-                let reply = Reply::Config(config.revision(), config.export());
-                out.push(Output::Reply(read.ticket, reply));
-            }
-            !ready
-        });
         let document = self.machine.deployment.document();
-        self.documents.retain(|read| {
+        self.reads.retain(|read| {
             let ready = read.confirmed.is_some_and(|index| index <= applied);
             if ready {
-                let reply = Reply::Document(document.cloned());
+                let reply = match read.wanted {
+                    Wanted::Config => Reply::Config(config.revision(), config.export()),
+                    Wanted::Document => Reply::Document(document.cloned()),
+                };
                 out.push(Output::Reply(read.ticket, reply));
             }
             !ready
@@ -435,6 +435,7 @@
     fn after(&mut self, now: Tick, out: &mut Outbox<Output>) {
         self.note_lead(out);
         self.answer_reads(out);
+        self.confirm_questions(now, out);
         self.answer_views(now, out);
         self.answer_deployments(now, out);
         if self.node.log_len() > COMPACT_ENTRIES && !self.broken {
@@ -472,15 +473,28 @@
         group.map(|member| member.address).collect()
     }
 
-    fn answer_views(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        if self.viewers.wants_round(now) {
-            let mut inner = Outbox::default();
-            let token = self.node.ask(now, &mut inner);
+    /// Asks a leader to confirm how far the log is committed, for the followers' questions that
+    /// came since it was asked last. One round covers both kinds.
+    fn confirm_questions(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        let views = self.viewers.wants_round(now);
+        let deployments = self.deployments.wants_round(now);
+        if !views && !deployments {
+            return;
+        }
+        let mut inner = Outbox::default();
+        let token = self.node.ask(now, &mut inner);
+        if views {
             self.viewers.begin_round(now, token);
-            for output in inner.drain() {
-                self.carry_one(output, out);
-            }
         }
+        if deployments {
+            self.deployments.begin_round(now, token);
+        }
+        for output in inner.drain() {
+            self.carry_one(output, out);
+        }
+    }
+
+    fn answer_views(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let hosts = self.hosts();
         let registry = &self.machine.registry;
         let revision = registry.config().revision();
@@ -516,9 +530,7 @@
         let Some(authority) = self.node.authority(now) else {
             return;
         };
-        let window = u64::try_from(self.seed.window.as_millis())
-            .unwrap_or(u64::MAX)
-            .max(1);
+        let window = millis(self.seed.window).max(1);
         let end = self.wall(now) / window * window / 1000;
         let last = self
             .machine
@@ -594,15 +606,13 @@
         self.ask_reads_again(now, out);
         self.govern_usage(now, out);
         self.govern_plan(now, out);
-        for reads in [&mut self.reads, &mut self.documents] {
-            reads.retain(|read| {
-                let late = read.until <= now;
-                if late {
-                    out.push(Output::Reply(read.ticket, Reply::Unavailable));
-                }
-                !late
-            });
-        }
+        self.reads.retain(|read| {
+            let late = read.until <= now;
+            if late {
+                out.push(Output::Reply(read.ticket, Reply::Unavailable));
+            }
+            !late
+        });
     }
 
     fn deadline(&self) -> Option<Tick> {
@@ -612,7 +622,6 @@
         let reads = self
             .reads
             .iter()
-            .chain(&self.documents)
             .map(|read| match read.confirmed {
                 Some(_) => read.until,
                 None => read.until.min(read.asked + ASK_AGAIN),
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -37,8 +37,7 @@
         out: &mut Outbox<Output>,
     ) {
         if !self.node.leads() {
-            let leader = self.address(self.node.standing().leader);
-            out.push(Output::Reply(ticket, Reply::Elsewhere(leader)));
+            out.push(Output::Reply(ticket, Reply::Elsewhere(self.leader())));
             return;
         }
         self.roster.note(now, member);
@@ -53,8 +52,7 @@
         out: &mut Outbox<Output>,
     ) {
         if self.node.authority(now).is_none() {
-            let leader = self.address(self.node.standing().leader);
-            let leader = leader.filter(|_| !self.node.leads());
+            let leader = self.leader().filter(|_| !self.node.leads());
             out.push(Output::Reply(ticket, Reply::Elsewhere(leader)));
             return;
         }
@@ -113,14 +111,6 @@
     }
 
     pub(crate) fn answer_deployments(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        if self.deployments.wants_round(now) {
-            let mut inner = Outbox::default();
-            let token = self.node.ask(now, &mut inner);
-            self.deployments.begin_round(now, token);
-            for output in inner.drain() {
-                self.carry_one(output, out);
-            }
-        }
         let held = Held {
             edition: self.machine.deployment.edition(),
             directory: self.reading.directory().map_or(0, |list| list.version),
@@ -147,7 +137,7 @@
             copy: (held.edition != deployment.edition()).then(|| deployment.copy()),
             directory: self.reading.directory().filter(newer).cloned(),
             age: self.reading.age(now),
-            leader: self.address(self.node.standing().leader),
+            leader: self.leader(),
             hosts: self.hosts(),
             followers: here.max(self.machine.statements.sources()),
             wall: self.wall(now),
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -55,5 +55,6 @@
     Ticket,
     Tier,
     Tokens,
-    UnitError, //
+    UnitError,
+    millis, //
 };
--- a/crates/ids/src/unit.rs
+++ b/crates/ids/src/unit.rs
@@ -1,6 +1,7 @@
 //! Numbers with a unit or a meaning of their own.
 
 use std::fmt;
+use std::time::Duration;
 
 use serde::{
     Deserialize,
@@ -27,6 +28,11 @@
 
 impl std::error::Error for UnitError {}
 
+/// A span in whole milliseconds, as logs, figures and messages give it.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A service tier; 0 is the highest, 3 the lowest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
