--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -28,7 +28,8 @@
     GrantName,
     OperatorName,
     ProposalName,
-    Secret, //
+    Secret,
+    millis, //
 };
 use obs::Counters;
 use oxhttp::model::header::CONTENT_TYPE;
@@ -284,7 +285,7 @@
             ViewerSide::Agent => Side::Agent,
         },
         revision: viewer.revision,
-        fresh_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        fresh_ms: millis(left),
     }
 }
 
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -47,7 +47,8 @@
     HostName,
     Index,
     Monotonic,
-    Term, //
+    Term,
+    millis, //
 };
 use obs::{
     Counters,
@@ -431,7 +432,7 @@
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    millis(since)
 }
 
 impl Handle {
--- a/crates/fake/src/weights.rs
+++ b/crates/fake/src/weights.rs
@@ -17,7 +17,8 @@
 use ids::{
     Clock,
     Monotonic,
-    Tick, //
+    Tick,
+    millis, //
 };
 use oxhttp::model::HeaderMap;
 use serde_json::{
@@ -61,7 +62,7 @@
         let mut bucket = self.bucket.lock().unwrap_or_else(PoisonError::into_inner);
         let wait = bucket.book(self.clock.now(), bytes);
         drop(bucket);
-        let answer = json!({"ready_in_ms": u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)});
+        let answer = json!({"ready_in_ms": millis(wait)});
         exchange.reply(200, HeaderMap::new(), answer.to_string().into_bytes());
     }
 
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -4,7 +4,8 @@
 
 use ids::{
     RequestId,
-    Ticket, //
+    Ticket,
+    millis, //
 };
 use obs::{
     Counter,
@@ -134,10 +135,6 @@
     }
 }
 
-fn millis(span: std::time::Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl Effects<Output> for FrontEffects {
     type Attachment = Attachment;
 
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -8,6 +8,7 @@
 };
 use std::time::Duration;
 
+use ids::millis;
 use obs::Counters;
 
 /// Upper bounds of the histograms' buckets, in milliseconds: from below a target to past a
@@ -38,7 +39,7 @@
 impl Metrics {
     /// Notes how long a stage took.
     pub(crate) fn observe(&self, stage: Stage, spent: Duration) {
-        let millis = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+        let millis = millis(spent);
         let at = BOUNDS_MS.partition_point(|bound| *bound < millis);
         let histogram = &self.0[stage as usize];
         histogram.buckets[at].fetch_add(1, Ordering::Relaxed);
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -34,7 +34,8 @@
     Clock,
     RequestId,
     Tick,
-    Ticket, //
+    Ticket,
+    millis, //
 };
 use obs::{
     Counter,
@@ -378,11 +379,10 @@
             let whole = carrier.carry(go, opened).await;
             let spent = clock.now().since(arrived);
             metrics.observe(Stage::Whole, spent);
-            let spent = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
             if whole {
-                event!(log, StreamEnded, "request" => name, "ms" => spent);
+                event!(log, StreamEnded, "request" => name, "ms" => millis(spent));
             } else {
-                event!(log, StreamBroken, "request" => name, "ms" => spent);
+                event!(log, StreamBroken, "request" => name, "ms" => millis(spent));
             }
         });
         self.context.counters.count(Counter::Answered);
@@ -402,8 +402,7 @@
         };
         self.context.counters.count(Counter::Answered);
         self.observe(Stage::Whole, received.arrived);
-        let spent = self.attempts.clock.now().since(received.arrived);
-        let spent = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+        let spent = millis(self.spent(received.arrived));
         event!(self.context.log, RequestAnswered, "request" => received.name.clone(),
             "status" => answer.status, "ms" => spent);
         whole(answer.status, passed_on(&answer.headers), answer.body)
@@ -411,16 +410,19 @@
 
     fn refuse(&self, name: &str, kind: Kind, wait: Duration, arrived: Tick) -> Response<Flow> {
         self.context.counters.refuse(kind);
-        let spent = self.attempts.clock.now().since(arrived);
-        let spent = u64::try_from(spent.as_millis()).unwrap_or(u64::MAX);
+        let spent = millis(self.spent(arrived));
         event!(self.context.log, RequestRefused, "request" => name.to_owned(),
             "kind" => kind.to_string(), "ms" => spent);
         refusal(kind, wait)
     }
 
     fn observe(&self, stage: Stage, arrived: Tick) {
-        let spent = self.attempts.clock.now().since(arrived);
-        self.context.metrics.observe(stage, spent);
+        self.context.metrics.observe(stage, self.spent(arrived));
+    }
+
+    /// How long a request has been here.
+    fn spent(&self, arrived: Tick) -> Duration {
+        self.attempts.clock.now().since(arrived)
     }
 }
 
--- a/crates/relay/src/tally.rs
+++ b/crates/relay/src/tally.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use ids::Tick;
+use ids::{
+    Tick,
+    millis, //
+};
 use usage::Runs;
 
 /// Windows kept while nobody seals them; older ones are lost.
@@ -20,9 +23,8 @@
 
 impl Tally {
     pub(crate) fn new(length: Duration) -> Self {
-        let length = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
         Self {
-            length: length.max(1),
+            length: millis(length).max(1),
             wall: None,
             windows: BTreeMap::new(),
         }
@@ -71,7 +73,6 @@
 
     fn window(&self, now: Tick) -> Option<u64> {
         let (wall, at) = self.wall?;
-        let since = u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
-        Some(wall.saturating_add(since) / self.length)
+        Some(wall.saturating_add(millis(now.since(at))) / self.length)
     }
 }
