Repeat turns on one kind of thread

The follower of the configuration, the agent's watch of its engine and the front's three threads each had the loop with its flag and its wake; the control host's three channel threads each had a struct around a join handle. Both followers ask a host by Control::ask in place of the same match. A front still stops without waiting for its threads, a control host still waits until what is queued is worked off.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -1,15 +1,7 @@
 //! The engine's side interface: what it says of itself.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{
-    AtomicBool,
-    Ordering, //
-};
-use std::thread::{
-    self,
-    JoinHandle, //
-};
+use std::thread;
 use std::time::Duration;
 
 use admit::{
@@ -23,6 +15,7 @@
     event, //
 };
 use serde::Deserialize;
+use step::Worker;
 
 use crate::control::AgentInbox;
 
@@ -40,48 +33,23 @@
 }
 
 /// Watches an engine from a thread of its own.
-pub(crate) struct Watch {
-    stop: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
-}
-
-impl Watch {
-    pub(crate) fn start(
-        engine: SocketAddr,
-        inbox: AgentInbox,
-        log: Logger,
-    ) -> std::io::Result<Self> {
-        let stop = Arc::new(AtomicBool::new(false));
-        let stopped = Arc::clone(&stop);
-        let thread = thread::Builder::new()
-            .name("agent-watch".to_owned())
-            .spawn(move || {
-                let mut heard = true;
-                while !stopped.load(Ordering::Acquire) {
-                    match ask(engine) {
-                        Ok(report) => {
-                            heard = true;
-                            if inbox.send(Input::Engine(report)).is_err() {
-                                return;
-                            }
-                        }
-                        Err(fault) => {
-                            if std::mem::replace(&mut heard, false) {
-                                event!(log, EngineFailed, "fault" => fault);
-                            }
-                        }
-                    }
-                    thread::park_timeout(ASK_EVERY);
+pub(crate) fn watch(engine: SocketAddr, inbox: AgentInbox, log: Logger) -> std::io::Result<Worker> {
+    let mut heard = true;
+    Worker::start("agent-watch", move || {
+        match ask(engine) {
+            Ok(report) => {
+                heard = true;
+                inbox.send(Input::Engine(report)).ok()?;
+            }
+            Err(fault) => {
+                if std::mem::replace(&mut heard, false) {
+                    event!(log, EngineFailed, "fault" => fault);
                 }
-            })?;
-        Ok(Self { stop, thread })
-    }
-
-    pub(crate) fn close(self) {
-        self.stop.store(true, Ordering::Release);
-        self.thread.thread().unpark();
-        let _ = self.thread.join();
-    }
+            }
+        }
+        thread::park_timeout(ASK_EVERY);
+        Some(())
+    })
 }
 
 fn ask(engine: SocketAddr) -> Result<Engine, String> {
--- a/crates/agent/src/role.rs
+++ b/crates/agent/src/role.rs
@@ -58,7 +58,7 @@
     AgentInbox,
     Attachment, //
 };
-use crate::engine::Watch;
+use crate::engine::watch;
 use crate::report::Reporter;
 use crate::settings::{
     self,
@@ -71,7 +71,7 @@
     server: Server,
     pool: Pool,
     follower: Follower,
-    watch: Option<Watch>,
+    watch: Option<step::Worker>,
     reporter: Reporter,
     control: step::Control<Input, Attachment>,
     log: Logger,
@@ -168,10 +168,9 @@
     });
     let pool = pool.map_err(EdgeError::Thread)?;
     let watch = match settings.kind {
-        settings::Kind::Engine => Some(
-            Watch::start(settings.backend, inbox.clone(), log.clone())
-                .map_err(EdgeError::Thread)?,
-        ),
+        settings::Kind::Engine => {
+            Some(watch(settings.backend, inbox.clone(), log.clone()).map_err(EdgeError::Thread)?)
+        }
         settings::Kind::Service => None,
     };
     let identity = Identity {
--- a/crates/control/src/join.rs
+++ b/crates/control/src/join.rs
@@ -2,10 +2,6 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::thread::{
-    self,
-    JoinHandle, //
-};
 use std::time::Duration;
 
 use agree::Member;
@@ -19,6 +15,7 @@
     event, //
 };
 use peer::Control;
+use step::Worker;
 use wire::{
     Answer,
     paths, //
@@ -37,41 +34,24 @@
     bounded(1)
 }
 
-/// A running joining thread.
-pub(crate) struct Joiner {
-    thread: JoinHandle<()>,
-}
-
-impl Joiner {
-    /// Starts the thread; it ends when the sender is gone.
-    pub(crate) fn start(
-        settings: PathBuf,
-        control: Control,
-        requests: Receiver<Seeking>,
-        log: Logger,
-    ) -> std::io::Result<Self> {
-        let join = move || {
-            for (member, hosts) in requests {
-                control.add(&hosts);
-                // The seeds may have been exchanged since this process started.
-                match Settings::try_from(settings.as_path()) {
-                    Ok(settings) => control.add(&settings.seeds()),
-                    Err(fault) => {
-                        event!(log, SettingsRefused, "fault" => fault.to_string());
-                    }
-                }
-                ask(&control, &member);
-            }
-        };
-        let thread = thread::Builder::new()
-            .name("control-join".to_owned())
-            .spawn(join)?;
-        Ok(Self { thread })
-    }
-
-    pub(crate) fn close(self) {
-        let _ = self.thread.join();
-    }
+/// Starts the joining thread; it is over when the sender is gone.
+pub(crate) fn start(
+    settings: PathBuf,
+    control: Control,
+    requests: Receiver<Seeking>,
+    log: Logger,
+) -> std::io::Result<Worker> {
+    Worker::start("control-join", move || {
+        let (member, hosts) = requests.recv().ok()?;
+        control.add(&hosts);
+        // The seeds may have been exchanged since this process started.
+        match Settings::try_from(settings.as_path()) {
+            Ok(settings) => control.add(&settings.seeds()),
+            Err(fault) => event!(log, SettingsRefused, "fault" => fault.to_string()),
+        }
+        ask(&control, &member);
+        Some(())
+    })
 }
 
 /// Asks one host after the other until a leader has heard it.
--- a/crates/control/src/list.rs
+++ b/crates/control/src/list.rs
@@ -1,10 +1,6 @@
 //! Reads the list of endpoints for all fronts, on a thread of its own.
 
 use std::net::SocketAddr;
-use std::thread::{
-    self,
-    JoinHandle, //
-};
 
 use crossbeam::channel::{
     Receiver,
@@ -18,6 +14,7 @@
 };
 use peer::read_list;
 use serde_bytes::ByteBuf;
+use step::Worker;
 
 use crate::effects::ControlInbox;
 use crate::protocol::Protocol;
@@ -27,11 +24,6 @@
     bounded(1)
 }
 
-/// A running reading thread.
-pub(crate) struct Lister {
-    thread: JoinHandle<()>,
-}
-
 /// What the thread reads by.
 pub(crate) struct List<D> {
     pub(crate) protocol: D,
@@ -40,41 +32,26 @@
     pub(crate) log: Logger,
 }
 
-impl Lister {
-    /// Starts the thread; it ends when the sender is gone.
-    pub(crate) fn start<D: Protocol>(
-        list: List<D>,
-        readings: Receiver<()>,
-    ) -> std::io::Result<Self> {
-        let read = move || {
-            let mut reached = true;
-            for () in readings {
-                match list.read() {
-                    Ok(pages) => {
-                        if !std::mem::replace(&mut reached, true) {
-                            event!(list.log, ListReached);
-                        }
-                        if list.inbox.send(Input::Listed(pages)).is_err() {
-                            return;
-                        }
-                    }
-                    Err(fault) => {
-                        if std::mem::replace(&mut reached, false) {
-                            event!(list.log, ListUnreachable, "fault" => fault);
-                        }
-                    }
+/// Starts the reading thread; it is over when the sender is gone.
+pub(crate) fn start<D: Protocol>(list: List<D>, readings: Receiver<()>) -> std::io::Result<Worker> {
+    let mut reached = true;
+    Worker::start("control-list", move || {
+        readings.recv().ok()?;
+        match list.read() {
+            Ok(pages) => {
+                if !std::mem::replace(&mut reached, true) {
+                    event!(list.log, ListReached);
                 }
+                list.inbox.send(Input::Listed(pages)).ok()?;
             }
-        };
-        let thread = thread::Builder::new()
-            .name("control-list".to_owned())
-            .spawn(read)?;
-        Ok(Self { thread })
-    }
-
-    pub(crate) fn close(self) {
-        let _ = self.thread.join();
-    }
+            Err(fault) => {
+                if std::mem::replace(&mut reached, false) {
+                    event!(list.log, ListUnreachable, "fault" => fault);
+                }
+            }
+        }
+        Some(())
+    })
 }
 
 impl<D: Protocol> List<D> {
--- a/crates/control/src/report.rs
+++ b/crates/control/src/report.rs
@@ -1,10 +1,6 @@
 //! Delivers sealed usage windows to the billing interface, under the leader's lease.
 
 use std::net::SocketAddr;
-use std::thread::{
-    self,
-    JoinHandle, //
-};
 use std::time::Duration;
 
 use agree::Authority;
@@ -24,6 +20,7 @@
     event, //
 };
 use serde_json::json;
+use step::Worker;
 use usage::{
     Statement,
     Window, //
@@ -46,11 +43,6 @@
     Statement(Statement, Authority),
 }
 
-/// A running delivery thread.
-pub(crate) struct Deliverer {
-    thread: JoinHandle<()>,
-}
-
 /// The channel to a delivery thread; the core has one window of each kind on its way at most.
 pub(crate) fn channel() -> (Sender<Due>, Receiver<Due>) {
     bounded(2)
@@ -66,28 +58,15 @@
     pub(crate) log: Logger,
 }
 
-impl Deliverer {
-    /// Starts the thread; it ends when the sender is gone.
-    pub(crate) fn start<D: Protocol>(
-        delivery: Delivery<D>,
-        windows: Receiver<Due>,
-    ) -> std::io::Result<Self> {
-        let deliver = move || {
-            for due in windows {
-                if delivery.inbox.send(delivery.carry(due)).is_err() {
-                    return;
-                }
-            }
-        };
-        let thread = thread::Builder::new()
-            .name("control-report".to_owned())
-            .spawn(deliver)?;
-        Ok(Self { thread })
-    }
-
-    pub(crate) fn close(self) {
-        let _ = self.thread.join();
-    }
+/// Starts the delivery thread; it is over when the sender is gone.
+pub(crate) fn start<D: Protocol>(
+    delivery: Delivery<D>,
+    windows: Receiver<Due>,
+) -> std::io::Result<Worker> {
+    Worker::start("control-report", move || {
+        let due = windows.recv().ok()?;
+        delivery.inbox.send(delivery.carry(due)).ok()
+    })
 }
 
 impl<D: Protocol> Delivery<D> {
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -56,6 +56,7 @@
     event, //
 };
 use peer::Control;
+use step::Worker;
 use store::{
     StoreError,
     Vault, //
@@ -83,14 +84,10 @@
     Front,
     Replies, //
 };
-use crate::join::{
-    self,
-    Joiner, //
-};
+use crate::join;
 use crate::list::{
     self,
-    List,
-    Lister, //
+    List, //
 };
 use crate::order::Orders;
 use crate::post::Post;
@@ -100,7 +97,6 @@
 };
 use crate::report::{
     self,
-    Deliverer,
     Delivery, //
 };
 use crate::settings::{
@@ -196,11 +192,11 @@
 pub struct Handle {
     server: Server,
     orders: Vec<Server>,
-    joiner: Option<Joiner>,
-    lister: Lister,
+    joiner: Option<Worker>,
+    lister: Worker,
     control: step::Control<Input, Waiting>,
     disk: Disk,
-    deliverer: Deliverer,
+    deliverer: Worker,
     failed: Receiver<String>,
     log: Logger,
 }
@@ -294,21 +290,21 @@
         clock,
         log: log.clone(),
     };
-    let deliverer = Deliverer::start(delivery, deliveries).map_err(RunError::Thread)?;
+    let deliverer = report::start(delivery, deliveries).map_err(RunError::Thread)?;
     let list = List {
         protocol: protocol.clone(),
         platform: settings.platform,
         inbox: inbox.clone(),
         log: log.clone(),
     };
-    let lister = Lister::start(list, readings).map_err(RunError::Thread)?;
+    let lister = list::start(list, readings).map_err(RunError::Thread)?;
     let tickets = Arc::new(AtomicU64::new(0));
     let (orders, joiner) = match &settings.plan {
         None => (Vec::new(), None),
         Some(plan) => {
             let peers = Control::new(sealer.clone(), plan.seeds.clone());
             let path = plan.path.clone();
-            let joiner = Joiner::start(path, peers, requests, log.clone());
+            let joiner = join::start(path, peers, requests, log.clone());
             let orders = Orders {
                 protocol,
                 inbox: inbox.clone(),
@@ -455,10 +451,10 @@
         }
         self.server.close_within(LAST_ANSWERS);
         let _ = self.control.close();
-        self.deliverer.close();
-        self.lister.close();
+        self.deliverer.finish();
+        self.lister.finish();
         if let Some(joiner) = self.joiner {
-            joiner.close();
+            joiner.finish();
         }
         self.disk.close();
         event!(self.log, Stopped);
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -1,19 +1,14 @@
 //! Follows the deployment by long poll, on a thread of its own.
 
-use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{
-    AtomicBool,
     AtomicU64,
     AtomicUsize,
     Ordering, //
 };
-use std::thread::{
-    self,
-    JoinHandle, //
-};
+use std::thread;
 use std::time::Duration;
 
 use ids::{
@@ -43,7 +38,6 @@
     View, //
 };
 use wire::{
-    Answer,
     DeploymentAnswer,
     DeploymentAsk,
     paths, //
@@ -91,38 +85,6 @@
     pub(crate) reached: bool,
 }
 
-/// A thread that repeats its turn until it is told to end.
-pub(crate) struct Worker {
-    stop: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
-}
-
-impl Worker {
-    /// Starts a thread that repeats `turn` until it is stopped or `turn` says that it is over.
-    pub(crate) fn start(
-        name: &str,
-        mut turn: impl FnMut() -> Option<()> + Send + 'static,
-    ) -> io::Result<Self> {
-        let stop = Arc::new(AtomicBool::new(false));
-        let stopped = Arc::clone(&stop);
-        let run = move || {
-            while !stopped.load(Ordering::Acquire) {
-                if turn().is_none() {
-                    return;
-                }
-            }
-        };
-        let thread = thread::Builder::new().name(name.to_owned()).spawn(run)?;
-        Ok(Self { stop, thread })
-    }
-
-    /// Ends the thread after its turn, without waiting for it.
-    pub(crate) fn close(self) {
-        self.stop.store(true, Ordering::Release);
-        self.thread.thread().unpark();
-    }
-}
-
 impl<D: Dialect> Follow<D> {
     /// Asks one control host after the other until one answers. None once the core has ended.
     pub(crate) fn turn(&mut self) -> Option<()> {
@@ -171,14 +133,7 @@
             directory: self.directory,
             wait,
         };
-        let body = self.control.seal(paths::DEPLOYMENT, &ask)?;
-        let answer = self
-            .control
-            .call_one(host, paths::DEPLOYMENT, body, patience)?;
-        match answer {
-            Answer::Done(answer) => Ok(answer),
-            Answer::Elsewhere(_) | Answer::Unavailable => Err(PeerError::Unavailable),
-        }
+        self.control.ask(host, paths::DEPLOYMENT, &ask, patience)
     }
 
     fn take(&mut self, asked: Tick, answer: DeploymentAnswer) -> Option<()> {
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -31,6 +31,7 @@
     Seed, //
 };
 use smol::channel::unbounded;
+use step::Worker;
 use wire::Sealer;
 
 use crate::attempt::Attempts;
@@ -40,10 +41,7 @@
     FrontEffects, //
 };
 use crate::dialect::Dialect;
-use crate::follow::{
-    Follow,
-    Worker, //
-};
+use crate::follow::Follow;
 use crate::link::Links;
 use crate::list::Reader;
 use crate::metrics::Metrics;
@@ -202,9 +200,10 @@
         let left = self.grace.saturating_sub(self.linger + LAST_MOMENTS);
         self.server.close_within(left);
         let _ = self.last.send();
-        self.follow.close();
-        self.reader.close();
-        self.sender.close();
+        // Their calls may be open for longer than a stop may take.
+        self.follow.stop();
+        self.reader.stop();
+        self.sender.stop();
         let _ = self.control.close();
         event!(self.log, Stopped);
     }
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -90,7 +90,7 @@
         R: DeserializeOwned,
     {
         let end = Instant::now() + patience;
-        let body = self.sealer.seal(path, ask).map_err(PeerError::Wire)?;
+        let body = self.seal(path, ask)?;
         let mut hint = None;
         while Instant::now() < end {
             for host in self.order(hint.take()) {
@@ -139,6 +139,29 @@
             .map_err(PeerError::Wire)
     }
 
+    /// Asks one host once, for what any host can answer.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`], with the reason; [`PeerError::Unavailable`] if it could not answer.
+    pub fn ask<T, R>(
+        &self,
+        host: SocketAddr,
+        path: &str,
+        ask: &T,
+        patience: Duration,
+    ) -> Result<R, PeerError>
+    where
+        T: Serialize,
+        R: DeserializeOwned,
+    {
+        let body = self.seal(path, ask)?;
+        match self.call_one(host, path, body, patience)? {
+            Answer::Done(answer) => Ok(answer),
+            Answer::Elsewhere(_) | Answer::Unavailable => Err(PeerError::Unavailable),
+        }
+    }
+
     /// Seals a message of this cluster.
     ///
     /// # Errors
--- a/crates/peer/src/follow.rs
+++ b/crates/peer/src/follow.rs
@@ -2,15 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{
-    AtomicBool,
-    Ordering, //
-};
-use std::thread::{
-    self,
-    JoinHandle, //
-};
+use std::thread;
 use std::time::Duration;
 
 use conf::Update;
@@ -27,8 +19,8 @@
     Logger,
     event, //
 };
+use step::Worker;
 use wire::{
-    Answer,
     Side,
     ViewAnswer,
     ViewAsk,
@@ -68,10 +60,7 @@
 }
 
 /// A running follower.
-pub struct Follower {
-    stop: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
-}
+pub struct Follower(Worker);
 
 impl Follower {
     /// Starts to follow. `deliver` hands an update to the core and returns the revision that the
@@ -92,8 +81,6 @@
         K: Clock + Send + 'static,
         F: FnMut(Viewed) -> Option<Revision> + Send + 'static,
     {
-        let stop = Arc::new(AtomicBool::new(false));
-        let stopped = Arc::clone(&stop);
         let name = format!("{}-follow", identity.host);
         let mut follow = Follow {
             identity,
@@ -105,26 +92,17 @@
             revision: Revision::default(),
             reached: true,
         };
-        let thread = thread::Builder::new().name(name).spawn(move || {
-            while !stopped.load(Ordering::Acquire) {
-                if follow.turn().is_none() {
-                    return;
-                }
-            }
-        })?;
-        Ok(Self { stop, thread })
+        Worker::start(&name, move || follow.turn()).map(Self)
     }
 
     /// Asks the follower to end after the question that is open.
     pub fn stop(&self) {
-        self.stop.store(true, Ordering::Release);
-        self.thread.thread().unpark();
+        self.0.stop();
     }
 
     /// Stops following. Takes as long as an open question at most.
     pub fn close(self) {
-        self.stop();
-        let _ = self.thread.join();
+        self.0.close();
     }
 }
 
@@ -162,14 +140,7 @@
             revision: self.revision,
             wait: POLL_WAIT,
         };
-        let body = self.control.seal(paths::VIEW, &ask)?;
-        match self
-            .control
-            .call_one(host, paths::VIEW, body, POLL_PATIENCE)?
-        {
-            Answer::Done(answer) => Ok(answer),
-            Answer::Elsewhere(_) | Answer::Unavailable => Err(PeerError::Unavailable),
-        }
+        self.control.ask(host, paths::VIEW, &ask, POLL_PATIENCE)
     }
 
     fn take(&mut self, asked: Tick, answer: ViewAnswer) -> Option<()> {
--- a/crates/step/src/lib.rs
+++ b/crates/step/src/lib.rs
@@ -5,12 +5,14 @@
 //! to [`Effects`]. Traffic threads reach the core only through an [`Inbox`].
 
 mod runner;
+mod worker;
 
 pub use runner::{
     Closed,
     Control,
     Inbox, //
 };
+pub use worker::Worker;
 
 use ids::Tick;
 
