Draw the lanes with each list, not with each attempt

The lanes hang on the list of endpoints alone, and each choice sorted all endpoints of a service to draw them again. The fleet keeps them by service and draws them when the list changes or an endpoint is forgotten. Refusals before an attempt were traced and answered by the same pair of lines in four places; they are one call.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -26,11 +26,11 @@
 };
 use crate::message::{
     Ask,
-    Output,
-    Verdict, //
+    Output, //
 };
 use crate::relay::{
     COME_BACK,
+    Refusal,
     Relay,
     STALE, //
 };
@@ -40,7 +40,7 @@
 };
 
 /// When to come back after a refusal under overload: by then a burst has passed or not.
-const OVERLOADED: Verdict = Verdict::Refuse(Kind::Overloaded, Duration::from_secs(1));
+const OVERLOADED: Refusal = (Kind::Overloaded, Duration::from_secs(1));
 
 impl<C: Choice> Relay<C> {
     /// Takes a request, or holds it for the view that is expected in a moment.
@@ -55,8 +55,7 @@
             return self.arrive(now, ticket, *ask, out);
         }
         if let Err(ask) = self.hold.take(now, ticket, ask) {
-            self.trace_refused(now, &ask.name, Kind::ViewStale, out);
-            out.push(Output::Reply(ticket, STALE));
+            self.turn_away(now, ticket, &ask.name, STALE, out);
         }
     }
 
@@ -64,11 +63,7 @@
         let name = ask.name.clone();
         match self.admit(now, ask) {
             Ok(id) => self.dispatch(now, ticket, id, out),
-            Err(kind) => {
-                self.trace_refused(now, &name, kind, out);
-                let refusal = Verdict::Refuse(kind, COME_BACK);
-                out.push(Output::Reply(ticket, refusal));
-            }
+            Err(kind) => self.turn_away(now, ticket, &name, (kind, COME_BACK), out),
         }
     }
 
@@ -115,12 +110,10 @@
             match self.assign(now, waiting.request, limit, out) {
                 Some(verdict) => out.push(Output::Reply(waiting.ticket, verdict)),
                 None if due => {
-                    if let Some(request) = self.requests.get(waiting.request) {
-                        let name = request.name.clone();
-                        self.trace_refused(now, &name, Kind::Overloaded, out);
-                    }
+                    let request = self.requests.get(waiting.request);
+                    let name = request.map_or("", |request| request.name.as_str());
+                    self.turn_away(now, waiting.ticket, name, OVERLOADED, out);
                     self.end(waiting.request);
-                    out.push(Output::Reply(waiting.ticket, OVERLOADED));
                 }
                 None => {
                     shut = Some(waiting.urgency);
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The endpoints that the list names.
 
 use std::collections::{
+    BTreeSet,
     HashMap,
     HashSet, //
 };
@@ -15,6 +16,7 @@
 use slotmap::SlotMap;
 
 use crate::endpoint::Endpoint;
+use crate::lane::Lanes;
 use crate::message::Listing;
 
 /// All endpoints, by key and by instance.
@@ -22,6 +24,8 @@
 pub(crate) struct Fleet {
     endpoints: SlotMap<EndpointId, Endpoint>,
     instances: HashMap<String, EndpointId>,
+    /// By service; drawn anew with each list, not with each request.
+    lanes: HashMap<String, Lanes>,
 }
 
 impl Fleet {
@@ -52,6 +56,7 @@
                 }
             }
         }
+        self.draw_lanes();
         changed
     }
 
@@ -69,6 +74,7 @@
     pub(crate) fn forget(&mut self, id: EndpointId) {
         if let Some(endpoint) = self.endpoints.remove(id) {
             self.instances.remove(&endpoint.listing.instance);
+            self.draw_lanes();
         }
     }
 
@@ -82,6 +88,21 @@
             .filter(move |(_, endpoint)| endpoint.listing.service == service)
     }
 
+    /// The lanes of a service; none if it has no endpoint.
+    pub(crate) fn lanes(&self, service: &str) -> Option<&Lanes> {
+        self.lanes.get(service)
+    }
+
+    fn draw_lanes(&mut self) {
+        let services = self.endpoints.values().map(|e| e.listing.service.clone());
+        let services: BTreeSet<_> = services.collect();
+        let lanes = services.into_iter().map(|service| {
+            let lanes = Lanes::of(self.of(&service));
+            (service, lanes)
+        });
+        self.lanes = lanes.collect();
+    }
+
     /// Takes the endpoints of a zone for cold from now on.
     pub(crate) fn cool(&mut self, now: Tick, zone: &str, span: impl Fn(&str) -> Duration) {
         let endpoints = self.endpoints.values_mut();
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -73,11 +73,11 @@
         }
         let queued = self.queued(now);
         let distance = OTHER_ZONE + Duration::from_secs_f64(request.bytes() * BYTE_S);
-        let lanes = Lanes::of(self.fleet.of(&service.name));
+        let lanes = self.fleet.lanes(&service.name)?;
         let home = request
             .prompt
             .as_ref()
-            .and_then(|prompt| home(prompt, &lanes, &candidates));
+            .and_then(|prompt| home(prompt, lanes, &candidates));
         let estimate = |(id, endpoint): &(EndpointId, &Endpoint)| {
             let near = endpoint.listing.zone == self.seed.zone;
             let queued = queued.get(id).copied().unwrap_or_default();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -32,17 +32,19 @@
     Output,
     Seed,
     Trace,
-    Verdict,
     View, //
 };
 use crate::request::Request;
 use crate::tally::Tally;
 
+/// Why a request is refused, and when to come back.
+pub(crate) type Refusal = (Kind, Duration);
+
 /// When to come back after a refusal for want of an endpoint.
 pub(crate) const COME_BACK: Duration = Duration::from_millis(250);
 /// When to come back after a refusal for want of a view: a group that was stopped as a whole
 /// serves again within this time.
-pub(crate) const STALE: Verdict = Verdict::Refuse(Kind::ViewStale, Duration::from_secs(1));
+pub(crate) const STALE: Refusal = (Kind::ViewStale, Duration::from_secs(1));
 /// Fronts assumed before the control group says how many there are.
 const ASSUMED_FRONTS: usize = 12;
 
@@ -191,8 +193,7 @@
             out.push(Output::Trace(Trace::Fresh(false)));
         }
         for (ticket, name) in self.hold.expire(now) {
-            self.trace_refused(now, &name, Kind::ViewStale, out);
-            out.push(Output::Reply(ticket, STALE));
+            self.turn_away(now, ticket, &name, STALE, out);
         }
         self.release_waiting(now, out);
     }
--- a/crates/relay/src/trace.rs
+++ b/crates/relay/src/trace.rs
@@ -1,9 +1,9 @@
 //! What the core says of its decisions.
 
-use fault::Kind;
 use ids::{
     RequestId,
-    Tick, //
+    Tick,
+    Ticket, //
 };
 use plan::Route;
 use step::Outbox;
@@ -12,24 +12,32 @@
 use crate::message::{
     Go,
     Output,
-    Trace, //
+    Trace,
+    Verdict, //
+};
+use crate::relay::{
+    Refusal,
+    Relay, //
 };
-use crate::relay::Relay;
 
 impl<C: Choice> Relay<C> {
-    pub(crate) fn trace_refused(
+    /// Refuses a request that was not sent, and says so.
+    pub(crate) fn turn_away(
         &self,
         now: Tick,
+        ticket: Ticket,
         name: &str,
-        kind: Kind,
+        refusal: Refusal,
         out: &mut Outbox<Output>,
     ) {
+        let (kind, wait) = refusal;
         out.push(Output::Trace(Trace::Refused {
             request: name.to_owned(),
             kind,
             edition: self.edition,
             age: now.since(self.seen),
         }));
+        out.push(Output::Reply(ticket, Verdict::Refuse(kind, wait)));
     }
 
     /// Traces the first time that a request has to wait.
