Decode the list of endpoints in one place

The reader of the list and the follower decoded its pages by two loops, and the follower's left out entries that could not be read without a word; the shared decoder logs event 1203 for both. The founding record of a group has one function, and so has the end of an attempt.

--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -166,23 +166,14 @@
 /// [`RunError::Store`], also if the folder holds state already.
 pub fn init(settings: &Settings, start: Start) -> Result<MemberId, RunError> {
     let id = rand::random();
-    let address = settings.advertise.unwrap_or(settings.common.listen);
     let first = match start {
         Start::Join => Record::default(),
-        Start::Group => Record {
-            vote: Some((Term(1), None)),
-            truncate: None,
-            entries: vec![Entry {
-                index: Index(1),
-                term: Term(1),
-                body: Body::Members(vec![Member {
-                    id: MemberId(id),
-                    host: settings.common.host.clone(),
-                    address,
-                    stage: Stage::Voter,
-                }]),
-            }],
-        },
+        Start::Group => founding(vec![Member {
+            id: MemberId(id),
+            host: settings.common.host.clone(),
+            address: settings.address(),
+            stage: Stage::Voter,
+        }]),
     };
     Vault::init(&settings.data, id, &codec::frame(&[first])?)?;
     Ok(MemberId(id))
@@ -368,7 +359,15 @@
     let members = seeds.iter().map(|seed| founder(cluster, *seed));
     let members = members.collect::<Result<Vec<_>, _>>()?;
     // Every seed begins with this same entry, so that they agree on it without a leader.
-    let first = Record {
+    let first = founding(members);
+    let id = founder(cluster, own)?.id;
+    Vault::init(&settings.data, id.0, &codec::frame(&[first])?)?;
+    Ok(())
+}
+
+/// The first record of a group of these members.
+fn founding(members: Vec<Member>) -> Record {
+    Record {
         vote: Some((Term(1), None)),
         truncate: None,
         entries: vec![Entry {
@@ -376,10 +375,7 @@
             term: Term(1),
             body: Body::Members(members),
         }],
-    };
-    let id = founder(cluster, own)?.id;
-    Vault::init(&settings.data, id.0, &codec::frame(&[first])?)?;
-    Ok(())
+    }
 }
 
 /// A seed as a founding member. All seeds derive the same identity from its address.
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -161,7 +161,7 @@
     }
 
     /// When an attempt is given up.
-    fn end(&self, go: &Go) -> Tick {
+    pub(crate) fn end(&self, go: &Go) -> Tick {
         go.patience.unwrap_or(go.until).min(go.until)
     }
 
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -45,6 +45,7 @@
 
 use crate::control::FrontInbox;
 use crate::dialect::Dialect;
+use crate::list::Decoder;
 use crate::settings::Settings;
 
 /// How long a question may stay open at the control host.
@@ -69,7 +70,7 @@
     pub(crate) control: Control,
     /// The settings file, read again when no control host answers.
     pub(crate) settings: PathBuf,
-    pub(crate) dialect: D,
+    pub(crate) decoder: Decoder<D>,
     pub(crate) inbox: FrontInbox,
     pub(crate) clock: Monotonic,
     pub(crate) counters: Counters,
@@ -174,11 +175,9 @@
 
     /// Hands a newer list of endpoints to the core. None once the core has ended.
     fn list(&mut self, directory: &Directory, age: Duration) -> Option<()> {
-        let pages = directory.pages.iter().map(|page| self.dialect.page(page));
-        match pages.collect::<Result<Vec<_>, _>>() {
-            Ok(pages) => {
+        match self.decoder.decode(&directory.pages) {
+            Ok(mut list) => {
                 self.directory = directory.version;
-                let mut list: Vec<_> = pages.into_iter().flat_map(|page| page.list).collect();
                 for listing in &mut list {
                     listing.cold = listing.cold.saturating_sub(age);
                 }
@@ -193,7 +192,7 @@
 
     fn decode(&self, copy: DeploymentCopy) -> Option<(u64, relay::Content)> {
         let plan = copy.document.map(|document| {
-            let spec = self.dialect.plan(&document.bytes)?;
+            let spec = self.decoder.dialect.plan(&document.bytes)?;
             Plan::try_from(spec).map_err(|fault| fault.to_string())
         });
         match plan.transpose() {
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -37,17 +37,44 @@
 /// How long the reader waits after a page that did not come.
 const AGAIN: Duration = Duration::from_millis(500);
 
+/// Decodes pages of the list, and says how many entries it could not read when that changes.
+pub(crate) struct Decoder<D> {
+    pub(crate) dialect: D,
+    pub(crate) log: Logger,
+    pub(crate) skipped: usize,
+}
+
+impl<D: Dialect> Decoder<D> {
+    /// The entries of all pages.
+    ///
+    /// # Errors
+    ///
+    /// A sentence that names the fault, if any page cannot be read.
+    pub(crate) fn decode(&mut self, pages: &[impl AsRef<[u8]>]) -> Result<Vec<Listing>, String> {
+        let mut list = Vec::new();
+        let mut skipped = 0;
+        for page in pages {
+            let page = self.dialect.page(page.as_ref())?;
+            list.extend(page.list);
+            skipped += page.skipped;
+        }
+        if std::mem::replace(&mut self.skipped, skipped) != skipped {
+            event!(self.log, ListingSkipped, "entries" => skipped);
+        }
+        Ok(list)
+    }
+}
+
 /// Reads the list.
 pub(crate) struct Reader<D> {
     pub(crate) address: SocketAddr,
-    pub(crate) dialect: D,
+    pub(crate) decoder: Decoder<D>,
     pub(crate) inbox: FrontInbox,
     pub(crate) log: Logger,
     pub(crate) clock: Monotonic,
     /// When the list that the control group last told of was read, in microseconds of the clock.
     pub(crate) listed: Arc<AtomicU64>,
     pub(crate) reached: bool,
-    pub(crate) skipped: usize,
 }
 
 impl<D: Dialect> Reader<D> {
@@ -77,16 +104,7 @@
     }
 
     fn read(&mut self) -> Result<Vec<Listing>, String> {
-        let mut list = Vec::new();
-        let mut skipped = 0;
-        for page in read_list(&self.dialect, self.address)? {
-            let page = self.dialect.page(&page)?;
-            list.extend(page.list);
-            skipped += page.skipped;
-        }
-        if std::mem::replace(&mut self.skipped, skipped) != skipped {
-            event!(self.log, ListingSkipped, "entries" => skipped);
-        }
-        Ok(list)
+        let pages = read_list(&self.decoder.dialect, self.address)?;
+        self.decoder.decode(&pages)
     }
 }
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -43,7 +43,10 @@
 use crate::dialect::Dialect;
 use crate::follow::Follow;
 use crate::link::Links;
-use crate::list::Reader;
+use crate::list::{
+    Decoder,
+    Reader, //
+};
 use crate::metrics::Metrics;
 use crate::serve::{
     Context,
@@ -101,12 +104,17 @@
     peers.turn(run.0);
     let listed = Arc::new(AtomicU64::new(0));
     let body = Arc::new(AtomicUsize::new(common.limits.body));
+    let decoder = || Decoder {
+        dialect: dialect.clone(),
+        log: log.clone(),
+        skipped: 0,
+    };
     let mut follow = Follow {
         host: common.host.clone(),
         run,
         control: peers.clone(),
         settings: settings.path.clone(),
-        dialect: dialect.clone(),
+        decoder: decoder(),
         inbox: inbox.clone(),
         clock,
         counters: counters.clone(),
@@ -121,13 +129,12 @@
     let follow = Worker::start("front-follow", move || follow.turn());
     let mut reader = Reader {
         address: settings.list,
-        dialect: dialect.clone(),
+        decoder: decoder(),
         inbox: inbox.clone(),
         log: log.clone(),
         clock,
         listed,
         reached: true,
-        skipped: 0,
     };
     let reader = Worker::start("front-list", move || reader.turn());
     let sender = || Sender {
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -335,7 +335,7 @@
         }
         let mut events = Events::default();
         let mut first = Vec::new();
-        let end = go.patience.unwrap_or(go.until);
+        let end = self.attempts.end(go);
         while first.is_empty() {
             match self.attempts.by(end, next(&mut opened.body)).await? {
                 Some(bytes) => first = events.push(&bytes),
