Reserve test addresses where nothing else takes a port

Seen once in a run of the tests: a rig's front could not listen, "Address already in use". Ruled out: the front itself, which binds once.

--- a/crates/control/tests/restart.rs
+++ b/crates/control/tests/restart.rs
@@ -1,10 +1,6 @@
 //! What a control host has acknowledged is there after it died without warning.
 
 use std::fs;
-use std::net::{
-    SocketAddr,
-    TcpListener, //
-};
 use std::path::Path;
 
 use conf::{
@@ -15,7 +11,10 @@
     Settings,
     Start, //
 };
-use edge::Limits;
+use edge::{
+    Limits,
+    reserve, //
+};
 use ids::{
     DigestKey,
     Revision,
@@ -32,20 +31,13 @@
 
 const SECRET: &str = "a secret of enough bytes";
 
-fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 fn settings(data: &Path, key: &Secret) -> Settings {
     Settings {
         common: Common {
             host: "control-0".try_into().unwrap(),
             cluster: "test".try_into().unwrap(),
             secret: SECRET.to_owned(),
-            listen: free_port(),
+            listen: reserve().unwrap(),
             limits: Limits::default(),
             format: LogFormat::Terminal,
             statsd: None,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod link;
 mod pool;
+mod reserve;
 mod server;
 
 pub use body::{
@@ -33,6 +34,7 @@
     request, //
 };
 pub use pool::Pool;
+pub use reserve::reserve;
 pub use server::{
     EdgeError,
     Handler,
--- a/crates/gauge/src/group.rs
+++ b/crates/gauge/src/group.rs
@@ -1,9 +1,6 @@
 //! A control group to be measured.
 
-use std::net::{
-    SocketAddr,
-    TcpListener, //
-};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use conf::Change;
@@ -12,7 +9,10 @@
     Settings,
     Start, //
 };
-use edge::Limits;
+use edge::{
+    Limits,
+    reserve, //
+};
 use ids::{
     DigestKey,
     Revision,
@@ -46,11 +46,6 @@
     fault.to_string()
 }
 
-fn free_port() -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(text)?;
-    listener.local_addr().map_err(text)
-}
-
 pub(crate) fn sealer() -> Result<Sealer, String> {
     Ok(Sealer::new("gauge".try_into().map_err(text)?, SECRET))
 }
@@ -109,7 +104,7 @@
             host: format!("control-{n}").as_str().try_into().map_err(text)?,
             cluster: "gauge".try_into().map_err(text)?,
             secret: SECRET.to_owned(),
-            listen: free_port()?,
+            listen: reserve().map_err(text)?,
             limits: Limits::default(),
             format: LogFormat::Terminal,
             statsd: None,
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -4,8 +4,7 @@
 use std::fs;
 use std::net::{
     Ipv4Addr,
-    SocketAddr,
-    TcpListener, //
+    SocketAddr, //
 };
 use std::path::{
     Path,
@@ -14,7 +13,10 @@
 use std::time::Duration;
 
 use conf::Change;
-use edge::Limits;
+use edge::{
+    Limits,
+    reserve, //
+};
 use fake::{
     EngineHost,
     PlatformHost,
@@ -414,12 +416,6 @@
     Ok(text)
 }
 
-/// Takes a free port; another process could take it before it is used.
-fn reserve_port() -> Result<SocketAddr, LocalError> {
-    let listener = TcpListener::bind(free()).map_err(part("port"))?;
-    listener.local_addr().map_err(part("port"))
-}
-
 fn start_controls(
     options: &Options,
     base: &Base,
@@ -432,7 +428,7 @@
     for n in 0..options.controls {
         let listen = match options.control.filter(|_| n == 0) {
             Some(fixed) => fixed,
-            None => reserve_port()?,
+            None => reserve().map_err(part("port"))?,
         };
         let settings = control::Settings {
             common: base.common(&format!("control-{n}"), listen)?,
