Tell a commit to each peer that holds it; let scenarios name the leader

Change: a peer is told when the commit passes what it holds, or its answer passes the commit. Scenarios that name the leader by number changed meaning with each change of timing: they now say 'leader' and 'lease', so that the host that leads is the one paused, cut or crashed.

--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -125,6 +125,7 @@
         if peer.flight.is_some_and(|flight| flight.0 <= ack.sent) {
             peer.flight = None;
         }
+        let before = peer.matched;
         match matched {
             Some(index) => {
                 peer.matched = peer.matched.max(index);
@@ -133,7 +134,11 @@
             }
             None => peer.next = last.next().min(peer.next).max(Index(1)),
         }
+        let committed = self.commit;
         self.advance_commit(now, out);
+        if self.commit == committed {
+            self.tell_commit(now, from, before, out);
+        }
         self.promote_caught_up(now, out);
         self.replicate(now, from, out);
     }
@@ -183,8 +188,21 @@
         if end > self.commit && self.log.term(end) == Some(self.term) {
             self.commit_to(end, out);
             self.promote_caught_up(now, out);
-            // Followers answer reads of what is committed; they need not wait for the next beat.
-            self.beat(now, out);
+            for peer in self.peer_ids() {
+                self.tell_commit(now, peer, Index::default(), out);
+            }
+        }
+    }
+
+    /// Tells a peer at once of a commit that it holds and held only up to `before`, so that it can
+    /// answer reads without waiting for the next heartbeat.
+    fn tell_commit(&mut self, now: Tick, to: MemberId, before: Index, out: &mut Outbox<Output>) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let matched = leader.peers.get(&to).map(|peer| peer.matched);
+        if matched >= Some(self.commit) && before < self.commit {
+            self.send_append(now, to, Vec::new(), out);
         }
     }
 
--- a/crates/script/src/world.rs
+++ b/crates/script/src/world.rs
@@ -217,6 +217,7 @@
     ///
     /// [`VerbError`], with the reason.
     pub fn run(&mut self, verb: &Verb) -> Result<String, VerbError> {
+        let verb = &self.named(verb);
         match verb.name.as_str() {
             "advance" => self.advance(verb.number(0)? * 1000),
             "call" => self.call(verb)?,
@@ -239,7 +240,13 @@
             "pause" => {
                 self.paused.entry(verb.node(0)?).or_default();
             }
-            "resume" => self.resume(verb.node(0)?),
+            "resume" => {
+                let nodes = match verb.plain.first() {
+                    Some(_) => vec![verb.node(0)?],
+                    None => self.paused.keys().copied().collect(),
+                };
+                nodes.into_iter().for_each(|node| self.resume(node));
+            }
             "crash" => self.crash(verb.node(0)?),
             "restart" => self.restart(verb.node(0)?)?,
             "drift" => {
@@ -250,6 +257,7 @@
             "hold" => self.hold = true,
             "finish" => self.finish(),
             "leader" => return Ok(self.leader_text()),
+            "lease" => return Ok(self.lease_text()),
             "runs" => return Ok(self.runs_text()),
             "revisions" => return Ok(self.revisions_text()),
             other => return Err(VerbError::Unknown(other.to_owned())),
