--- a/cmd/berg-control/src/main.rs
+++ b/cmd/berg-control/src/main.rs
@@ -108,8 +108,9 @@
         Err(code) => return code,
     };
     select! {
-        recv(stop(log)) -> _ => {
+        recv(stop(log.clone())) -> _ => {
             handle.close();
+            obs::close(log);
             ExitCode::SUCCESS
         }
         // Nothing is closed: what the disk holds is not known any more.
--- a/crates/boot/src/lib.rs
+++ b/crates/boot/src/lib.rs
@@ -74,6 +74,7 @@
     };
     let stopped = obs::wait_for_stop(|| event!(log, Reloaded));
     R::close(handle);
+    obs::close(log);
     match stopped {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => fail(R::PROGRAM, fault, 1),
--- a/crates/front/src/follow.rs
+++ b/crates/front/src/follow.rs
@@ -212,7 +212,7 @@
     fn miss(&mut self, host: SocketAddr, fault: &PeerError) {
         if std::mem::replace(&mut self.reached, false) {
             event!(self.log, ControlUnreachable,
-                "host" => host.to_string(), "fault" => fault.to_string());
+                "control" => host.to_string(), "fault" => fault.to_string());
         }
     }
 
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -18,6 +18,7 @@
 };
 pub use logger::{
     LogFormat,
+    close,
     discard,
     emit,
     logger, //
--- a/crates/obs/src/logger.rs
+++ b/crates/obs/src/logger.rs
@@ -1,6 +1,10 @@
 //! Log output: for people at a terminal, or JSON lines for programs.
 
 use std::io;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::bounded;
 
 use serde::{
     Deserialize,
@@ -25,6 +29,10 @@
 /// Log lines that may wait for the output; more are dropped and counted.
 const QUEUE_LINES: usize = 4096;
 
+/// How long the last lines may take at the end of a process. A reader that takes none for this long
+/// has stalled.
+const LAST_LINES: Duration = Duration::from_millis(500);
+
 /// How log lines look.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -58,6 +66,17 @@
     Logger::root(slog::Discard, o!())
 }
 
+/// Ends a process's logger. Lines that the reader does not take in time are lost.
+pub fn close(log: Logger) {
+    let (done, written) = bounded(1);
+    // The last handle of a logger waits for its lines, however long the reader takes.
+    thread::spawn(move || {
+        drop(log);
+        let _ = done.send(());
+    });
+    let _ = written.recv_timeout(LAST_LINES);
+}
+
 fn spool<D>(drain: D) -> slog::Fuse<slog_async::Async>
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
--- a/crates/peer/src/follow.rs
+++ b/crates/peer/src/follow.rs
@@ -166,7 +166,7 @@
     fn miss(&mut self, host: SocketAddr, fault: &PeerError) {
         if std::mem::replace(&mut self.reached, false) {
             event!(self.log, ControlUnreachable,
-                "host" => host.to_string(), "fault" => fault.to_string());
+                "control" => host.to_string(), "fault" => fault.to_string());
         }
     }
 }
