Model batching engines; weigh a miss of shared parts by who waits for it

Cause: in a burst of long prompts an engine with a queue lost its sessions to others, each of which had to read their shared parts again: three times the work, so that all had queues.

At four times the long prompts the product failed or refused 21 of 100 though its engines could read everything once.

Change: a miss costs four readings, and one more for each request that would wait for it; only parts that the engine is not known to hold count. Long prompts harm the lane of short ones a third as much.

--- a/cmd/berg-bench/src/flags.rs
+++ b/cmd/berg-bench/src/flags.rs
@@ -15,6 +15,8 @@
 pub(crate) enum What {
     /// Policy under load and faults, in virtual time.
     Policy,
+    /// Choice among batching engines, in virtual time.
+    Engines,
     /// What the system costs at several sizes, in real time.
     Capacity,
     /// Promises under faults, in real time.
@@ -41,7 +43,7 @@
 /// Reads the command line; ends the process for `--help`, `--version` and faults.
 pub(crate) fn parse() -> Flags {
     let flags = xflags::parse_or_exit! {
-        /// `policy` (unless given), `capacity` or `soak`.
+        /// `policy` (unless given), `engines`, `capacity` or `soak`.
         optional what: String
         /// With `capacity`: only this measurement.
         optional --only name: String
@@ -64,10 +66,11 @@
     }
     let what = match flags.what.as_deref() {
         None | Some("policy") => What::Policy,
+        Some("engines") => What::Engines,
         Some("capacity") => What::Capacity,
         Some("soak") => What::Soak,
         Some(other) => {
-            eprintln!("berg-bench: {other:?} is neither policy nor capacity nor soak");
+            eprintln!("berg-bench: {other:?} is none of policy, engines, capacity and soak");
             std::process::exit(2);
         }
     };
--- a/cmd/berg-bench/src/main.rs
+++ b/cmd/berg-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures policy under load and faults in virtual time, and what the system costs at several
 //! sizes in real time.
 
+mod engines;
 mod flags;
 
 use std::process::ExitCode;
@@ -28,6 +29,7 @@
     match flags.what {
         What::Capacity => return capacity(&flags),
         What::Soak => return soak(&flags),
+        What::Engines => return engines::compare(&flags),
         What::Policy => {}
     }
     let rows = measure(&flags);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 //! One loop steps the entries, the agents and the engines of one deployment through a seeded load
 //! with one disturbance. There is no network model beyond a fixed delay.
 
+mod chart;
 mod disturb;
 mod load;
 mod report;
@@ -10,11 +11,13 @@
 mod site;
 mod world;
 
-pub use disturb::Disturbance;
-pub use report::{
+pub use chart::{
     ReportError,
-    write_report, //
+    plot,
+    save, //
 };
+pub use disturb::Disturbance;
+pub use report::write_report;
 pub use score::{
     Row,
     Score, //
--- /dev/null
+++ b/crates/pool/src/choices.rs
@@ -0,0 +1,47 @@
+//! Baselines for the choice of endpoint.
+
+use rand::RngExt;
+use rand_pcg::Pcg32;
+use relay::{
+    Choice,
+    Estimate,
+    Predicted, //
+};
+
+/// Takes the candidate with the fewest requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastBusy;
+
+impl Choice for LeastBusy {
+    fn choose(&mut self, candidates: &[Estimate], rng: &mut Pcg32) -> Option<usize> {
+        let keys = candidates
+            .iter()
+            .map(|of| of.busy + rng.random_range(0.0..0.5));
+        let best = keys.enumerate().min_by(|(_, a), (_, b)| a.total_cmp(b));
+        best.map(|(at, _)| at)
+    }
+}
+
+/// Takes one candidate after the other.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RoundRobin(usize);
+
+impl Choice for RoundRobin {
+    fn choose(&mut self, candidates: &[Estimate], _: &mut Pcg32) -> Option<usize> {
+        self.0 += 1;
+        self.0.checked_rem(candidates.len())
+    }
+}
+
+/// The product's choice before it had lanes and homes: the least predicted time to the first of
+/// the answer, wherever the prompt's shared parts are best read.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Nearest(Predicted);
+
+impl Choice for Nearest {
+    fn choose(&mut self, candidates: &[Estimate], rng: &mut Pcg32) -> Option<usize> {
+        let anywhere = |of: &Estimate| Estimate { place: 0.0, ..*of };
+        let candidates: Vec<_> = candidates.iter().map(anywhere).collect();
+        self.0.choose(&candidates, rng)
+    }
+}
--- /dev/null
+++ b/crates/pool/src/world.rs
@@ -0,0 +1,604 @@
+//! The loop: arrivals, messages between fronts and engines, steps of engines.
+
+use std::cmp::Reverse;
+use std::collections::{
+    BinaryHeap,
+    HashMap,
+    HashSet, //
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{
+    RequestId,
+    Tick,
+    Ticket, //
+};
+use plan::{
+    AccountSpec,
+    Model,
+    Plan,
+    PlanSpec,
+    Repeat,
+    RouteSpec,
+    ServiceSpec,
+    Share, //
+};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg32;
+use relay::{
+    Ask,
+    Choice,
+    Failure,
+    Input,
+    Listing,
+    Load,
+    Output,
+    Predicted,
+    Prompt,
+    Relay,
+    Seed,
+    Verdict,
+    View, //
+};
+use step::{
+    Core,
+    Outbox, //
+};
+
+use crate::choices::{
+    LeastBusy,
+    Nearest,
+    RoundRobin, //
+};
+use crate::engine::{
+    Engine,
+    Job,
+    Shape, //
+};
+use crate::score::Score;
+use crate::traffic::{
+    CLASSES,
+    Class, //
+};
+use crate::trouble::Trouble;
+
+const ZONES: usize = 3;
+/// Engines and fronts of the first users' deployment.
+const ENGINES: usize = 12;
+const FRONTS: usize = 7;
+/// One way within a zone, and between zones.
+const NEAR: Duration = Duration::from_micros(500);
+const FAR: Duration = Duration::from_micros(1400);
+/// How long it takes until fronts know that an engine crashed or came back.
+const LIST_LAG: Duration = Duration::from_millis(1400);
+/// Tokens of an answer in one event of its stream.
+const EVENT_TOKENS: u64 = 6;
+/// How many times longer a slow engine takes.
+const SLOW: f64 = 4.0;
+/// How many times more often the class with the longest prompts asks in a burst.
+const BURST: f64 = 4.0;
+/// Time before anything happens, so that fronts have views.
+const START: Tick = Tick(10_000_000);
+
+/// The choice of endpoint that a run is played with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// The product's.
+    Product,
+    /// The product's before lanes and homes.
+    Former,
+    /// The fewest requests.
+    LeastBusy,
+    /// One after the other.
+    RoundRobin,
+}
+
+impl Policy {
+    /// Every policy.
+    pub const ALL: [Self; 4] = [
+        Self::Product,
+        Self::Former,
+        Self::LeastBusy,
+        Self::RoundRobin,
+    ];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Product => "product",
+            Self::Former => "without-lanes",
+            Self::LeastBusy => "least-busy",
+            Self::RoundRobin => "round-robin",
+        }
+    }
+}
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    /// Load as a multiple of the sheet's.
+    pub load: f64,
+    /// The disturbance.
+    pub trouble: Trouble,
+    /// The choice of endpoint.
+    pub policy: Policy,
+    /// How long callers ask.
+    pub length: Duration,
+    /// Seeds arrivals and choices.
+    pub seed: u64,
+}
+
+/// Plays a run.
+pub fn run(of: Run) -> Score {
+    match of.policy {
+        Policy::Product => World::new(of, Predicted).play(),
+        Policy::Former => World::new(of, Nearest::default()).play(),
+        Policy::LeastBusy => World::new(of, LeastBusy).play(),
+        Policy::RoundRobin => World::new(of, RoundRobin::default()).play(),
+    }
+}
+
+enum Event {
+    /// A caller of a class asks.
+    Arrive(usize),
+    /// A request reaches an engine.
+    Reach(usize, Job),
+    Step(usize),
+    /// An engine's answer to a request begins, with its word on its load.
+    Began(usize, RequestId, Load),
+    /// More of an answer reaches its caller; whether it is the end.
+    More(usize, RequestId, bool),
+    /// An attempt failed at its engine.
+    Failed(usize, RequestId, Failure),
+    /// The caller waits no longer.
+    Leave(usize),
+    Wake(usize),
+    Trouble(bool),
+    Listed,
+}
+
+/// A request from its caller's view.
+struct Call {
+    class: usize,
+    prompt: Prompt,
+    front: usize,
+    asked: Tick,
+    at: Option<(RequestId, usize)>,
+    /// When the answer began, and when more of it came last.
+    heard: Option<(Tick, Tick)>,
+    /// Whether a pause was longer than allowed.
+    paused: bool,
+    tokens: u64,
+    over: bool,
+}
+
+struct World<C> {
+    run: Run,
+    rng: Pcg32,
+    now: Tick,
+    serial: u64,
+    queue: BinaryHeap<Reverse<(Tick, u64)>>,
+    events: HashMap<u64, Event>,
+    fronts: Vec<Relay<C>>,
+    wakes: Vec<Option<Tick>>,
+    engines: Vec<Engine>,
+    up: Vec<bool>,
+    stepping: Vec<bool>,
+    calls: Vec<Call>,
+    burst: f64,
+    known: HashSet<u64>,
+    score: Score,
+}
+
+impl<C: Choice + Copy> World<C> {
+    fn new(run: Run, choice: C) -> Self {
+        let front = |n: usize| {
+            let seed = Seed {
+                zone: zone(n),
+                window: Duration::from_secs(5),
+                ratio: 0.2,
+                extra: 60.0,
+                span: Duration::from_secs(10),
+                random: run.seed + n as u64,
+            };
+            Relay::new(seed, choice)
+        };
+        Self {
+            run,
+            rng: Pcg32::seed_from_u64(run.seed),
+            now: START,
+            serial: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            fronts: (0..FRONTS).map(front).collect(),
+            wakes: vec![None; FRONTS],
+            engines: vec![Engine::new(Shape::default()); ENGINES],
+            up: vec![true; ENGINES],
+            stepping: vec![false; ENGINES],
+            calls: Vec::new(),
+            burst: 1.0,
+            known: HashSet::new(),
+            score: Score::default(),
+        }
+    }
+
+    fn play(mut self) -> Score {
+        let plan = Arc::new(plan());
+        for n in 0..FRONTS {
+            let view = View {
+                edition: 1,
+                content: Some((Some(Arc::clone(&plan)), Vec::new())),
+                fresh: Tick(u64::MAX),
+                fronts: FRONTS,
+                wall: (1_000_000_000, self.now),
+                at: self.now,
+            };
+            self.tell(n, Input::View(Box::new(view)));
+        }
+        self.list();
+        (0..CLASSES.len()).for_each(|class| self.next_arrival(class));
+        self.post(self.run.length / 3, Event::Trouble(true));
+        self.post(self.run.length * 2 / 3, Event::Trouble(false));
+        while let Some(Reverse((at, serial))) = self.queue.pop() {
+            self.now = at;
+            if let Some(event) = self.events.remove(&serial) {
+                self.happen(event);
+            }
+        }
+        self.score
+    }
+
+    fn post(&mut self, after: Duration, event: Event) {
+        self.serial += 1;
+        self.queue.push(Reverse((self.now + after, self.serial)));
+        self.events.insert(self.serial, event);
+    }
+
+    fn next_arrival(&mut self, class: usize) {
+        let burst = if class == 0 { self.burst } else { 1.0 };
+        let rate = CLASSES[class].rate * self.run.load * burst;
+        let pause = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate;
+        if self.now.since(START).as_secs_f64() + pause < self.run.length.as_secs_f64() {
+            self.post(Duration::from_secs_f64(pause), Event::Arrive(class));
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrive(class) => self.arrive(class),
+            Event::Reach(engine, job) => self.reach(engine, job),
+            Event::Step(engine) => self.step(engine),
+            Event::Began(call, request, load) => {
+                if self.holds(call, request) {
+                    self.calls[call].heard = Some((self.now, self.now));
+                    let asked = self.calls[call].asked;
+                    self.score.first.push(self.now.since(asked));
+                    self.tell(self.calls[call].front, Input::Began(request, Some(load)));
+                }
+            }
+            Event::More(call, request, end) => self.more(call, request, end),
+            Event::Failed(call, request, failure) => {
+                if self.holds(call, request) {
+                    self.failed(call, request, failure);
+                }
+            }
+            Event::Leave(call) => {
+                if !self.calls[call].over {
+                    self.score.failed += 1;
+                    self.end(call, Input::Gone);
+                }
+            }
+            Event::Wake(front) => {
+                self.wakes[front] = None;
+                let mut out = Outbox::default();
+                self.fronts[front].wake(self.now, &mut out);
+                self.perform(front, out);
+            }
+            Event::Trouble(begins) => self.trouble(begins),
+            Event::Listed => self.list(),
+        }
+    }
+
+    fn arrive(&mut self, class: usize) {
+        self.next_arrival(class);
+        let of = &CLASSES[class];
+        let prompt = of.prompt(class, self.serial, &mut self.rng);
+        let ask = Ask {
+            name: self.calls.len().to_string(),
+            host: "h".to_owned(),
+            path: of.path.to_owned(),
+            key: Some("k".to_owned()),
+            patience: Some(of.patience),
+            size: Class::size(&prompt),
+            prompt: Some(prompt.clone()),
+        };
+        let front = self.rng.random_range(0..FRONTS);
+        let call = self.calls.len();
+        self.calls.push(Call {
+            class,
+            prompt,
+            front,
+            asked: self.now,
+            at: None,
+            heard: None,
+            paused: false,
+            tokens: 0,
+            over: false,
+        });
+        self.score.asked += 1;
+        self.post(of.patience, Event::Leave(call));
+        self.tell(front, Input::Arrive(ticket(call), Box::new(ask)));
+    }
+
+    /// Steps a front and does what it asks for.
+    fn tell(&mut self, front: usize, input: Input) {
+        let mut out = Outbox::default();
+        self.fronts[front].step(self.now, input, &mut out);
+        self.perform(front, out);
+    }
+
+    fn perform(&mut self, front: usize, mut out: Outbox<Output>) {
+        for output in out.drain() {
+            let Output::Reply(ticket, verdict) = output else {
+                continue;
+            };
+            let call = usize::try_from(ticket.0).unwrap_or(usize::MAX);
+            match verdict {
+                Verdict::Go(go) => {
+                    let engine = usize::from(go.address.port());
+                    self.calls[call].at = Some((go.request, engine));
+                    if self.calls[call].over {
+                        self.tell(front, Input::Gone(go.request));
+                        continue;
+                    }
+                    self.send(front, call, engine, go.rank);
+                }
+                Verdict::Refuse(..) if !self.calls[call].over => {
+                    self.score.refused += 1;
+                    self.calls[call].over = true;
+                }
+                Verdict::Pass if !self.calls[call].over => {
+                    self.score.failed += 1;
+                    self.calls[call].over = true;
+                }
+                Verdict::Refuse(..) | Verdict::Pass => {}
+            }
+        }
+        let due = self.fronts[front].deadline();
+        let due = due.filter(|due| self.wakes[front].is_none_or(|at| *due < at));
+        if let Some(due) = due.filter(|due| due.0 < u64::MAX / 2) {
+            self.wakes[front] = Some(due);
+            let after = due.since(self.now);
+            self.post(after, Event::Wake(front));
+        }
+    }
+
+    fn send(&mut self, front: usize, call: usize, engine: usize, rank: u8) {
+        let class = &CLASSES[self.calls[call].class];
+        let prompt = self.calls[call].prompt.clone();
+        if zone(front) != zone(engine) {
+            self.score.bytes += Class::size(&prompt) as u64;
+        }
+        let job = Job {
+            id: call,
+            rank,
+            left: class.output,
+            unread: 0,
+            prompt,
+        };
+        self.post(hop(front, engine), Event::Reach(engine, job));
+    }
+
+    fn reach(&mut self, engine: usize, job: Job) {
+        let call = job.id;
+        let Some((request, at)) = self.calls[call].at else {
+            return;
+        };
+        if self.calls[call].over || at != engine {
+            return;
+        }
+        let back = hop(self.calls[call].front, engine);
+        if !self.up[engine] {
+            self.post(back, Event::Failed(call, request, Failure::Unreached));
+        } else if !self.engines[engine].offer(job) {
+            self.post(back, Event::Failed(call, request, Failure::Full));
+        } else {
+            self.start(engine);
+        }
+    }
+
+    fn start(&mut self, engine: usize) {
+        if !self.stepping[engine] && self.engines[engine].busy() {
+            self.stepping[engine] = true;
+            self.post(Duration::ZERO, Event::Step(engine));
+        }
+    }
+
+    fn step(&mut self, engine: usize) {
+        self.stepping[engine] = false;
+        if !self.up[engine] || !self.engines[engine].busy() {
+            return;
+        }
+        let done = self.engines[engine].step();
+        for (part, tokens) in done.read {
+            if !self.known.insert(part) {
+                self.score.again += tokens;
+            }
+        }
+        for (call, last) in done.tokens {
+            let Some((request, _)) = self.calls[call].at else {
+                continue;
+            };
+            let after = done.took + hop(self.calls[call].front, engine);
+            self.calls[call].tokens += 1;
+            let tokens = self.calls[call].tokens;
+            let first = tokens == EVENT_TOKENS || last && tokens < EVENT_TOKENS;
+            if first {
+                let load = self.engines[engine].load();
+                self.post(after, Event::Began(call, request, load));
+            }
+            if last || !first && tokens.is_multiple_of(EVENT_TOKENS) {
+                self.post(after, Event::More(call, request, last));
+            }
+        }
+        self.stepping[engine] = true;
+        self.post(done.took, Event::Step(engine));
+    }
+
+    /// Whether a request is still the one that an event is about.
+    fn holds(&self, call: usize, request: RequestId) -> bool {
+        let call = &self.calls[call];
+        !call.over && call.at.is_some_and(|(id, _)| id == request)
+    }
+
+    fn more(&mut self, at: usize, request: RequestId, end: bool) {
+        if !self.holds(at, request) {
+            return;
+        }
+        let now = self.now;
+        let call = &mut self.calls[at];
+        let class = &CLASSES[call.class];
+        let Some((began, last)) = call.heard else {
+            return;
+        };
+        call.paused |= now.since(last) > class.pause;
+        call.heard = Some((began, now));
+        if !end {
+            return;
+        }
+        if began.since(call.asked) <= class.target && !call.paused {
+            self.score.in_aim += 1;
+        } else {
+            self.score.late += 1;
+        }
+        self.end(at, Input::Done);
+    }
+
+    fn failed(&mut self, call: usize, request: RequestId, failure: Failure) {
+        if self.calls[call].heard.is_some() {
+            self.score.failed += 1;
+            self.end(call, Input::Gone);
+            return;
+        }
+        let front = self.calls[call].front;
+        self.tell(front, Input::Failed(ticket(call), request, failure));
+    }
+
+    /// Ends a request at its front and at its engine.
+    fn end(&mut self, call: usize, input: impl Fn(RequestId) -> Input) {
+        self.calls[call].over = true;
+        if let Some((request, engine)) = self.calls[call].at {
+            self.engines[engine].cancel(call);
+            self.tell(self.calls[call].front, input(request));
+        }
+    }
+
+    fn trouble(&mut self, begins: bool) {
+        match self.run.trouble {
+            Trouble::None => {}
+            Trouble::Burst => self.burst = if begins { BURST } else { 1.0 },
+            Trouble::Slow => self.engines[0].slow = if begins { SLOW } else { 1.0 },
+            Trouble::Crash => {
+                for engine in 0..ZONES {
+                    self.up[engine] = !begins;
+                    self.crash(engine);
+                }
+                self.post(LIST_LAG, Event::Listed);
+            }
+        }
+    }
+
+    fn crash(&mut self, engine: usize) {
+        for call in self.engines[engine].crash() {
+            let Some((request, _)) = self.calls[call].at else {
+                continue;
+            };
+            let back = hop(self.calls[call].front, engine);
+            self.post(back, Event::Failed(call, request, Failure::Broken));
+        }
+    }
+
+    /// Tells all fronts which engines there are.
+    fn list(&mut self) {
+        let list: Vec<_> = (0..ENGINES)
+            .filter(|n| self.up[*n])
+            .map(|n| listing(n, self.now))
+            .collect();
+        (0..FRONTS).for_each(|front| self.tell(front, Input::Listed(list.clone())));
+    }
+}
+
+fn zone(n: usize) -> String {
+    format!("z{}", n % ZONES)
+}
+
+fn hop(front: usize, engine: usize) -> Duration {
+    if front % ZONES == engine % ZONES {
+        NEAR
+    } else {
+        FAR
+    }
+}
+
+fn ticket(call: usize) -> Ticket {
+    Ticket(call as u64)
+}
+
+fn listing(n: usize, now: Tick) -> Listing {
+    let shape = Shape::default();
+    Listing {
+        instance: format!("e{n}"),
+        service: "m".to_owned(),
+        // The port is the engine's number.
+        address: ([10, 0, 0, 1], u16::try_from(n).unwrap_or(u16::MAX)).into(),
+        zone: zone(n),
+        slots: u32::try_from(shape.slots).unwrap_or(u32::MAX),
+        leaving: false,
+        cold: Duration::ZERO,
+        born: u64::from(now > START && n < ZONES),
+    }
+}
+
+fn plan() -> Plan {
+    let shape = Shape::default();
+    let route = |(rank, class): (usize, &Class)| RouteSpec {
+        name: class.path.to_owned(),
+        host: "h".to_owned(),
+        prefix: class.path.to_owned(),
+        repeat: Repeat::NeverStream,
+        timeout: class.patience,
+        target: class.target,
+        pause: class.pause,
+        rank: u8::try_from(CLASSES.len() - rank).unwrap_or(u8::MAX),
+        shares: vec![Share {
+            service: "m".to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        open: false,
+    };
+    let spec = PlanSpec {
+        version: 1,
+        routes: CLASSES.iter().enumerate().map(route).collect(),
+        services: vec![ServiceSpec {
+            name: "m".to_owned(),
+            connections: 380,
+            cold: None,
+            model: Some(Model {
+                slots: u32::try_from(shape.slots).unwrap_or(u32::MAX),
+                capacity: shape.memory,
+            }),
+        }],
+        accounts: Some(vec![AccountSpec {
+            name: "ana".to_owned(),
+            keys: vec!["k".to_owned()],
+            rank: None,
+        }]),
+        bounds: None,
+    };
+    Plan::try_from(spec).expect("the model's own plan is valid")
+}
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -145,10 +145,7 @@
     /// taken to be cached.
     pub(crate) fn to_read(&self, now: Tick, prompt: &Prompt, at_home: bool) -> u64 {
         if at_home {
-            return prompt
-                .parts
-                .last()
-                .map_or(prompt.input, |(_, tokens)| *tokens);
+            return prompt.own();
         }
         let cached = |part: &&(u64, u64)| {
             let used = self.parts.get(&part.0);
--- a/crates/relay/src/lane.rs
+++ b/crates/relay/src/lane.rs
@@ -26,7 +26,7 @@
 /// What a long prompt costs in the lane of short ones, in milliseconds for each millisecond of its
 /// reading, squared: a pause grows with the reading, and so does the number of streams for which
 /// it becomes too long.
-const LONG_HARM: f64 = 0.3;
+const LONG_HARM: f64 = 0.1;
 /// Prompt tokens that an engine reads in a millisecond, as the users' pages give it.
 pub(crate) const READ_PER_MS: f64 = 92.1;
 
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -65,6 +65,14 @@
     pub parts: Vec<(u64, u64)>,
 }
 
+impl Prompt {
+    /// Tokens of the part that the prompt shares with no other: the last.
+    pub fn own(&self) -> u64 {
+        let last = self.parts.last();
+        last.map_or(self.input, |(_, tokens)| *tokens)
+    }
+}
+
 /// A request as its head says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Ask {
--- a/crates/relay/src/pick.rs
+++ b/crates/relay/src/pick.rs
@@ -32,9 +32,13 @@
 /// What each byte to and from another zone costs, in seconds: its price, as time. A long prompt's
 /// bytes weigh less than the reading of its shared parts, a short one's more.
 const BYTE_S: f64 = 2.0e-6;
-/// How much worse it is to read shared parts again than the time it takes: the price of tokens
-/// read again, as time.
-const MISS_COST: f64 = 2.5;
+/// How much worse it is to read shared parts again than the time it takes, at an idle endpoint: it
+/// is paid for, and parts of others are dropped for it. Below what a session that is asked very
+/// often would wait for at its home (`gate`).
+const MISS_COST: f64 = 4.0;
+/// How much worse for each request there, as all of them wait for the reading. Without it a burst
+/// of long prompts had every endpoint read the shared parts of all sessions (docs/DESIGN.md).
+const MISS_HARM: f64 = 1.0;
 
 /// What the requests that wait at an endpoint say of it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -93,9 +97,10 @@
             if let Some(prompt) = &request.prompt {
                 let at_home = home == Some(*id);
                 let to_read = endpoint.to_read(now, prompt, at_home);
-                let miss = shared(prompt) as f64 / READ_PER_MS * MISS_COST;
+                let again = to_read.saturating_sub(prompt.own()) as f64 / READ_PER_MS;
+                let weight = MISS_COST + estimate.busy * MISS_HARM;
                 estimate.tokens = Some((to_read + endpoint.unread) as f64);
-                estimate.place = lanes.cost(*id, prompt) + if at_home { 0.0 } else { miss };
+                estimate.place = lanes.cost(*id, prompt) + again * weight;
             }
             estimate
         };
@@ -142,9 +147,3 @@
     (part, &endpoint.listing.instance).hash(&mut hasher);
     hasher.finish()
 }
-
-/// Tokens of the parts that a prompt shares with others: all but the last.
-fn shared(prompt: &Prompt) -> u64 {
-    let shared = prompt.parts.iter().rev().skip(1);
-    shared.map(|(_, tokens)| tokens).sum()
-}
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -598,6 +598,18 @@
         other.instances(7, &prompt(9, 6300, 2890));
         assert_eq!(other.instances(5, &prompt(8, 6300, 2890)), first);
     };
+    session_that_spilled_over_goes_where_it_was_read: {
+        let mut front = Front::ready();
+        // Its parts are at its home and at one more endpoint before a third has to read them.
+        let instances: std::collections::BTreeSet<_> = (0..12)
+            .map(|n| {
+                let mut prompt = prompt(8, 6300, 2890);
+                prompt.parts[2].0 = 100 + n;
+                front.go("/stream/", Some(prompt)).instance
+            })
+            .collect();
+        assert!(instances.len() <= 2, "{instances:?}");
+    };
     burst_on_one_session_spills_over: {
         let mut front = Front::ready();
         let mut instances: Vec<_> = (0..20)
