--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -19,8 +19,10 @@
 mod member;
 mod message;
 mod node;
+mod output;
 mod record;
 mod replicate;
+mod setup;
 mod snapshot;
 
 pub use lease::Authority;
@@ -41,20 +43,22 @@
     Grounds,
     Message, //
 };
-pub use node::{
-    Node,
+pub use node::Node;
+pub use output::{
     NotLeader,
     Output,
-    Promotion,
-    Seed,
-    Standing,
-    Timing, //
+    Standing, //
 };
 pub use record::{
     Record,
     Saved,
     SnapshotMeta, //
 };
+pub use setup::{
+    Promotion,
+    Seed,
+    Timing, //
+};
 
 /// Largest difference between the rates of two hosts' clocks, and of one to true time.
 pub const MAX_DRIFT_PERCENT: u32 = 5;
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -5,7 +5,6 @@
     BTreeSet,
     VecDeque, //
 };
-use std::fmt;
 use std::time::Duration;
 
 use ids::{
@@ -22,7 +21,6 @@
 
 use crate::log::{
     Body,
-    Entry,
     Log, //
 };
 use crate::member::{
@@ -38,106 +36,24 @@
     Grounds,
     Message, //
 };
+use crate::output::{
+    NotLeader,
+    Output,
+    Standing, //
+};
 use crate::record::{
     Record,
     Saved,
     SnapshotMeta, //
 };
 use crate::replicate::Ack;
+use crate::setup::{
+    Promotion,
+    Seed,
+    Timing, //
+};
 use crate::snapshot::Incoming;
 
-/// The group's time constants.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// A follower keeps to a leader that it heard from within this time.
-    pub election: Duration,
-    /// How often a leader sends heartbeats.
-    pub heartbeat: Duration,
-    /// How long a leader acts on a majority's answer, from the sending of the question.
-    pub lease: Duration,
-}
-
-impl Default for Timing {
-    /// 600 ms, 120 ms and 500 ms: 500 / 0.95 is less than 600 / 1.05, so the lease holds with
-    /// clocks that drift by 5 percent each. A member that started does not vote within the first
-    /// of these, unless all voters have started since they heard a leader.
-    fn default() -> Self {
-        Self {
-            election: Duration::from_millis(600),
-            heartbeat: Duration::from_millis(120),
-            lease: Duration::from_millis(500),
-        }
-    }
-}
-
-/// Which learners that have caught up become voters.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Promotion {
-    /// Each of them, one after the other.
-    Each,
-    /// As many as keep the number of voters odd; the others stand by to replace a lost voter.
-    Odd,
-}
-
-/// What makes one member's node.
-#[derive(Clone, Copy, Debug)]
-pub struct Seed {
-    /// The member's identity.
-    pub id: MemberId,
-    /// The group's time constants.
-    pub timing: Timing,
-    /// Which learners become voters.
-    pub promotion: Promotion,
-    /// Seeds the election timeout and the tokens of questions; another number for each run.
-    pub random: u64,
-}
-
-/// What a node asks of its host.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Append this record to the journal and sync it, then call [`Node::synced`] with the number.
-    Persist(u64, Record),
-    /// Replace journal and snapshot in one step, then call [`Node::synced`] with the number.
-    Rotate(u64, SnapshotMeta, Vec<u8>, Record),
-    /// Send a message.
-    Send(MemberId, Message),
-    /// Apply a committed entry.
-    Commit(Entry),
-    /// Replace the state machine by a snapshot.
-    Restore(SnapshotMeta, Vec<u8>),
-    /// The question with this token is answered: the log was committed up to this index.
-    Confirmed(u64, Index),
-}
-
-/// The node does not lead the group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NotLeader {
-    /// Who does, as far as is known.
-    pub leader: Option<MemberId>,
-}
-
-impl fmt::Display for NotLeader {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.leader {
-            Some(id) => write!(f, "member {id} leads the control group"),
-            None => f.write_str("no leader of the control group is known"),
-        }
-    }
-}
-
-/// Where a node stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Standing {
-    /// The current term.
-    pub term: Term,
-    /// The leader, as far as is known.
-    pub leader: Option<MemberId>,
-    /// How far the log is committed.
-    pub commit: Index,
-    /// The last entry of the log.
-    pub last: Index,
-}
-
 #[derive(Debug)]
 pub(crate) enum Role {
     Follower,
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -18,9 +18,9 @@
 use crate::message::Message;
 use crate::node::{
     Node,
-    Output,
     Role, //
 };
+use crate::output::Output;
 use crate::record::Record;
 
 /// Most bytes of entries in one message.
--- a/crates/agree/src/snapshot.rs
+++ b/crates/agree/src/snapshot.rs
@@ -11,9 +11,9 @@
 use crate::message::Message;
 use crate::node::{
     Node,
-    Output,
     Role, //
 };
+use crate::output::Output;
 use crate::record::{
     Record,
     SnapshotMeta, //
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -46,40 +46,21 @@
     Status,
     Trace, //
 };
+use crate::read::{
+    Read,
+    Wanted, //
+};
 use crate::roster::Roster;
 use crate::viewers::{
-    FRESH,
+    ASK_AGAIN,
     Viewers, //
 };
 
 /// Log entries in memory after which a snapshot is made.
 const COMPACT_ENTRIES: usize = 8192;
-/// A question that no leader confirmed in this time is asked again.
-pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(150);
 /// How long the delivery of a window waits after it was refused.
 const DELIVER_AGAIN: Duration = Duration::from_secs(2);
 
-/// What a read is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Wanted {
-    /// The whole configuration.
-    Config,
-    /// The plan's document.
-    Document,
-}
-
-/// A question for what is in force that waits for a leader's confirmation.
-#[derive(Debug)]
-struct Read {
-    wanted: Wanted,
-    token: u64,
-    ticket: Ticket,
-    /// When a leader was asked last.
-    asked: Tick,
-    until: Tick,
-    confirmed: Option<Index>,
-}
-
 /// A control host.
 pub struct Govern<K> {
     pub(crate) seed: Seed,
@@ -90,12 +71,12 @@
     /// Commands on their way through the log, with the term they were proposed in.
     pending: BTreeMap<Index, (Term, Ticket)>,
     group_pending: BTreeMap<Index, Ticket>,
-    viewers: Viewers<Revision>,
+    pub(crate) viewers: Viewers<Revision>,
     pub(crate) deployments: Viewers<Held>,
     pub(crate) reading: Reading,
     pub(crate) roster: Roster,
     pub(crate) biller: Biller,
-    reads: Vec<Read>,
+    pub(crate) reads: Vec<Read>,
     led: Option<Term>,
     began: Tick,
     sealing: bool,
@@ -250,29 +231,6 @@
         }
     }
 
-    /// Asks a leader to confirm how far the log is committed, for a read of what is in force.
-    fn read(&mut self, now: Tick, ticket: Ticket, wanted: Wanted, out: &mut Outbox<Output>) {
-        let mut inner = Outbox::default();
-        let token = self.node.ask(now, &mut inner);
-        let mut read = Read {
-            wanted,
-            token,
-            ticket,
-            asked: now,
-            until: now + FRESH,
-            confirmed: None,
-        };
-        for output in inner.drain() {
-            match output {
-                agree::Output::Confirmed(answered, index) if answered == token => {
-                    read.confirmed = Some(index);
-                }
-                other => self.carry_one(other, out),
-            }
-        }
-        self.reads.push(read);
-    }
-
     /// Where the leader is reached, as far as is known.
     pub(crate) fn leader(&self) -> Option<SocketAddr> {
         self.address(self.node.standing().leader)
@@ -391,46 +349,6 @@
         out.push(Output::Trace(Trace::Broken(fault)));
     }
 
-    fn confirmed(&mut self, token: u64, index: Index) {
-        self.viewers.confirm(token, index);
-        self.deployments.confirm(token, index);
-        for read in self.reads.iter_mut().filter(|read| read.token == token) {
-            read.confirmed = Some(index);
-        }
-    }
-
-    /// Asks again for the reads that no leader has confirmed, since there may be one by now.
-    fn ask_reads_again(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        let due = |read: &Read| read.confirmed.is_none() && now.since(read.asked) >= ASK_AGAIN;
-        if !self.reads.iter().any(due) {
-            return;
-        }
-        let mut inner = Outbox::default();
-        let token = self.node.ask(now, &mut inner);
-        for read in self.reads.iter_mut().filter(|read| due(read)) {
-            read.token = token;
-            read.asked = now;
-        }
-        self.carry(now, inner, out);
-    }
-
-    fn answer_reads(&mut self, out: &mut Outbox<Output>) {
-        let applied = self.applied;
-        let config = self.machine.registry.config();
-        let document = self.machine.deployment.document();
-        self.reads.retain(|read| {
-            let ready = read.confirmed.is_some_and(|index| index <= applied);
-            if ready {
-                let reply = match read.wanted {
-                    Wanted::Config => Reply::Config(config.revision(), config.export()),
-                    Wanted::Document => Reply::Document(document.cloned()),
-                };
-                out.push(Output::Reply(read.ticket, reply));
-            }
-            !ready
-        });
-    }
-
     /// What may have become possible after any step.
     fn after(&mut self, now: Tick, out: &mut Outbox<Output>) {
         self.note_lead(out);
@@ -473,41 +391,6 @@
         group.map(|member| member.address).collect()
     }
 
-    /// Asks a leader to confirm how far the log is committed, for the followers' questions that
-    /// came since it was asked last. One round covers both kinds.
-    fn confirm_questions(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        let views = self.viewers.wants_round(now);
-        let deployments = self.deployments.wants_round(now);
-        if !views && !deployments {
-            return;
-        }
-        let mut inner = Outbox::default();
-        let token = self.node.ask(now, &mut inner);
-        if views {
-            self.viewers.begin_round(now, token);
-        }
-        if deployments {
-            self.deployments.begin_round(now, token);
-        }
-        for output in inner.drain() {
-            self.carry_one(output, out);
-        }
-    }
-
-    fn answer_views(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        let hosts = self.hosts();
-        let registry = &self.machine.registry;
-        let revision = registry.config().revision();
-        let news = |held: &Revision| *held != revision;
-        for (ticket, held) in self.viewers.take_ready(now, self.applied, news) {
-            let update = registry.update_since(held);
-            out.push(Output::Reply(ticket, Reply::View(update, hosts.clone())));
-        }
-        for (ticket, _) in self.viewers.take_late(now) {
-            out.push(Output::Reply(ticket, Reply::Unavailable));
-        }
-    }
-
     fn compact(&mut self, now: Tick, out: &mut Outbox<Output>) {
         match self.codec.state(&self.machine.export()) {
             Err(fault) => self.break_down(fault.to_string(), out),
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod bill;
 mod command;
+mod confirm;
 mod directory;
 mod govern;
 mod machine;
 mod message;
 mod plan;
+mod read;
 mod roster;
 mod viewers;
 
--- a/crates/govern/src/viewers.rs
+++ b/crates/govern/src/viewers.rs
@@ -15,8 +15,8 @@
     Ticket, //
 };
 
-use crate::govern::ASK_AGAIN;
-
+/// A question that no leader confirmed in this time is asked again.
+pub(crate) const ASK_AGAIN: Duration = Duration::from_millis(150);
 /// How long a follower may go by a view, counted from the moment it asked. With clocks that drift
 /// by 5 percent, a withdrawn key is refused everywhere within 2.7 s.
 pub const FRESH: Duration = Duration::from_millis(2500);
