--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -20,10 +20,10 @@
 use crate::node::{
     Leader,
     Node,
-    Peer,
     Role, //
 };
 use crate::output::Output;
+use crate::peer::Peer;
 
 impl Node {
     /// Gives the leadership to the most advanced voter. The term is given up for good before the
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -20,6 +20,7 @@
 mod message;
 mod node;
 mod output;
+mod peer;
 mod record;
 mod replicate;
 mod setup;
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -41,18 +41,21 @@
     Output,
     Standing, //
 };
+use crate::peer::{
+    Ack,
+    Incoming,
+    Peer, //
+};
 use crate::record::{
     Record,
     Saved,
     SnapshotMeta, //
 };
-use crate::replicate::Ack;
 use crate::setup::{
     Promotion,
     Seed,
     Timing, //
 };
-use crate::snapshot::Incoming;
 
 #[derive(Debug)]
 pub(crate) enum Role {
@@ -73,19 +76,6 @@
     pub(crate) barrier: Index,
 }
 
-/// What a leader knows of another member.
-#[derive(Clone, Debug)]
-pub(crate) struct Peer {
-    pub(crate) next: Index,
-    pub(crate) matched: Index,
-    /// When the latest heartbeat that the peer answered was sent.
-    pub(crate) acked: Option<Tick>,
-    /// When entries or a piece of a snapshot were sent that the peer has not answered yet.
-    pub(crate) flight: Option<Tick>,
-    /// Where the next piece of a snapshot begins.
-    pub(crate) offset: u64,
-}
-
 /// One member of the group.
 #[derive(Debug)]
 pub struct Node {
@@ -500,15 +490,3 @@
         self.lead_append(now, Body::Members(group), out);
     }
 }
-
-impl Peer {
-    pub(crate) fn new(next: Index) -> Self {
-        Self {
-            next,
-            matched: Index::default(),
-            acked: None,
-            flight: None,
-            offset: 0,
-        }
-    }
-}
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -21,20 +21,12 @@
     Role, //
 };
 use crate::output::Output;
+use crate::peer::Ack;
 use crate::record::Record;
 
 /// Most bytes of entries in one message.
 const BATCH_BYTES: usize = 256 * 1024;
 
-/// What every answer to a leader carries.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Ack {
-    /// The answering member's term.
-    pub(crate) term: Term,
-    /// When the message answered was sent, by the leader's clock.
-    pub(crate) sent: u64,
-}
-
 impl Node {
     /// Appends an entry as leader and starts to replicate it.
     pub(crate) fn lead_append(&mut self, now: Tick, body: Body, out: &mut Outbox<Output>) -> Index {
--- a/crates/agree/src/snapshot.rs
+++ b/crates/agree/src/snapshot.rs
@@ -14,11 +14,14 @@
     Role, //
 };
 use crate::output::Output;
+use crate::peer::{
+    Ack,
+    Incoming, //
+};
 use crate::record::{
     Record,
     SnapshotMeta, //
 };
-use crate::replicate::Ack;
 
 /// Most bytes of a snapshot in one message.
 const CHUNK_BYTES: usize = 128 * 1024;
@@ -27,13 +30,6 @@
 /// snapshot.
 const KEPT_ENTRIES: u64 = 512;
 
-/// A snapshot on its way in.
-#[derive(Debug)]
-pub(crate) struct Incoming {
-    meta: SnapshotMeta,
-    bytes: Vec<u8>,
-}
-
 impl Node {
     /// Replaces the log up to the last committed entry by a snapshot of the state machine.
     pub fn compact(&mut self, state: Vec<u8>, out: &mut Outbox<Output>) {
