--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -480,30 +480,31 @@
         leaders.first().copied()
     }
 
-    /// Puts a plan in force by its leader, and says whether it was acknowledged.
-    pub(crate) fn install(&mut self, version: u64) -> bool {
-        let Some(leader) = self.leader() else {
-            return false;
-        };
+    /// Asks the leader to put a plan in force, if there is one.
+    fn order(&mut self, version: u64) -> Option<(usize, Ticket)> {
+        let leader = self.leader()?;
         let document = Document {
             version,
             bytes: version.to_string().into_bytes(),
         };
-        let asked = self.ask(leader, Question::Run(Command::Install(document)));
+        let install = Question::Run(Command::Install(document));
+        Some(self.ask(leader, install))
+    }
+
+    /// Puts a plan in force by its leader, and says whether it was acknowledged.
+    pub(crate) fn install(&mut self, version: u64) -> bool {
+        let Some(asked) = self.order(version) else {
+            return false;
+        };
         self.run(300);
         matches!(self.answer(asked), Some(Reply::Outcome(_)))
     }
 
     /// As [`Self::install`], but returns at the moment of the acknowledgement.
     pub(crate) fn install_until_acknowledged(&mut self, version: u64) -> bool {
-        let Some(leader) = self.leader() else {
+        let Some(asked) = self.order(version) else {
             return false;
         };
-        let document = Document {
-            version,
-            bytes: version.to_string().into_bytes(),
-        };
-        let asked = self.ask(leader, Question::Run(Command::Install(document)));
         let end = self.now + 300_000;
         while self.now < end && !self.replies.contains_key(&asked) {
             self.run(1);
--- a/crates/govern/tests/histories.rs
+++ b/crates/govern/tests/histories.rs
@@ -120,6 +120,20 @@
         }
     }
 
+    /// Puts a plan in force and goes on at the moment of the acknowledgement.
+    fn acknowledge(&mut self) {
+        self.version += 1;
+        if self.group.install_until_acknowledged(self.version) {
+            self.acknowledged = self.version;
+        }
+    }
+
+    fn start_all(&mut self) {
+        for n in self.live.clone() {
+            self.group.start(n);
+        }
+    }
+
     /// Lets time pass until somebody leads and all live hosts vote, and keeps the time it took.
     fn recover(&mut self, loss: Loss) {
         let mut passed = 0;
@@ -219,48 +233,31 @@
         for n in self.live.clone() {
             self.group.crash(n);
         }
-        for n in self.live.clone() {
-            self.group.start(n);
-        }
+        self.start_all();
         self.recover(Loss::All);
     }
 
     /// All hosts lose power at the moment at which a plan was acknowledged.
     fn lose_power(&mut self) {
-        self.version += 1;
-        if self.group.install_until_acknowledged(self.version) {
-            self.acknowledged = self.version;
-        }
+        self.acknowledge();
         for n in self.live.clone() {
             let kept = self.rng.random_range(0..3);
             self.group.lose_power(n, kept);
         }
-        for n in self.live.clone() {
-            self.group.start(n);
-        }
+        self.start_all();
         self.recover(Loss::All);
     }
 
     /// One host loses its disk right after a plan was acknowledged while all others lose power.
     fn lose_power_and_disk(&mut self) {
         let lost = self.any();
-        self.lose_power_of_others(lost);
-        self.wipe(lost);
+        self.acknowledge();
         for n in self.live.clone() {
-            self.group.start(n);
-        }
-        self.recover(Loss::Disk);
-    }
-
-    fn lose_power_of_others(&mut self, lost: usize) {
-        self.version += 1;
-        if self.group.install_until_acknowledged(self.version) {
-            self.acknowledged = self.version;
-        }
-        self.group.crash(lost);
-        for n in self.live.clone().into_iter().filter(|n| *n != lost) {
             self.group.lose_power(n, 0);
         }
+        self.wipe(lost);
+        self.start_all();
+        self.recover(Loss::Disk);
     }
 
     /// Cuts the group in two while plans change on the side that can.
