Draw, tabulate and plan in one place each

Found in reading the change again. Two reports grouped their points by name: bench::plot does. The table and the page of engines wrote the same cells: Row::cells does, and Row::new makes a row where the program did. The model's deployment and the choice of policy leave pool/world.rs (604 to 463 lines), which takes its plan as checked in place of an expect. A read in govern was confirmed by a special case; it is put on the list first, as rounds are.

Same engines.csv, policy.csv and policy.html as before; the printed table aligns all columns to the right.

--- a/crates/bench/src/chart.rs
+++ b/crates/bench/src/chart.rs
@@ -58,18 +58,22 @@
     fs::write(&path, page).map_err(|f| ReportError::File(path.clone(), f.to_string()))
 }
 
-/// One plot as SVG: a line for each name.
+/// One plot as SVG: a line for each name, from points of a name, a place and a value.
 ///
 /// # Errors
 ///
 /// [`ReportError::Plot`].
-pub fn plot(
+pub fn plot<'a>(
     title: &str,
-    lines: BTreeMap<&str, Vec<(f64, f64)>>,
+    points: impl Iterator<Item = (&'a str, f64, f64)>,
     span: Range<f64>,
     top: f64,
 ) -> Result<String, ReportError> {
     let fault = |fault: &dyn fmt::Display| ReportError::Plot(fault.to_string());
+    let mut lines: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
+    for (name, x, y) in points {
+        lines.entry(name).or_default().push((x, y));
+    }
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, PLOT).into_drawing_area();
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -1,9 +1,7 @@
 //! The report: CSV beside a self-contained HTML page with plots.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
-};
+use std::collections::BTreeSet;
+use std::ops::Range;
 use std::path::Path;
 
 use crate::chart::{
@@ -12,6 +10,9 @@
 };
 use crate::score::Row;
 
+/// The loads shown, as multiples of capacity.
+const SPAN: Range<f64> = 0.5..3.1;
+
 /// Writes `policy.csv` and `policy.html` into a folder.
 ///
 /// # Errors
@@ -34,11 +35,15 @@
             .copied()
             .filter(|row| row.site == site)
             .collect();
+        let points = |value: fn(&Row) -> f64| {
+            let of_site = of_site.iter();
+            of_site.map(move |row| (row.policy.as_str(), row.load, value(row)))
+        };
         let title = format!("{site}: attainment of the highest tier");
-        plots += &plot(&title, &of_site, 1.0, |row| row.tier0)?;
+        plots += &chart::plot(&title, points(|row| row.tier0), SPAN, 1.0)?;
         let most = of_site.iter().map(|row| row.goodput).fold(1.0, f64::max);
         let title = format!("{site}: good tokens a second");
-        plots += &plot(&title, &of_site, most * 1.1, |row| row.goodput)?;
+        plots += &chart::plot(&title, points(|row| row.goodput), SPAN, most * 1.1)?;
     }
     let mut table = String::new();
     for row in rows {
@@ -70,17 +75,3 @@
          {table}</table>"
     ))
 }
-
-fn plot(
-    title: &str,
-    rows: &[&Row],
-    top: f64,
-    value: impl Fn(&Row) -> f64,
-) -> Result<String, ReportError> {
-    let mut lines: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
-    for row in rows {
-        let line = lines.entry(&row.policy).or_default();
-        line.push((row.load, value(row)));
-    }
-    chart::plot(title, lines, 0.5..3.1, top)
-}
--- a/crates/govern/src/confirm.rs
+++ b/crates/govern/src/confirm.rs
@@ -35,23 +35,17 @@
     ) {
         let mut inner = Outbox::default();
         let token = self.node.ask(now, &mut inner);
-        let mut read = Read {
+        self.reads.push(Read {
             wanted,
             token,
             ticket,
             asked: now,
             until: now + FRESH,
             confirmed: None,
-        };
+        });
         for output in inner.drain() {
-            match output {
-                agree::Output::Confirmed(answered, index) if answered == token => {
-                    read.confirmed = Some(index);
-                }
-                other => self.carry_one(other, out),
-            }
+            self.carry_one(output, out);
         }
-        self.reads.push(read);
     }
 
     pub(crate) fn confirmed(&mut self, token: u64, index: Index) {
--- a/crates/obs/src/logger.rs
+++ b/crates/obs/src/logger.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use crossbeam::channel::bounded;
-
 use serde::{
     Deserialize,
     Serialize, //
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -5,8 +5,11 @@
 //! an answer. The choice of endpoint is the only thing that differs between two runs of a seed.
 
 mod choices;
+mod deployment;
 mod engine;
+mod play;
 mod report;
+mod run;
 mod score;
 mod traffic;
 mod trouble;
@@ -23,14 +26,14 @@
     Shape,
     Step, //
 };
+pub use play::run;
 pub use report::write_report;
+pub use run::{
+    Policy,
+    Run, //
+};
 pub use score::{
     Row,
     Score, //
 };
 pub use trouble::Trouble;
-pub use world::{
-    Policy,
-    Run,
-    run, //
-};
--- a/crates/pool/src/score.rs
+++ b/crates/pool/src/score.rs
@@ -4,6 +4,8 @@
 
 use serde::Serialize;
 
+use crate::run::Run;
+
 /// The figures of one run.
 #[derive(Clone, Debug, Default)]
 pub struct Score {
@@ -69,3 +71,55 @@
     /// Megabytes to and from other zones, each second.
     pub between_mb_s: f64,
 }
+
+impl Row {
+    /// The heads of [`Row::cells`].
+    pub const HEADS: [&str; 11] = [
+        "load",
+        "trouble",
+        "policy",
+        "in aim",
+        "late",
+        "refused",
+        "failed",
+        "p50 ms",
+        "p99 ms",
+        "again k/s",
+        "zones MB/s",
+    ];
+
+    /// The figures of a run.
+    pub fn new(run: &Run, score: &Score) -> Self {
+        let seconds = run.length.as_secs_f64();
+        Self {
+            load: run.load,
+            trouble: run.trouble.name().to_owned(),
+            policy: run.policy.name().to_owned(),
+            in_aim: score.share(score.in_aim),
+            late: score.share(score.late),
+            refused: score.share(score.refused),
+            failed: score.share(score.failed),
+            p50_ms: score.first_ms(50),
+            p99_ms: score.first_ms(99),
+            again_k_s: score.again as f64 / 1000.0 / seconds,
+            between_mb_s: score.bytes as f64 / 1_000_000.0 / seconds,
+        }
+    }
+
+    /// The figures as text, in the order of the fields.
+    pub fn cells(&self) -> [String; 11] {
+        [
+            self.load.to_string(),
+            self.trouble.clone(),
+            self.policy.clone(),
+            format!("{:.3}", self.in_aim),
+            format!("{:.3}", self.late),
+            format!("{:.3}", self.refused),
+            format!("{:.3}", self.failed),
+            format!("{:.0}", self.p50_ms),
+            format!("{:.0}", self.p99_ms),
+            format!("{:.1}", self.again_k_s),
+            format!("{:.2}", self.between_mb_s),
+        ]
+    }
+}
--- a/crates/pool/src/world.rs
+++ b/crates/pool/src/world.rs
@@ -14,16 +14,7 @@
     Tick,
     Ticket, //
 };
-use plan::{
-    AccountSpec,
-    Model,
-    Plan,
-    PlanSpec,
-    Repeat,
-    RouteSpec,
-    ServiceSpec,
-    Share, //
-};
+use plan::Plan;
 use rand::{
     RngExt,
     SeedableRng, //
@@ -34,10 +25,8 @@
     Choice,
     Failure,
     Input,
-    Listing,
     Load,
     Output,
-    Predicted,
     Prompt,
     Relay,
     Seed,
@@ -49,16 +38,21 @@
     Outbox, //
 };
 
-use crate::choices::{
-    LeastBusy,
-    Nearest,
-    RoundRobin, //
+use crate::deployment::{
+    ENGINES,
+    FRONTS,
+    START,
+    ZONES,
+    hop,
+    listing,
+    zone, //
 };
 use crate::engine::{
     Engine,
     Job,
     Shape, //
 };
+use crate::run::Run;
 use crate::score::Score;
 use crate::traffic::{
     CLASSES,
@@ -66,13 +60,6 @@
 };
 use crate::trouble::Trouble;
 
-const ZONES: usize = 3;
-/// Engines and fronts of the first users' deployment.
-const ENGINES: usize = 12;
-const FRONTS: usize = 7;
-/// One way within a zone, and between zones.
-const NEAR: Duration = Duration::from_micros(500);
-const FAR: Duration = Duration::from_micros(1400);
 /// How long it takes until fronts know that an engine crashed or came back.
 const LIST_LAG: Duration = Duration::from_millis(1400);
 /// Tokens of an answer in one event of its stream.
@@ -81,67 +68,6 @@
 const SLOW: f64 = 4.0;
 /// How many times more often the class with the longest prompts asks in a burst.
 const BURST: f64 = 4.0;
-/// Time before anything happens, so that fronts have views.
-const START: Tick = Tick(10_000_000);
-
-/// The choice of endpoint that a run is played with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    /// The product's.
-    Product,
-    /// The product's before lanes and homes.
-    Former,
-    /// The fewest requests.
-    LeastBusy,
-    /// One after the other.
-    RoundRobin,
-}
-
-impl Policy {
-    /// Every policy.
-    pub const ALL: [Self; 4] = [
-        Self::Product,
-        Self::Former,
-        Self::LeastBusy,
-        Self::RoundRobin,
-    ];
-
-    /// Its name.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Product => "product",
-            Self::Former => "without-lanes",
-            Self::LeastBusy => "least-busy",
-            Self::RoundRobin => "round-robin",
-        }
-    }
-}
-
-/// What is played.
-#[derive(Clone, Copy, Debug)]
-pub struct Run {
-    /// Load as a multiple of the sheet's.
-    pub load: f64,
-    /// The disturbance.
-    pub trouble: Trouble,
-    /// The choice of endpoint.
-    pub policy: Policy,
-    /// How long callers ask.
-    pub length: Duration,
-    /// Seeds arrivals and choices.
-    pub seed: u64,
-}
-
-/// Plays a run.
-pub fn run(of: Run) -> Score {
-    match of.policy {
-        Policy::Product => World::new(of, Predicted).play(),
-        Policy::Former => World::new(of, Nearest::default()).play(),
-        Policy::LeastBusy => World::new(of, LeastBusy).play(),
-        Policy::RoundRobin => World::new(of, RoundRobin::default()).play(),
-    }
-}
-
 enum Event {
     /// A caller of a class asks.
     Arrive(usize),
@@ -176,7 +102,8 @@
     over: bool,
 }
 
-struct World<C> {
+/// One run under way.
+pub(crate) struct World<C> {
     run: Run,
     rng: Pcg32,
     now: Tick,
@@ -195,7 +122,7 @@
 }
 
 impl<C: Choice + Copy> World<C> {
-    fn new(run: Run, choice: C) -> Self {
+    pub(crate) fn new(run: Run, choice: C) -> Self {
         let front = |n: usize| {
             let seed = Seed {
                 zone: zone(n),
@@ -226,12 +153,11 @@
         }
     }
 
-    fn play(mut self) -> Score {
-        let plan = Arc::new(plan());
+    pub(crate) fn play(mut self, plan: &Arc<Plan>) -> Score {
         for n in 0..FRONTS {
             let view = View {
                 edition: 1,
-                content: Some((Some(Arc::clone(&plan)), Vec::new())),
+                content: Some((Some(Arc::clone(plan)), Vec::new())),
                 fresh: Tick(u64::MAX),
                 fronts: FRONTS,
                 wall: (1_000_000_000, self.now),
@@ -532,73 +458,6 @@
     }
 }
 
-fn zone(n: usize) -> String {
-    format!("z{}", n % ZONES)
-}
-
-fn hop(front: usize, engine: usize) -> Duration {
-    if front % ZONES == engine % ZONES {
-        NEAR
-    } else {
-        FAR
-    }
-}
-
 fn ticket(call: usize) -> Ticket {
     Ticket(call as u64)
 }
-
-fn listing(n: usize, now: Tick) -> Listing {
-    let shape = Shape::default();
-    Listing {
-        instance: format!("e{n}"),
-        service: "m".to_owned(),
-        // The port is the engine's number.
-        address: ([10, 0, 0, 1], u16::try_from(n).unwrap_or(u16::MAX)).into(),
-        zone: zone(n),
-        slots: u32::try_from(shape.slots).unwrap_or(u32::MAX),
-        leaving: false,
-        cold: Duration::ZERO,
-        born: u64::from(now > START && n < ZONES),
-    }
-}
-
-fn plan() -> Plan {
-    let shape = Shape::default();
-    let route = |(rank, class): (usize, &Class)| RouteSpec {
-        name: class.path.to_owned(),
-        host: "h".to_owned(),
-        prefix: class.path.to_owned(),
-        repeat: Repeat::NeverStream,
-        timeout: class.patience,
-        target: class.target,
-        pause: class.pause,
-        rank: u8::try_from(CLASSES.len() - rank).unwrap_or(u8::MAX),
-        shares: vec![Share {
-            service: "m".to_owned(),
-            weight: 1,
-        }],
-        attempts: 2,
-        open: false,
-    };
-    let spec = PlanSpec {
-        version: 1,
-        routes: CLASSES.iter().enumerate().map(route).collect(),
-        services: vec![ServiceSpec {
-            name: "m".to_owned(),
-            connections: 380,
-            cold: None,
-            model: Some(Model {
-                slots: u32::try_from(shape.slots).unwrap_or(u32::MAX),
-                capacity: shape.memory,
-            }),
-        }],
-        accounts: Some(vec![AccountSpec {
-            name: "ana".to_owned(),
-            keys: vec!["k".to_owned()],
-            rank: None,
-        }]),
-        bounds: None,
-    };
-    Plan::try_from(spec).expect("the model's own plan is valid")
-}
--- a/crates/pool/tests/choice.rs
+++ b/crates/pool/tests/choice.rs
@@ -20,6 +20,7 @@
         length: Duration::from_secs(30),
         seed,
     })
+    .unwrap()
 }
 
 case::cases! {
