--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -286,6 +286,7 @@
         kind: match subscriber.id.kind {
             SubscriberKind::Entry => wire::SubscriberKind::Entry,
             SubscriberKind::Agent => wire::SubscriberKind::Agent,
+            SubscriberKind::Distributor => wire::SubscriberKind::Distributor,
         },
         revision: subscriber.revision,
         fresh_ms: millis(remaining),
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -17,6 +17,7 @@
 use fault::Kind;
 use govern::{
     Command,
+    DeploymentReply,
     DeploymentVersions,
     Input,
     Outcome,
@@ -48,6 +49,8 @@
     DeploymentRequest,
     DeploymentResponse,
     Envelope,
+    FeedRequest,
+    FeedResponse,
     PeerResponse,
     Sealer,
     SettleRequest,
@@ -77,6 +80,7 @@
     Settle,
     Usage,
     Deployment,
+    Feed,
     Join,
     Tally,
 }
@@ -124,6 +128,7 @@
                 PeerKind::Deployment,
                 deployment,
             ),
+            paths::FEED => self.peer_request(exchange, paths::FEED, PeerKind::Feed, feed),
             paths::JOIN => self.peer_request(exchange, paths::JOIN, PeerKind::Join, Request::Join),
             paths::TALLY => {
                 self.counters.count(Counter::UsageMerged);
@@ -216,6 +221,7 @@
         kind: match message.kind {
             wire::SubscriberKind::Entry => SubscriberKind::Entry,
             wire::SubscriberKind::Agent => SubscriberKind::Agent,
+            wire::SubscriberKind::Distributor => SubscriberKind::Distributor,
         },
         incarnation: message.incarnation,
     };
@@ -234,6 +240,22 @@
     )
 }
 
+fn feed(message: FeedRequest) -> Request {
+    Request::Feed(Box::new(govern::FeedRequest {
+        id: SubscriberId {
+            host: message.host,
+            kind: SubscriberKind::Distributor,
+            incarnation: message.incarnation,
+        },
+        distributor: message.distributor,
+        subscribers: usize::try_from(message.subscribers).unwrap_or(usize::MAX),
+        generation: message.generation,
+        directory: message.directory_version,
+        tallies: message.tallies,
+        max_wait: message.max_wait,
+    }))
+}
+
 fn tally(message: TallyRequest) -> Request {
     let reporter = usage::Reporter {
         host: message.host.to_string(),
@@ -302,15 +324,13 @@
                 self.send(exchange, &PeerResponse::Done(()));
             }
             (PeerKind::Deployment, Reply::Deployment(reply)) => {
-                let response = DeploymentResponse {
-                    snapshot: reply.snapshot,
-                    directory: reply.directory,
-                    directory_age: reply.directory_age,
-                    leader: reply.leader,
-                    ttl: self.view_ttl,
-                    control_hosts: reply.hosts,
-                    subscribers: reply.subscribers as u64,
-                    unix_ms: reply.unix_ms,
+                let response = self.deployment_response(*reply);
+                self.send(exchange, &PeerResponse::Done(response));
+            }
+            (PeerKind::Feed, Reply::Feed(reply)) => {
+                let response = FeedResponse {
+                    deployment: self.deployment_response(reply.deployment),
+                    last_sealed: reply.last_sealed,
                 };
                 self.send(exchange, &PeerResponse::Done(response));
             }
@@ -323,6 +343,22 @@
         }
     }
 
+    fn deployment_response(&self, reply: DeploymentReply) -> DeploymentResponse {
+        DeploymentResponse {
+            snapshot: reply.snapshot,
+            directory: reply.directory,
+            directory_age: reply.directory_age,
+            leader: reply.leader,
+            ttl: reply
+                .ttl
+                .map_or(self.view_ttl, |ttl| ttl.min(self.view_ttl)),
+            control_hosts: reply.hosts,
+            subscribers: reply.subscribers as u64,
+            unix_ms: reply.unix_ms,
+            distributors: reply.distributors,
+        }
+    }
+
     fn not_leader(&self, exchange: Exchange, kind: PeerKind, leader: Option<SocketAddr>) {
         match kind {
             PeerKind::View => self.send(exchange, &PeerResponse::<ViewResponse>::NotLeader(leader)),
@@ -332,6 +368,7 @@
                 exchange,
                 &PeerResponse::<DeploymentResponse>::NotLeader(leader),
             ),
+            PeerKind::Feed => self.send(exchange, &PeerResponse::<FeedResponse>::NotLeader(leader)),
             PeerKind::Tally => self.send(exchange, &PeerResponse::<Option<u64>>::NotLeader(leader)),
             PeerKind::Usage | PeerKind::Join => {
                 self.send(exchange, &PeerResponse::<()>::NotLeader(leader));
@@ -347,6 +384,7 @@
             PeerKind::Deployment => {
                 self.send(exchange, &PeerResponse::<DeploymentResponse>::Unavailable)
             }
+            PeerKind::Feed => self.send(exchange, &PeerResponse::<FeedResponse>::Unavailable),
             PeerKind::Tally => self.send(exchange, &PeerResponse::<Option<u64>>::Unavailable),
             PeerKind::Usage | PeerKind::Join => {
                 self.send(exchange, &PeerResponse::<()>::Unavailable);
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -31,6 +31,7 @@
 use crate::billing;
 use crate::command;
 use crate::disk;
+use crate::feed::FeedJob;
 use crate::join::JoinRequest;
 use crate::transport::Transport;
 
@@ -50,6 +51,7 @@
     pub(crate) billing: Sender<billing::Job>,
     pub(crate) join: Sender<JoinRequest>,
     pub(crate) listing: Sender<()>,
+    pub(crate) feed: Sender<FeedJob>,
     pub(crate) transport: Transport,
     pub(crate) responder: Responder,
     pub(crate) pending: BTreeMap<Ticket, (Exchange, ResponseFormat)>,
@@ -135,6 +137,10 @@
             Output::FetchListing => {
                 let _ = self.listing.try_send(());
             }
+            Output::RequestFeed(host, request) => {
+                // The thread has received the previous request: its result came first.
+                let _ = self.feed.send((host, request));
+            }
             Output::RequestJoin(member, hosts) => {
                 if self.join.try_send((member, hosts)).is_ok() {
                     event!(self.log, JoinRequested);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 mod command;
 mod disk;
 mod effects;
+mod feed;
 mod join;
 mod listing;
 mod platform;
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -36,8 +36,12 @@
 use govern::{
     Govern,
     Input,
+    Mirror,
+    MirrorOptions,
     Options,
     PlanOptions,
+    SubscriberId,
+    SubscriberKind,
     VIEW_TTL, //
 };
 use ids::{
@@ -45,6 +49,7 @@
     ClusterName,
     DigestKey,
     HostName,
+    Incarnation,
     Index,
     Monotonic,
     Term,
@@ -56,6 +61,7 @@
     event, //
 };
 use peer::ControlClient;
+use plan::Distributor;
 use step::Worker;
 use store::{
     StateDir,
@@ -89,6 +95,10 @@
     ControlEffects,
     PendingRequest, //
 };
+use crate::feed::{
+    self,
+    FeedClient, //
+};
 use crate::join;
 use crate::listing::{
     self,
@@ -114,6 +124,8 @@
     Store(StoreError),
     /// The durable state cannot be decoded.
     State(String),
+    /// The settings name no data directory, and the host serves no plan that it could mirror.
+    NoDataDir,
     /// An HTTP server cannot start.
     Edge(EdgeError),
     /// A thread cannot be started.
@@ -130,6 +142,7 @@
             ),
             Self::Store(error) => error.fmt(f),
             Self::State(error) => write!(f, "the durable state cannot be decoded: {error}"),
+            Self::NoDataDir => f.write_str("the settings name no data directory"),
             Self::Edge(error) => error.fmt(f),
             Self::Thread(error) => write!(f, "cannot start a thread: {error}"),
         }
@@ -177,7 +190,8 @@
             stage: Stage::Voter,
         }]),
     };
-    StateDir::init(&settings.data_dir, id, &codec::encode_frame(&[record])?)?;
+    let data = settings.data_dir.as_deref().ok_or(RunError::NoDataDir)?;
+    StateDir::init(data, id, &codec::encode_frame(&[record])?)?;
     Ok(MemberId(id))
 }
 
@@ -185,10 +199,12 @@
 pub struct Handle {
     server: Server,
     plan_servers: Vec<Server>,
-    joiner: Option<Worker>,
+    /// The threads of a host that serves a plan. They end with the control thread.
+    plan_workers: Vec<Worker>,
     listing: Worker,
     control: step::ControlThread<Input, PendingRequest>,
-    disk: Disk,
+    /// The disk thread; none for a mirror.
+    disk: Option<Disk>,
     billing: Worker,
     failure: Receiver<String>,
     log: Logger,
@@ -215,48 +231,30 @@
     log: Logger,
     counters: Counters,
 ) -> Result<Handle, RunError> {
-    if let Some(plan) = &settings.plan {
-        prepare_data_dir(settings, plan)?;
-    }
     let common = &settings.common;
-    let (state_dir, id, durable) = open(&settings.data_dir, &log)?;
-    let address = settings.address();
     let clock = Monotonic::start();
-    let options = Options {
-        node: agree::NodeConfig {
-            id,
-            timing: Timing::default(),
-            promotion: match settings.plan {
-                Some(_) => PromotionPolicy::KeepOdd,
-                None => PromotionPolicy::All,
-            },
-            rng_seed: rand::random(),
-        },
-        unix_ms: unix_millis(),
-        usage_window: settings.usage_window,
-        plan: settings.plan.as_ref().map(|plan| PlanOptions {
-            member: Member {
-                id,
-                host: common.host.clone(),
-                address,
-                stage: Stage::Learner,
-            },
-            usage_window: settings.usage_window,
-            report_delay: plan.report_delay,
-        }),
+    let stored = match &settings.data_dir {
+        Some(data) => Some(open_or_init(settings, data, &log)?),
+        None => None,
     };
-    let core = Govern::new(clock.now(), options, MessagePack, durable).map_err(RunError::State)?;
+    // A mirror's identity is never that of a member, so that no member accepts its messages.
+    let id = stored
+        .as_ref()
+        .map_or_else(|| MemberId(rand::random()), |stored| stored.id);
+    let address = settings.address();
     let sealer = Sealer::new(common.cluster.clone(), &common.secret);
     let (disk_sender, disk_jobs) = disk::channel();
     let (billing_sender, billing_jobs) = billing::channel();
     let (join_sender, join_requests) = join::channel();
     let (listing_sender, listing_requests) = listing::channel();
+    let (feed_sender, feed_jobs) = feed::channel();
     let (failed, failure) = bounded(2);
     let effects = ControlEffects {
         disk: disk_sender,
         billing: billing_sender,
         join: join_sender,
         listing: listing_sender,
+        feed: feed_sender,
         transport: Transport::new(id, address, sealer.clone()),
         responder: Responder {
             sealer: sealer.clone(),
@@ -273,11 +271,24 @@
         log: log.clone(),
         failed: failed.clone(),
     };
-    let control = step::ControlThread::start("control-control", core, effects, clock);
-    let control = control.map_err(RunError::Thread)?;
+    let (control, disk) = match stored {
+        Some(stored) => {
+            let options = member_options(settings, id);
+            let core = Govern::new(clock.now(), options, MessagePack, stored.durable);
+            let core = core.map_err(RunError::State)?;
+            let control = step::ControlThread::start("control-control", core, effects, clock);
+            let control = control.map_err(RunError::Thread)?;
+            let inbox = control.inbox();
+            let disk = Disk::start(stored.dir, disk_jobs, inbox, failed, log.clone());
+            (control, Some(disk.map_err(RunError::Thread)?))
+        }
+        None => {
+            let core = Mirror::new(mirror_options(settings)?);
+            let control = step::ControlThread::start("control-control", core, effects, clock);
+            (control.map_err(RunError::Thread)?, None)
+        }
+    };
     let inbox = control.inbox();
-    let disk = Disk::start(state_dir, disk_jobs, inbox.clone(), failed, log.clone());
-    let disk = disk.map_err(RunError::Thread)?;
     let deliverer = Deliverer {
         codec: codec.clone(),
         platform: settings.platform,
@@ -295,12 +306,21 @@
     };
     let listing = listing::start(fetcher, listing_requests).map_err(RunError::Thread)?;
     let tickets = Arc::new(AtomicU64::new(0));
-    let (plan_servers, joiner) = match &settings.plan {
-        None => (Vec::new(), None),
+    let (plan_servers, plan_workers) = match &settings.plan {
+        None => (Vec::new(), Vec::new()),
         Some(plan) => {
             let peers = ControlClient::new(sealer.clone(), plan.seeds.clone());
+            let client = FeedClient {
+                control: peers.clone(),
+                settings: plan.path.clone(),
+                inbox: inbox.clone(),
+                log: log.clone(),
+                reachable: true,
+            };
+            let feeder = feed::start(client, feed_jobs).map_err(RunError::Thread)?;
             let path = plan.path.clone();
             let joiner = join::start(path, peers, join_requests, log.clone());
+            let joiner = joiner.map_err(RunError::Thread)?;
             let commands = CommandHandler {
                 codec,
                 inbox: inbox.clone(),
@@ -315,7 +335,7 @@
                 let server = Server::start("control-metrics", listen, common.limits, handler);
                 servers.push(server.map_err(RunError::Edge)?);
             }
-            (servers, Some(joiner.map_err(RunError::Thread)?))
+            (servers, vec![joiner, feeder])
         }
     };
     let handler = ApiHandler {
@@ -337,7 +357,7 @@
     Ok(Handle {
         server,
         plan_servers,
-        joiner,
+        plan_workers,
         listing,
         control,
         disk,
@@ -347,10 +367,71 @@
     })
 }
 
+/// What a member of the group has read from its disk.
+struct Stored {
+    dir: StateDir,
+    id: MemberId,
+    durable: DurableState,
+}
+
+/// Opens the data directory. A host that serves a plan initializes an empty one first.
+fn open_or_init(settings: &Settings, data: &Path, log: &Logger) -> Result<Stored, RunError> {
+    if let Some(plan) = &settings.plan {
+        prepare_data_dir(settings, plan, data)?;
+    }
+    open(data, log)
+}
+
+/// The options of a member of the group.
+fn member_options(settings: &Settings, id: MemberId) -> Options {
+    Options {
+        node: agree::NodeConfig {
+            id,
+            timing: Timing::default(),
+            promotion: match settings.plan {
+                Some(_) => PromotionPolicy::KeepOdd,
+                None => PromotionPolicy::All,
+            },
+            rng_seed: rand::random(),
+        },
+        unix_ms: unix_millis(),
+        usage_window: settings.usage_window,
+        plan: settings.plan.as_ref().map(|plan| PlanOptions {
+            member: Member {
+                id,
+                host: settings.common.host.clone(),
+                address: settings.address(),
+                stage: Stage::Learner,
+            },
+            zone: plan.zone.clone(),
+            incarnation: Incarnation(rand::random()),
+            usage_window: settings.usage_window,
+            report_delay: plan.report_delay,
+        }),
+    }
+}
+
+/// The options of a host without a disk.
+fn mirror_options(settings: &Settings) -> Result<MirrorOptions, RunError> {
+    let plan = settings.plan.as_ref().ok_or(RunError::NoDataDir)?;
+    Ok(MirrorOptions {
+        id: SubscriberId {
+            host: settings.common.host.clone(),
+            kind: SubscriberKind::Distributor,
+            incarnation: Incarnation(rand::random()),
+        },
+        distributor: Distributor {
+            address: settings.address(),
+            zone: plan.zone.clone(),
+        },
+        seeds: plan.seeds.clone(),
+    })
+}
+
 /// Initializes an empty data directory. If the settings require a new group and name this host as
 /// a seed, the host becomes a member of that group; otherwise it requests to join a group later.
-fn prepare_data_dir(settings: &Settings, plan: &PlanSettings) -> Result<(), RunError> {
-    if StateDir::exists(&settings.data_dir) {
+fn prepare_data_dir(settings: &Settings, plan: &PlanSettings, data: &Path) -> Result<(), RunError> {
+    if StateDir::exists(data) {
         return Ok(());
     }
     let own = settings.address();
@@ -366,7 +447,7 @@
     // All seeds start with the same entry, so that they agree on it without a leader.
     let record = bootstrap_record(members);
     let id = bootstrap_member(cluster, own)?.id;
-    StateDir::init(&settings.data_dir, id.0, &codec::encode_frame(&[record])?)?;
+    StateDir::init(data, id.0, &codec::encode_frame(&[record])?)?;
     Ok(())
 }
 
@@ -412,8 +493,8 @@
 }
 
 /// Opens the data directory and decodes the durable state.
-fn open(data: &Path, log: &Logger) -> Result<(StateDir, MemberId, DurableState), RunError> {
-    let (state_dir, recovered) = StateDir::open(data)?;
+fn open(data: &Path, log: &Logger) -> Result<Stored, RunError> {
+    let (dir, recovered) = StateDir::open(data)?;
     if recovered.torn_bytes > 0 {
         event!(log, JournalTruncated, "bytes" => recovered.torn_bytes);
     }
@@ -424,7 +505,11 @@
             .into_iter()
             .for_each(|record| durable.replay(record));
     }
-    Ok((state_dir, MemberId(recovered.identity), durable))
+    Ok(Stored {
+        dir,
+        id: MemberId(recovered.identity),
+        durable,
+    })
 }
 
 fn unix_millis() -> u64 {
@@ -458,10 +543,10 @@
         let _ = self.control.close();
         self.billing.finish();
         self.listing.finish();
-        if let Some(joiner) = self.joiner {
-            joiner.finish();
+        self.plan_workers.into_iter().for_each(Worker::finish);
+        if let Some(disk) = self.disk {
+            disk.close();
         }
-        self.disk.close();
         event!(self.log, Stopped);
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -44,6 +44,8 @@
     settle_ms: u64,
     #[serde(default)]
     metrics: Option<String>,
+    #[serde(default)]
+    zone: String,
 }
 
 fn default_revocation() -> u64 {
@@ -58,7 +60,8 @@
     struct Raw {
         #[serde(default)]
         advertise: Option<String>,
-        data: PathBuf,
+        #[serde(default)]
+        data: Option<PathBuf>,
         #[serde(default)]
         operators: Vec<RawOperator>,
         #[serde(default)]
@@ -81,8 +84,9 @@
     pub common: Common,
     /// The address at which the other hosts reach this one; the listening address if none is set.
     pub advertise: Option<SocketAddr>,
-    /// The directory with durable state.
-    pub data_dir: PathBuf,
+    /// The directory with durable state; `None` for a host without a disk, which is no member of the
+    /// group and mirrors it.
+    pub data_dir: Option<PathBuf>,
     /// The operators, with the digests of their keys.
     pub operators: Vec<Operator>,
     /// The address of the platform's interface, if there is one.
@@ -102,6 +106,8 @@
     pub listen: SocketAddr,
     /// The address on which the host serves its counters, if there is one.
     pub metrics: Option<SocketAddr>,
+    /// The availability zone of the host; empty if unknown.
+    pub zone: String,
     /// The control hosts through which a host joins the group, by the addresses at which they serve
     /// other processes.
     pub seeds: Vec<SocketAddr>,
@@ -150,7 +156,11 @@
         if raw.operators.is_empty() && raw.plan.is_none() {
             validator.report("operators", "[]", "must name at least one operator");
         }
-        let data_dir = path.parent().unwrap_or(Path::new("")).join(&raw.data);
+        if raw.data.is_none() && raw.plan.is_none() {
+            validator.report("data", "", "must name a directory on a disk");
+        }
+        let data_dir = raw.data.as_ref();
+        let data_dir = data_dir.and_then(|data| data_dir_of(data, &mut validator, path));
         let common = Common::check(&raw.common(), &mut validator);
         let settings = common.map(|common| Self {
             common,
@@ -165,6 +175,17 @@
     }
 }
 
+/// The data directory, whose path is relative to the settings file. An empty path would name the
+/// settings file's own folder.
+fn data_dir_of(data: &Path, validator: &mut Validator, path: &Path) -> Option<PathBuf> {
+    if data.as_os_str().is_empty() {
+        let reason = "must name a directory on a disk; a host without a disk leaves it out";
+        validator.report("data", "", reason);
+        return None;
+    }
+    Some(path.parent().unwrap_or(Path::new("")).join(data))
+}
+
 fn plan_settings(
     plan: &RawPlan,
     raw: &Raw,
@@ -188,6 +209,7 @@
         path: path.to_owned(),
         listen: listen?,
         metrics,
+        zone: plan.zone.clone(),
         seeds,
         bootstrap: plan.founding,
         view_ttl: Duration::from_millis(revocation_ms) * VIEW_TTL_SHARE.0 / VIEW_TTL_SHARE.1,
--- a/crates/front/src/deployment.rs
+++ b/crates/front/src/deployment.rs
@@ -1,6 +1,7 @@
 //! Fetches the deployment and the directory from the control group by long poll, on a dedicated
 //! thread.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -27,7 +28,8 @@
 };
 use peer::{
     ControlClient,
-    PeerError, //
+    PeerError,
+    distributor_order, //
 };
 use plan::{
     DeploymentSnapshot,
@@ -59,8 +61,8 @@
 /// Timeout of a request while the front has no deployment or its last poll failed. It is short so
 /// that the front tries the next control host soon.
 const RECONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long the front does not prefer a leader after a request to it failed.
-const LEADER_BACKOFF: Duration = Duration::from_secs(4);
+/// How long a control host that failed to respond is polled after all others.
+const FAILURE_BACKOFF: Duration = Duration::from_secs(4);
 /// Pause after a round in which no control host responded.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -85,8 +87,14 @@
     pub(crate) listing_read: Arc<AtomicU64>,
     /// Maximum size of a request's body in bytes, according to the plan.
     pub(crate) body_limit: Arc<AtomicUsize>,
-    /// The last control host that did not respond, and when.
-    pub(crate) failed_host: Option<(SocketAddr, Tick)>,
+    /// The availability zone of this front.
+    pub(crate) zone: String,
+    /// The client that reports usage. It calls the host that the last poll reached.
+    pub(crate) usage_control: ControlClient,
+    /// The control processes that distribute the deployment, in the order in which they are polled.
+    pub(crate) distributors: Vec<SocketAddr>,
+    /// When control hosts failed to respond.
+    pub(crate) failed_hosts: HashMap<SocketAddr, Tick>,
     /// Whether the last request succeeded.
     pub(crate) reachable: bool,
 }
@@ -95,15 +103,15 @@
     /// Sends requests to one control host after the other until one responds. Returns
     /// `None` once the core has ended.
     pub(crate) fn step(&mut self) -> Option<()> {
-        for host in self.control.host_order(None) {
+        for host in self.poll_order() {
             let requested_at = self.clock.now();
             match self.request(host) {
                 Ok(response) => {
-                    self.prefer_leader(host, response.leader);
-                    return self.apply(requested_at, response);
+                    self.failed_hosts.remove(&host);
+                    return self.apply(requested_at, host, response);
                 }
                 Err(error) => {
-                    self.failed_host = Some((host, self.clock.now()));
+                    self.failed_hosts.insert(host, self.clock.now());
                     self.report_unreachable(host, &error);
                 }
             }
@@ -113,17 +121,20 @@
         Some(())
     }
 
-    /// Prefers the leader for the next requests, because the leader has the endpoint listing.
-    /// Prefers `host` if the leader is unknown or recently did not respond.
-    fn prefer_leader(&self, host: SocketAddr, leader: Option<SocketAddr>) {
+    /// The control hosts in the order in which they are polled: the distributors, then the other
+    /// hosts; those that recently did not respond come last.
+    fn poll_order(&mut self) -> Vec<SocketAddr> {
         let now = self.clock.now();
-        let avoided = |leader: &SocketAddr| {
-            let matches =
-                |(host, at): (SocketAddr, Tick)| host == *leader && now.since(at) < LEADER_BACKOFF;
-            self.failed_host.is_some_and(matches)
-        };
-        self.control
-            .prefer(leader.filter(|leader| !avoided(leader)).unwrap_or(host));
+        self.failed_hosts
+            .retain(|_, at| now.since(*at) < FAILURE_BACKOFF);
+        let mut order = self.distributors.clone();
+        for host in self.control.host_order(None) {
+            if !order.contains(&host) {
+                order.push(host);
+            }
+        }
+        order.sort_by_key(|host| self.failed_hosts.contains_key(host));
+        order
     }
 
     /// Sends one request to a control host.
@@ -147,10 +158,21 @@
     }
 
     /// Applies a response. Returns `None` once the core has ended.
-    fn apply(&mut self, requested_at: Tick, response: DeploymentResponse) -> Option<()> {
+    fn apply(
+        &mut self,
+        requested_at: Tick,
+        host: SocketAddr,
+        response: DeploymentResponse,
+    ) -> Option<()> {
         if !std::mem::replace(&mut self.reachable, true) {
             event!(self.log, ControlReached);
         }
+        self.distributors = distributor_order(&self.host, &self.zone, &response.distributors);
+        let members = response.control_hosts.iter().copied();
+        let others = members.filter(|member| *member != host);
+        self.usage_control
+            .set_hosts(std::iter::once(host).chain(others).collect());
+        self.usage_control.prefer(host);
         self.control.set_hosts(response.control_hosts);
         if let Some(age) = response.directory_age {
             let read_at = (self.clock.now() - age).0;
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a front.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{
@@ -103,8 +104,9 @@
     let control = control.map_err(EdgeError::Thread)?;
     let inbox = control.inbox();
     let sealer = Sealer::new(common.cluster.clone(), &common.secret);
-    let peers = ControlClient::new(sealer, settings.control.clone());
+    let peers = ControlClient::new(sealer.clone(), settings.control.clone());
     peers.rotate(incarnation.0);
+    let usage_peers = ControlClient::new(sealer, settings.control.clone());
     let listing_read = Arc::new(AtomicU64::new(0));
     let body_limit = Arc::new(AtomicUsize::new(common.limits.body_bytes));
     let decoder = || ListingDecoder {
@@ -115,7 +117,11 @@
     let mut poller = DeploymentPoller {
         host: common.host.clone(),
         incarnation,
-        control: peers.clone(),
+        control: peers,
+        zone: settings.zone.clone(),
+        usage_control: usage_peers.clone(),
+        distributors: Vec::new(),
+        failed_hosts: HashMap::new(),
         settings: settings.path.clone(),
         decoder: decoder(),
         inbox: inbox.clone(),
@@ -126,7 +132,6 @@
         directory_version: 0,
         listing_read: Arc::clone(&listing_read),
         body_limit: Arc::clone(&body_limit),
-        failed_host: None,
         reachable: true,
     };
     let deployment_poller = Worker::start("front-follow", move || poller.step());
@@ -143,7 +148,7 @@
     let reporter = || UsageReporter {
         host: common.host.clone(),
         incarnation,
-        control: peers.clone(),
+        control: usage_peers.clone(),
         inbox: inbox.clone(),
         log: log.clone(),
         last_sealed: None,
--- a/crates/govern/src/confirm.rs
+++ b/crates/govern/src/confirm.rs
@@ -52,6 +52,7 @@
     pub(crate) fn confirmed(&mut self, token: u64, index: Index) {
         self.views.confirm(token, index);
         self.deployments.confirm(token, index);
+        self.feeds.confirm(token, index);
         for read in self.reads.iter_mut().filter(|read| read.token == token) {
             read.confirmed = Some(index);
         }
@@ -93,11 +94,12 @@
     }
 
     /// Requests a leader's confirmation for the subscribers' requests received since the last round
-    /// began. One round covers both kinds of subscriber.
+    /// began. One round covers all kinds of subscriber.
     pub(crate) fn confirm_requests(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let views = self.views.needs_round(now);
         let deployments = self.deployments.needs_round(now);
-        if !views && !deployments {
+        let feeds = self.feeds.needs_round(now);
+        if !views && !deployments && !feeds {
             return;
         }
         let mut node_out = Outbox::default();
@@ -108,6 +110,9 @@
         if deployments {
             self.deployments.begin_round(now, token);
         }
+        if feeds {
+            self.feeds.begin_round(now, token);
+        }
         for output in node_out.drain() {
             self.handle_node_output(output, out);
         }
--- a/crates/govern/src/directory.rs
+++ b/crates/govern/src/directory.rs
@@ -1,4 +1,5 @@
-//! The directory of endpoints, which the leader reads from the platform's listing for all fronts.
+//! The directory of endpoints, which the leader reads from the platform's listing for all fronts,
+//! and which other distributors get from the leader.
 
 use std::time::Duration;
 
@@ -17,7 +18,7 @@
 /// term.
 const COUNT_BITS: u32 = 32;
 
-/// The leader's latest directory, and when it was read.
+/// The latest directory, and when the leader read it.
 #[derive(Debug, Default)]
 pub(crate) struct DirectoryReader {
     directory: Directory,
@@ -37,17 +38,29 @@
         due
     }
 
-    /// Stores the pages that were read. Changed pages get a higher version than any directory of an
-    /// earlier term.
+    /// Stores the pages that were read. Changed pages, and the first ones of a term, get a higher
+    /// version than any directory of an earlier term.
     pub(crate) fn store(&mut self, now: Tick, term: Term, pages: Vec<ByteBuf>) {
         self.read_at = Some(now);
-        if pages != self.directory.pages || self.directory.version == 0 {
-            let first = term.0 << COUNT_BITS;
+        let first = term.0 << COUNT_BITS;
+        if pages != self.directory.pages || self.directory.version < first {
             self.directory.version = self.directory.version.max(first) + 1;
             self.directory.pages = pages;
         }
     }
 
+    /// Adopts the leader's directory: `directory` if it is newer than this one, and its age.
+    pub(crate) fn adopt(&mut self, now: Tick, directory: Option<Directory>, age: Option<Duration>) {
+        if let Some(directory) = directory
+            && directory.version > self.directory.version
+        {
+            self.directory = directory;
+        }
+        if let Some(age) = age {
+            self.read_at = self.read_at.max(Some(now - age));
+        }
+    }
+
     /// The directory; none before the first read.
     pub(crate) fn directory(&self) -> Option<&Directory> {
         self.read_at.map(|_| &self.directory)
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -23,6 +23,7 @@
     Ticket,
     millis, //
 };
+use plan::Distributor;
 use step::{
     Core,
     Outbox, //
@@ -35,6 +36,11 @@
     Outcome, //
 };
 use crate::directory::DirectoryReader;
+use crate::feed::{
+    Distributors,
+    FeedPosition,
+    Uplink, //
+};
 use crate::machine::Machine;
 use crate::membership::Membership;
 use crate::message::{
@@ -43,6 +49,7 @@
     Input,
     Options,
     Output,
+    PlanOptions,
     Reply,
     Request,
     Status, //
@@ -53,6 +60,8 @@
 };
 use crate::subscribers::{
     CONFIRM_RETRY,
+    SubscriberId,
+    SubscriberKind,
     Subscribers, //
 };
 
@@ -78,6 +87,12 @@
     pub(crate) views: Subscribers<Revision>,
     /// Subscribers of the deployment.
     pub(crate) deployments: Subscribers<DeploymentVersions>,
+    /// Distributors whose requests for the feed wait for an update.
+    pub(crate) feeds: Subscribers<FeedPosition>,
+    /// The distributors, as this leader knows them.
+    pub(crate) distributors: Distributors,
+    /// Requests to the leader; none if this host serves no plan.
+    pub(crate) uplink: Option<Uplink>,
     pub(crate) reader: DirectoryReader,
     pub(crate) membership: Membership,
     pub(crate) billing: Billing,
@@ -108,6 +123,7 @@
         let machine = read_machine(&codec, &saved.state)?;
         let applied = saved.meta.index;
         let node = Node::new(now, options.node, saved);
+        let uplink = options.plan.as_ref().map(uplink);
         Ok(Self {
             options,
             codec,
@@ -118,6 +134,9 @@
             pending_changes: BTreeMap::new(),
             views: Subscribers::default(),
             deployments: Subscribers::default(),
+            feeds: Subscribers::default(),
+            distributors: Distributors::default(),
+            uplink,
             reader: DirectoryReader::default(),
             membership: Membership::default(),
             billing: Billing::default(),
@@ -176,6 +195,7 @@
             Request::Deployment(id, held, wait) => {
                 self.deployments.add(now, ticket, id, held, wait);
             }
+            Request::Feed(request) => self.feed(now, ticket, *request, out),
             Request::Config => self.start_read(now, ticket, ReadKind::Config, out),
             Request::Document => self.start_read(now, ticket, ReadKind::Document, out),
             Request::Join(member) => self.join(now, ticket, member, out),
@@ -390,6 +410,7 @@
         self.confirm_requests(now, out);
         self.reply_to_views(now, out);
         self.reply_to_deployments(now, out);
+        self.reply_to_feeds(now, out);
         if self.node.log_len() > MAX_LOG_ENTRIES && !self.halted {
             self.compact(now, out);
         }
@@ -414,7 +435,6 @@
             self.sealing = false;
             self.delivering = false;
             self.billing = Billing::default();
-            self.reader = DirectoryReader::default();
         }
         if let Some(new) = leads {
             out.push(Output::Event(Event::Elected(new)));
@@ -516,6 +536,7 @@
                 self.statement_delivered(now, window, accepted, out)
             }
             Input::Listing(pages) => self.listing_received(now, pages),
+            Input::Feed(result) => self.feed_received(now, result),
             Input::TransferLeadership => {
                 self.node.transfer_leadership(now, &mut node_out);
             }
@@ -570,6 +591,7 @@
             node,
             self.views.deadline(),
             self.deployments.deadline(),
+            self.feeds.deadline(),
             reads,
             join,
         ]
@@ -579,6 +601,20 @@
     }
 }
 
+/// The uplink of a control host that serves a plan.
+fn uplink(plan: &PlanOptions) -> Uplink {
+    let id = SubscriberId {
+        host: plan.member.host.clone(),
+        kind: SubscriberKind::Distributor,
+        incarnation: plan.incarnation,
+    };
+    let own = Distributor {
+        address: plan.member.address,
+        zone: plan.zone.clone(),
+    };
+    Uplink::new(id, own)
+}
+
 fn read_machine<K: Codec>(codec: &K, state: &[u8]) -> Result<Machine, String> {
     if state.is_empty() {
         return Ok(Machine::default());
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -3,15 +3,20 @@
 //! [`Govern`] combines the consensus node [`agree::Node`] with the aggregates that it replicates:
 //! the configuration registry, the ledger of claims, the deployment and the usage windows. A
 //! [`Codec`] encodes commands and snapshots.
+//!
+//! [`Mirror`] is the core of a control process without a disk. It is not a member of the group: it
+//! gets the deployment from the leader and distributes it to fronts.
 
 mod billing;
 mod command;
 mod confirm;
 mod directory;
+mod feed;
 mod govern;
 mod machine;
 mod membership;
 mod message;
+mod mirror;
 mod plan;
 mod read;
 mod subscribers;
@@ -31,6 +36,9 @@
     DeploymentVersions,
     Envelope,
     Event,
+    FeedError,
+    FeedReply,
+    FeedRequest,
     Input,
     Options,
     Output,
@@ -39,6 +47,10 @@
     Request,
     Status, //
 };
+pub use mirror::{
+    Mirror,
+    MirrorOptions, //
+};
 pub use subscribers::{
     Subscriber,
     SubscriberId,
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -19,6 +19,7 @@
     Update, //
 };
 use ids::{
+    Incarnation,
     Index,
     Revision,
     Term,
@@ -28,6 +29,7 @@
 use plan::{
     DeploymentSnapshot,
     Directory,
+    Distributor,
     Document, //
 };
 use serde_bytes::ByteBuf;
@@ -51,6 +53,10 @@
 pub struct PlanOptions {
     /// This host as a member, sent in its requests to join.
     pub member: Member,
+    /// The availability zone of this host.
+    pub zone: String,
+    /// The incarnation of this process.
+    pub incarnation: Incarnation,
     /// Length of a usage window of the wall clock.
     pub usage_window: Duration,
     /// How long a new leader waits before its first usage report, so that the report follows the
@@ -90,6 +96,8 @@
     /// Wait for a deployment of another generation or a newer directory: the subscriber, the versions
     /// that it holds and how long it waits.
     Deployment(SubscriberId, DeploymentVersions, Duration),
+    /// Wait, as a distributor, for a newer deployment or directory. Only the leader replies to it.
+    Feed(Box<FeedRequest>),
     /// Read the plan document, with a leader's confirmation.
     Document,
     /// Add a host to the control group.
@@ -112,9 +120,9 @@
 pub struct DeploymentReply {
     /// The deployment; none if the subscriber holds this generation.
     pub snapshot: Option<DeploymentSnapshot>,
-    /// The directory, if this host leads and the subscriber's version is lower.
+    /// The directory, if the subscriber's version is lower.
     pub directory: Option<Directory>,
-    /// Time since the directory was read, if this host leads and has read it.
+    /// Time since the leader read the directory; none if this host has no directory.
     pub directory_age: Option<Duration>,
     /// The leader's address, if known.
     pub leader: Option<SocketAddr>,
@@ -124,6 +132,48 @@
     pub subscribers: usize,
     /// Unix time, in milliseconds.
     pub unix_ms: u64,
+    /// The control processes that fronts may poll.
+    pub distributors: Vec<Distributor>,
+    /// How long the reply is valid, counted from when the subscriber sent its request; none if it
+    /// is valid for the configured time.
+    pub ttl: Option<Duration>,
+}
+
+/// A distributor's request for the deployment and the directory.
+#[derive(Clone, Debug)]
+pub struct FeedRequest {
+    /// The process that requests.
+    pub id: SubscriberId,
+    /// Where fronts reach it.
+    pub distributor: Distributor,
+    /// How many fronts poll it.
+    pub subscribers: usize,
+    /// The generation of its deployment; none if it gets the deployment from the replicated log.
+    pub generation: Option<u64>,
+    /// The version of its directory.
+    pub directory: u64,
+    /// The usage that its fronts reported since its last request.
+    pub tallies: Vec<Tally>,
+    /// How long it waits for an update.
+    pub max_wait: Duration,
+}
+
+/// Brings a distributor up to date.
+#[derive(Clone, Debug)]
+pub struct FeedReply {
+    /// The deployment and the directory.
+    pub deployment: DeploymentReply,
+    /// The last sealed usage window of the wall clock; none before the first.
+    pub last_sealed: Option<u64>,
+}
+
+/// Why a request for the feed failed, and what is known about where to send the next one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FeedError {
+    /// The host does not lead; the leader's address, if it named one.
+    NotLeader(Option<SocketAddr>),
+    /// The host did not respond; the seed hosts that the settings name now.
+    Unreachable(Vec<SocketAddr>),
 }
 
 /// A batch of messages from one member to another.
@@ -154,6 +204,8 @@
     StatementDelivered(u64, bool),
     /// The pages of the platform's listing of endpoints, just read.
     Listing(Vec<ByteBuf>),
+    /// The result of the last [`Output::RequestFeed`].
+    Feed(Result<Box<FeedReply>, FeedError>),
     /// Transfer the leadership if this host leads.
     TransferLeadership,
     /// The disk failed: the core stops, and the other members go on without this host.
@@ -175,6 +227,8 @@
     Status(Box<Status>),
     /// The deployment and the directory, each only if the subscriber lacks it.
     Deployment(Box<DeploymentReply>),
+    /// The deployment, the directory and the usage windows, for a distributor.
+    Feed(Box<FeedReply>),
     /// The plan document; none before the first was installed.
     Document(Option<Document>),
     /// The last sealed usage window of the wall clock; none before the first.
@@ -246,6 +300,9 @@
     DeliverStatement(Statement, Lease),
     /// Read the platform's listing of endpoints, then send [`Input::Listing`].
     FetchListing,
+    /// Request the feed from the host at this address, then send [`Input::Feed`]. At most one such
+    /// request is in progress.
+    RequestFeed(SocketAddr, Box<FeedRequest>),
     /// Send the control hosts at these addresses this host's request to join.
     RequestJoin(Member, Vec<SocketAddr>),
     /// Log and count an event.
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use ::plan::Distributor;
 use agree::Member;
 use ids::{
     Tick,
@@ -17,16 +18,20 @@
     Codec,
     Command, //
 };
+use crate::feed::FeedPosition;
 use crate::govern::Govern;
 use crate::message::{
     DeploymentReply,
     DeploymentVersions,
+    FeedError,
+    FeedReply,
+    FeedRequest,
     Output,
     Reply, //
 };
 
 /// A process that requested the deployment within this time counts as a subscriber.
-const SUBSCRIBER_ACTIVE: Duration = Duration::from_secs(3);
+pub(crate) const SUBSCRIBER_ACTIVE: Duration = Duration::from_secs(3);
 
 impl<K: Codec> Govern<K> {
     /// Records a host's request to join the group. The leader acts on it at its next heartbeat.
@@ -45,7 +50,8 @@
         out.push(Output::Reply(ticket, Reply::Member(Ok(()))));
     }
 
-    /// Records a process's usage. Only a leader with a valid lease accepts it.
+    /// Records a process's usage as leader with a valid lease. Another host passes it on to the
+    /// leader, or refers the process to the leader while it has lost touch with it.
     pub(crate) fn tally(
         &mut self,
         now: Tick,
@@ -53,16 +59,85 @@
         tally: Tally,
         out: &mut Outbox<Output>,
     ) {
-        if self.node.lease(now).is_none() {
-            let leader = self.leader().filter(|_| !self.node.leads());
-            out.push(Output::Reply(ticket, Reply::NotLeader(leader)));
-            return;
+        let leads = self.node.leads();
+        let uplink = self.uplink.as_mut();
+        if self.node.lease(now).is_some() {
+            self.billing.add(tally);
+        } else if let Some(uplink) = uplink.filter(|uplink| !leads && uplink.in_touch(now)) {
+            uplink.add_tally(tally);
+        } else {
+            return self.refer_to_leader(ticket, out);
         }
         let last = self.machine.statements.last_sealed();
-        self.billing.add(tally);
         out.push(Output::Reply(ticket, Reply::LastSealed(last)));
     }
 
+    /// Refers a requester to the leader, unless this host leads without a valid lease.
+    fn refer_to_leader(&self, ticket: Ticket, out: &mut Outbox<Output>) {
+        let leader = self.leader().filter(|_| !self.node.leads());
+        out.push(Output::Reply(ticket, Reply::NotLeader(leader)));
+    }
+
+    /// Handles a distributor's request for the feed. Only a leader with a valid lease accepts it.
+    pub(crate) fn feed(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        request: FeedRequest,
+        out: &mut Outbox<Output>,
+    ) {
+        if self.node.lease(now).is_none() {
+            return self.refer_to_leader(ticket, out);
+        }
+        for tally in request.tallies {
+            self.billing.add(tally);
+        }
+        self.distributors
+            .record(now, &request.distributor, request.subscribers);
+        let held = FeedPosition {
+            generation: request.generation,
+            directory: request.directory,
+        };
+        self.feeds
+            .add(now, ticket, request.id, held, request.max_wait);
+    }
+
+    /// Handles the result of this host's request for the feed. The leader's address is known from
+    /// the group, so an error names nothing new.
+    pub(crate) fn feed_received(&mut self, now: Tick, result: Result<Box<FeedReply>, FeedError>) {
+        let Some(uplink) = &mut self.uplink else {
+            return;
+        };
+        match result {
+            Ok(reply) => {
+                uplink.replied(now, &reply);
+                let deployment = reply.deployment;
+                self.reader
+                    .adopt(now, deployment.directory, deployment.directory_age);
+            }
+            Err(_) => uplink.failed(now),
+        }
+    }
+
+    /// Requests the feed from another host that leads. The heartbeats of that host wake this one, so
+    /// the request needs no timer.
+    fn request_feed(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        let leader = self.leader().filter(|_| !self.node.leads());
+        let held = FeedPosition {
+            generation: None,
+            directory: self.directory_version(),
+        };
+        let fronts = self.deployments.active(now, SUBSCRIBER_ACTIVE);
+        if let Some((leader, uplink)) = leader.zip(self.uplink.as_mut()) {
+            uplink.request(now, leader, held, fronts, out);
+        }
+    }
+
+    fn directory_version(&self) -> u64 {
+        let directory = self.reader.directory();
+        directory.map_or(0, |directory| directory.version)
+    }
+
     /// Requests to join the group if this host has no leader. As leader under a valid lease, reads
     /// the listing of endpoints, changes the group, and seals and reports usage. A leader wakes for
     /// every heartbeat, so these duties need no timer.
@@ -75,6 +150,7 @@
             let hosts = group.map(|member| member.address).collect();
             out.push(Output::RequestJoin(member, hosts));
         }
+        self.request_feed(now, out);
         let Some(lease) = self.node.lease(now) else {
             return;
         };
@@ -120,17 +196,10 @@
     /// Replies to the deployment's subscribers whose requests are confirmed and have an update or
     /// have reached their deadline.
     pub(crate) fn reply_to_deployments(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        let current = DeploymentVersions {
-            generation: self.machine.deployment.generation(),
-            directory: self
-                .reader
-                .directory()
-                .map_or(0, |directory| directory.version),
-        };
-        let leads = self.node.leads();
-        let has_update = |held: &DeploymentVersions| {
-            held.generation != current.generation || (leads && held.directory < current.directory)
-        };
+        let generation = self.machine.deployment.generation();
+        let directory = self.directory_version();
+        let has_update =
+            |held: &DeploymentVersions| held.generation != generation || held.directory < directory;
         for (ticket, held) in self.deployments.take_ready(now, self.applied, has_update) {
             let reply = self.deployment_reply(now, held);
             out.push(Output::Reply(ticket, Reply::Deployment(Box::new(reply))));
@@ -140,20 +209,69 @@
         }
     }
 
+    /// Replies to the distributors' requests that are confirmed and have an update or have reached
+    /// their deadline.
+    pub(crate) fn reply_to_feeds(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        let current = self.machine.deployment.generation();
+        let directory = self.directory_version();
+        let has_update = |held: &FeedPosition| {
+            held.generation.is_some_and(|held| held != current) || held.directory < directory
+        };
+        for (ticket, held) in self.feeds.take_ready(now, self.applied, has_update) {
+            let held = DeploymentVersions {
+                generation: held.generation.unwrap_or(current),
+                directory: held.directory,
+            };
+            let reply = FeedReply {
+                deployment: self.deployment_reply(now, held),
+                last_sealed: self.machine.statements.last_sealed(),
+            };
+            out.push(Output::Reply(ticket, Reply::Feed(Box::new(reply))));
+        }
+        for (ticket, _) in self.feeds.take_expired(now) {
+            out.push(Output::Reply(ticket, Reply::Unavailable));
+        }
+    }
+
+    /// The control processes that fronts may poll.
+    fn distributors(&self, now: Tick) -> Vec<Distributor> {
+        let Some(uplink) = &self.uplink else {
+            return Vec::new();
+        };
+        if !self.node.leads() {
+            return uplink.distributors.clone();
+        }
+        let mut list = self.distributors.list(now);
+        list.push(uplink.own().clone());
+        list
+    }
+
+    /// How many fronts there are. A leader that has just been elected does not know all distributors
+    /// yet. All fronts report usage, so the number of sources of the last statement is a second
+    /// estimate.
+    fn count_fronts(&self, now: Tick) -> usize {
+        let polling_here = self.deployments.active(now, SUBSCRIBER_ACTIVE);
+        let uplink = self.uplink.as_ref().filter(|_| !self.node.leads());
+        let fronts = match uplink {
+            Some(uplink) => polling_here.max(uplink.subscribers),
+            None => polling_here + self.distributors.subscribers(now),
+        };
+        fronts.max(self.machine.statements.sources())
+    }
+
     fn deployment_reply(&self, now: Tick, held: DeploymentVersions) -> DeploymentReply {
         let deployment = &self.machine.deployment;
         let newer = |directory: &&::plan::Directory| directory.version > held.directory;
-        // Subscribers poll any host, so this host serves only some of them. All of them report
-        // usage to the leader, so the number of sources of the last statement is a second estimate.
-        let polling_here = self.deployments.active(now, SUBSCRIBER_ACTIVE);
         DeploymentReply {
             snapshot: (held.generation != deployment.generation()).then(|| deployment.snapshot()),
             directory: self.reader.directory().filter(newer).cloned(),
             directory_age: self.reader.age(now),
             leader: self.leader(),
             hosts: self.hosts(),
-            subscribers: polling_here.max(self.machine.statements.sources()),
+            subscribers: self.count_fronts(now),
             unix_ms: self.unix_ms(now),
+            distributors: self.distributors(now),
+            ttl: None,
         }
     }
 
--- a/crates/govern/src/subscribers.rs
+++ b/crates/govern/src/subscribers.rs
@@ -22,7 +22,7 @@
 /// drift by 5 percent, a withdrawn key is rejected everywhere within 2.7 s.
 pub const VIEW_TTL: Duration = Duration::from_millis(2500);
 /// Longest time that a request stays pending.
-const MAX_WAIT: Duration = Duration::from_millis(1500);
+pub(crate) const MAX_WAIT: Duration = Duration::from_millis(1500);
 /// Time without a request after which a subscriber is removed from the record.
 const SUBSCRIBER_TTL: Duration = Duration::from_secs(60);
 
@@ -33,6 +33,8 @@
     Entry,
     /// An agent.
     Agent,
+    /// A control process that distributes the deployment.
+    Distributor,
 }
 
 /// Identifies a subscriber.
--- a/crates/loadtest/src/group.rs
+++ b/crates/loadtest/src/group.rs
@@ -118,7 +118,7 @@
             statsd: None,
         },
         advertise: None,
-        data_dir: temp_dir.path().join(format!("control-{n}")),
+        data_dir: Some(temp_dir.path().join(format!("control-{n}"))),
         operators: vec![Operator {
             name: "gauge".try_into().map_err(to_text)?,
             digest: DigestKey::derive(SECRET).digest(key),
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -457,10 +457,11 @@
             Some(address) => address,
             None => reserve_address().map_err(component_error("port"))?,
         };
+        let data_dir = shared.data.join(format!("control-{n}"));
         let settings = control::Settings {
             common: shared.common(&format!("control-{n}"), listen)?,
             advertise: None,
-            data_dir: shared.data.join(format!("control-{n}")),
+            data_dir: Some(data_dir.clone()),
             operators: vec![Operator {
                 name: "local".try_into().map_err(component_error("operator"))?,
                 digest,
@@ -469,7 +470,7 @@
             usage_window: options.usage_window,
             plan: None,
         };
-        if !settings.data_dir.exists() {
+        if !data_dir.exists() {
             let mode = if n == 0 {
                 control::InitMode::Bootstrap
             } else {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -2,6 +2,7 @@
 //! subscription to the configuration by long poll, and a fetch of the paginated listing.
 
 mod call;
+mod distribute;
 mod listing;
 mod subscribe;
 
@@ -9,6 +10,7 @@
     ControlClient,
     PeerError, //
 };
+pub use distribute::distributor_order;
 pub use listing::{
     ListingFormat,
     fetch_listing, //
--- a/crates/plan/src/deployment.rs
+++ b/crates/plan/src/deployment.rs
@@ -1,6 +1,7 @@
 //! The aggregate that the control group replicates: the current plan and the closed zones.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use serde::{
     Deserialize,
@@ -38,6 +39,16 @@
     pub pages: Vec<serde_bytes::ByteBuf>,
 }
 
+/// A control process that distributes the deployment and the directory to the fronts of its zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Distributor {
+    /// The address at which it serves other processes.
+    pub address: SocketAddr,
+    /// Its availability zone; empty if unknown.
+    pub zone: String,
+}
+
 /// The deployment at one generation, as replicas receive it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -13,6 +13,7 @@
     Deployment,
     DeploymentSnapshot,
     Directory,
+    Distributor,
     Document, //
 };
 pub use plan::{
--- a/crates/scenario/src/stepping.rs
+++ b/crates/scenario/src/stepping.rs
@@ -81,6 +81,7 @@
                 govern::Output::DeliverWindow(..)
                 | govern::Output::DeliverStatement(..)
                 | govern::Output::FetchListing
+                | govern::Output::RequestFeed(..)
                 | govern::Output::RequestJoin(..)
                 | govern::Output::Event(_) => {}
             }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -48,6 +48,8 @@
     DeploymentRequest,
     DeploymentResponse,
     Envelope,
+    FeedRequest,
+    FeedResponse,
     PeerResponse,
     SettleRequest,
     SubscriberKind,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -22,7 +22,8 @@
 };
 use plan::{
     DeploymentSnapshot,
-    Directory, //
+    Directory,
+    Distributor, //
 };
 use serde::{
     Deserialize,
@@ -32,7 +33,10 @@
     DurationMilliSeconds,
     serde_as, //
 };
-use usage::Runs;
+use usage::{
+    Runs,
+    Tally, //
+};
 
 /// HTTP paths of the messages. Each message is sealed for its path.
 pub mod paths {
@@ -50,6 +54,8 @@
     pub const USAGE: &str = "/peer/usage";
     /// A request for a newer deployment or directory.
     pub const DEPLOYMENT: &str = "/peer/deployment";
+    /// A distributor's request for a newer deployment or directory, with the usage of its fronts.
+    pub const FEED: &str = "/peer/feed";
     /// A request to join the control group.
     pub const JOIN: &str = "/peer/join";
     /// A front's usage by window.
@@ -84,6 +90,8 @@
     Entry,
     /// An agent.
     Agent,
+    /// A control process that distributes the deployment.
+    Distributor,
 }
 
 /// Requests a configuration newer than the subscriber's.
@@ -143,9 +151,9 @@
 pub struct DeploymentResponse {
     /// The deployment; `None` if the subscriber has the newest generation.
     pub snapshot: Option<DeploymentSnapshot>,
-    /// The directory, if the control host is the leader and the subscriber has another version.
+    /// The directory, if the control host has a newer version than the subscriber.
     pub directory: Option<Directory>,
-    /// The time since the directory was read, if the control host is the leader and has read it.
+    /// The time since the leader read the directory; `None` if the control host has none.
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub directory_age: Option<Duration>,
     /// The leader's address, if known.
@@ -159,6 +167,44 @@
     pub subscribers: u64,
     /// The control host's Unix time in milliseconds.
     pub unix_ms: u64,
+    /// The control processes that serve this request's path.
+    pub distributors: Vec<Distributor>,
+}
+
+/// A distributor's request for a deployment or directory newer than its own. Only the leader
+/// answers it.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct FeedRequest {
+    /// The distributor's host.
+    pub host: HostName,
+    /// The incarnation of its process.
+    pub incarnation: Incarnation,
+    /// Where fronts reach the distributor.
+    pub distributor: Distributor,
+    /// Number of fronts that poll the distributor.
+    pub subscribers: u64,
+    /// The generation of the distributor's deployment; `None` if it gets the deployment from the
+    /// replicated log.
+    pub generation: Option<u64>,
+    /// The version of the distributor's directory.
+    pub directory_version: u64,
+    /// The usage that its fronts reported since its last request.
+    pub tallies: Vec<Tally>,
+    /// How long the leader may hold the request until a newer deployment or directory exists.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub max_wait: Duration,
+}
+
+/// Brings a distributor up to date.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct FeedResponse {
+    /// The deployment and directory.
+    pub deployment: DeploymentResponse,
+    /// The last sealed usage window.
+    pub last_sealed: Option<u64>,
 }
 
 /// Reports a front's usage in unsealed windows.
