Expect the lane's typical load of endpoints that a front has not used

Cause: with 30 fronts and 51 engines a front sends each engine a request only every few seconds. What it had measured faded within 1.5 s, so nearly every engine looked idle.

Change, in the core of the front (relay): - an endpoint without a recent measurement has the typical delay and load of its lane (typical); - prefill rate and base time are learned from responses by a quantile regression (speed); they replace 92.1 tokens/ms, 0.121 ms a request, 80 ms; - backlog limits are parts of the route's own latency target; - an overloaded front rejects sooner (an eighth of the remaining time) instead of serving late; - a fifth of the engines, not a third, is reserved for short prompts, and long ones pay twice as much there. The short prompt stays 1,500 tokens: it follows from the prefill chunk of 2,048.

The latency target of a test's route is now that of the long prompts it sends.

Besides: messages above 4 kB between processes are compressed (zstd), for the plan with 1,160 routes and the directory on links of 10 Mbit/s; a front reads the listing itself only if the control group's is older than the drain limit allows.

--- a/cmd/berg-bench/src/engines.rs
+++ b/cmd/berg-bench/src/engines.rs
@@ -8,6 +8,7 @@
     Policy,
     Row,
     RunOptions,
+    Workload,
     simulate,
     write_report, //
 };
@@ -17,7 +18,7 @@
 /// Loads of the simulation, as multiples of the first users' workload.
 const LOADS: [f64; 4] = [0.5, 1.0, 1.5, 2.0];
 /// Widths of the table's columns, in characters.
-const WIDTHS: [usize; 11] = [4, 7, 13, 6, 5, 7, 6, 6, 6, 9, 10];
+const WIDTHS: [usize; 12] = [8, 4, 7, 13, 6, 5, 7, 6, 6, 6, 9, 10];
 
 /// Simulates every policy under every load and disturbance, and writes the report.
 pub(crate) fn compare(flags: &Flags) -> ExitCode {
@@ -36,30 +37,46 @@
 fn run_all(flags: &Flags) -> Result<(), String> {
     print(Row::HEADS);
     let mut rows = Vec::new();
-    for disturbance in Disturbance::ALL {
-        for load in LOADS {
-            for policy in Policy::ALL {
-                let options = RunOptions {
-                    load,
-                    disturbance,
-                    policy,
-                    duration: flags.length,
-                    seed: flags.seed,
-                };
-                let metrics = simulate(options).map_err(|error| error.to_string())?;
-                let row = Row::new(&options, &metrics);
-                print(row.cells());
-                rows.push(row);
+    for workload in Workload::ALL {
+        for disturbance in Disturbance::ALL {
+            for load in LOADS {
+                run_policies(flags, workload, disturbance, load, &mut rows)?;
+            }
+            if flags.quick {
+                break;
             }
-        }
-        if flags.quick {
-            break;
         }
     }
     write_report(&flags.out, &rows).map_err(|error| error.to_string())
 }
 
-fn print(cells: [impl Display; 11]) {
+/// Simulates every policy under one load and disturbance, and adds the results to `rows`.
+fn run_policies(
+    flags: &Flags,
+    workload: Workload,
+    disturbance: Disturbance,
+    load: f64,
+    rows: &mut Vec<Row>,
+) -> Result<(), String> {
+    for policy in Policy::ALL {
+        let options = RunOptions {
+            workload,
+            speed: 1.0,
+            load,
+            disturbance,
+            policy,
+            duration: flags.length,
+            seed: flags.seed,
+        };
+        let metrics = simulate(options).map_err(|error| error.to_string())?;
+        let row = Row::new(&options, &metrics);
+        print(row.cells());
+        rows.push(row);
+    }
+    Ok(())
+}
+
+fn print(cells: [impl Display; 12]) {
     let pad = |(cell, width)| format!("{cell:>width$}");
     let line: Vec<_> = cells.into_iter().zip(WIDTHS).map(pad).collect();
     println!("{}", line.join(" "));
--- a/crates/enginesim/src/deployment.rs
+++ b/crates/enginesim/src/deployment.rs
@@ -16,16 +16,11 @@
 };
 use relay::EndpointInfo;
 
-use crate::engine::EngineSpec;
-use crate::traffic::{
-    CLASSES,
-    Class, //
-};
+use crate::traffic::Class;
+use crate::workload::Workload;
 
 /// Availability zones; fronts and engines are spread over them in turn.
 pub(crate) const ZONES: usize = 3;
-pub(crate) const ENGINES: usize = 12;
-pub(crate) const FRONTS: usize = 7;
 /// One-way network delay within a zone.
 pub(crate) const SAME_ZONE_DELAY: Duration = Duration::from_micros(500);
 /// One-way network delay between zones.
@@ -47,8 +42,8 @@
 }
 
 /// Returns an engine's entry in the endpoint list that fronts receive.
-pub(crate) fn endpoint_info(n: usize, now: Tick) -> EndpointInfo {
-    let spec = EngineSpec::default();
+pub(crate) fn endpoint_info(workload: Workload, n: usize, now: Tick) -> EndpointInfo {
+    let spec = workload.engine();
     EndpointInfo {
         instance: format!("e{n}"),
         service: "m".to_owned(),
@@ -65,8 +60,9 @@
 }
 
 /// Returns the plan of all fronts: one route for each class, in order of priority.
-pub(crate) fn plan() -> Result<Plan, PlanError> {
-    let engine = EngineSpec::default();
+pub(crate) fn plan(workload: Workload, speed: f64) -> Result<Plan, PlanError> {
+    let engine = workload.engine();
+    let classes = workload.classes(speed);
     let route = |(rank, class): (usize, &Class)| RouteSpec {
         name: class.path.to_owned(),
         host: "h".to_owned(),
@@ -75,7 +71,7 @@
         timeout: class.timeout,
         latency_target: class.latency_target,
         event_gap: class.event_gap,
-        rank: u8::try_from(CLASSES.len() - rank).unwrap_or(u8::MAX),
+        rank: u8::try_from(classes.len() - rank).unwrap_or(u8::MAX),
         shares: vec![Share {
             service: "m".to_owned(),
             weight: 1,
@@ -85,7 +81,7 @@
     };
     let spec = PlanSpec {
         version: 1,
-        routes: CLASSES.iter().enumerate().map(route).collect(),
+        routes: classes.iter().enumerate().map(route).collect(),
         services: vec![ServiceSpec {
             name: "m".to_owned(),
             connections: 380,
--- a/crates/enginesim/src/engine.rs
+++ b/crates/enginesim/src/engine.rs
@@ -44,6 +44,18 @@
     }
 }
 
+impl EngineSpec {
+    /// The same engine at a multiple of its speed.
+    pub fn at_speed(self, speed: f64) -> Self {
+        Self {
+            step_ms: self.step_ms / speed,
+            request_ms: self.request_ms / speed,
+            prefill_rate: self.prefill_rate * speed,
+            ..self
+        }
+    }
+}
+
 /// A request at an engine.
 #[derive(Clone, Debug)]
 pub struct Job {
--- a/crates/enginesim/src/lib.rs
+++ b/crates/enginesim/src/lib.rs
@@ -14,6 +14,7 @@
 mod simulate;
 mod simulation;
 mod traffic;
+mod workload;
 
 pub use balancers::{
     IgnoreAffinity,
@@ -37,3 +38,4 @@
 };
 pub use report::write_report;
 pub use simulate::simulate;
+pub use workload::Workload;
--- a/crates/enginesim/src/metrics.rs
+++ b/crates/enginesim/src/metrics.rs
@@ -52,6 +52,8 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
 pub struct Row {
+    /// The name of the workload.
+    pub workload: String,
     /// Load as a multiple of the first users' workload.
     pub load: f64,
     /// The name of the disturbance.
@@ -83,7 +85,8 @@
 
 impl Row {
     /// The column headings of [`Row::cells`].
-    pub const HEADS: [&str; 11] = [
+    pub const HEADS: [&str; 12] = [
+        "workload",
         "load",
         "trouble",
         "policy",
@@ -101,6 +104,7 @@
     pub fn new(options: &RunOptions, metrics: &Metrics) -> Self {
         let seconds = options.duration.as_secs_f64();
         Self {
+            workload: options.workload.name().to_owned(),
             load: options.load,
             disturbance: options.disturbance.name().to_owned(),
             policy: options.policy.name().to_owned(),
@@ -116,8 +120,9 @@
     }
 
     /// Formats the fields, in their order.
-    pub fn cells(&self) -> [String; 11] {
+    pub fn cells(&self) -> [String; 12] {
         [
+            self.workload.clone(),
             self.load.to_string(),
             self.disturbance.clone(),
             self.policy.clone(),
--- a/crates/enginesim/src/options.rs
+++ b/crates/enginesim/src/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::disturbance::Disturbance;
+use crate::workload::Workload;
 
 /// The balancing policy that fronts choose endpoints with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +42,12 @@
 /// The parameters of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct RunOptions {
-    /// Load as a multiple of the first users' workload.
+    /// The deployment and its traffic.
+    pub workload: Workload,
+    /// Speed of the engines as a multiple of the workload's. Request rates rise with it, and latency
+    /// targets and timeouts fall, so that the relative load stays the same.
+    pub speed: f64,
+    /// Load as a multiple of the workload's.
     pub load: f64,
     /// The disturbance to inject.
     pub disturbance: Disturbance,
--- a/crates/enginesim/src/report.rs
+++ b/crates/enginesim/src/report.rs
@@ -19,23 +19,24 @@
 fn page(rows: &[Row]) -> Result<String, ReportError> {
     let mut plots = String::new();
     let span = 0.0..rows.iter().map(|row| row.load).fold(1.0, f64::max);
-    let disturbances: BTreeSet<_> = rows.iter().map(|row| row.disturbance.as_str()).collect();
-    for disturbance in disturbances {
+    let kind = |row: &Row| (row.workload.clone(), row.disturbance.clone());
+    let kinds: BTreeSet<_> = rows.iter().map(kind).collect();
+    for (workload, disturbance) in kinds {
         let selected: Vec<_> = rows
             .iter()
-            .filter(|row| row.disturbance == disturbance)
+            .filter(|row| row.workload == workload && row.disturbance == disturbance)
             .collect();
         let points = |value: fn(&Row) -> f64| {
             let rows = selected.iter();
             rows.map(move |row| (row.policy.as_str(), row.load, value(row)))
         };
-        let title = format!("{disturbance}: share in aim");
+        let title = format!("{workload}, {disturbance}: share in aim");
         plots += &bench::plot(&title, points(|row| row.on_time), span.clone(), 1.0)?;
         let highest = selected
             .iter()
             .map(|row| row.recomputed_rate)
             .fold(1.0, f64::max);
-        let title = format!("{disturbance}: thousand tokens read again a second");
+        let title = format!("{workload}, {disturbance}: thousand tokens read again a second");
         plots += &bench::plot(
             &title,
             points(|row| row.recomputed_rate),
--- a/crates/enginesim/src/simulate.rs
+++ b/crates/enginesim/src/simulate.rs
@@ -24,7 +24,7 @@
 ///
 /// [`PlanError`] if the simulated deployment's plan is invalid.
 pub fn simulate(options: RunOptions) -> Result<Metrics, PlanError> {
-    let plan = Arc::new(deployment::plan()?);
+    let plan = Arc::new(deployment::plan(options.workload, options.speed)?);
     Ok(match options.policy {
         Policy::Product => Simulation::new(options, PredictedLatency).run(&plan),
         Policy::WithoutAffinity => Simulation::new(options, IgnoreAffinity::default()).run(&plan),
--- a/crates/enginesim/src/simulation.rs
+++ b/crates/enginesim/src/simulation.rs
@@ -39,8 +39,6 @@
 };
 
 use crate::deployment::{
-    ENGINES,
-    FRONTS,
     START_TIME,
     ZONES,
     endpoint_info,
@@ -50,15 +48,11 @@
 use crate::disturbance::Disturbance;
 use crate::engine::{
     Engine,
-    EngineSpec,
     Job, //
 };
 use crate::metrics::Metrics;
 use crate::options::RunOptions;
-use crate::traffic::{
-    CLASSES,
-    Class, //
-};
+use crate::traffic::Class;
 
 /// Delay until fronts receive the endpoint list that shows a crash or a restart.
 const LIST_DELAY: Duration = Duration::from_millis(1400);
@@ -66,9 +60,6 @@
 const EVENT_TOKENS: u64 = 6;
 /// Factor on the step duration of a slow engine.
 const SLOWDOWN: f64 = 4.0;
-/// Factor on the request rate of the class with the longest prompts during a burst.
-const BURST_FACTOR: f64 = 4.0;
-
 /// A scheduled event. Its `usize` values are indices of a class, a call, an engine or a front.
 enum Event {
     /// A client sends a request of a class.
@@ -113,6 +104,7 @@
 /// The state of one run.
 pub(crate) struct Simulation<C> {
     options: RunOptions,
+    classes: [Class; 3],
     rng: Pcg32,
     now: Tick,
     /// Number of the latest scheduled event; events of the same time run in this order.
@@ -148,18 +140,21 @@
             };
             Relay::new(relay_options, balancer)
         };
+        let workload = options.workload;
+        let (fronts, engines) = (workload.fronts(), workload.engines());
         Self {
             options,
+            classes: workload.classes(options.speed),
             rng: Pcg32::seed_from_u64(options.seed),
             now: START_TIME,
             serial: 0,
             queue: BinaryHeap::new(),
             events: HashMap::new(),
-            fronts: (0..FRONTS).map(front).collect(),
-            timers: vec![None; FRONTS],
-            engines: vec![Engine::new(EngineSpec::default()); ENGINES],
-            available: vec![true; ENGINES],
-            stepping: vec![false; ENGINES],
+            fronts: (0..fronts).map(front).collect(),
+            timers: vec![None; fronts],
+            engines: vec![Engine::new(workload.engine().at_speed(options.speed)); engines],
+            available: vec![true; engines],
+            stepping: vec![false; engines],
             calls: Vec::new(),
             burst_factor: 1.0,
             prefilled: HashSet::new(),
@@ -169,19 +164,19 @@
 
     /// Runs all events and returns the results.
     pub(crate) fn run(mut self, plan: &Arc<Plan>) -> Metrics {
-        for n in 0..FRONTS {
+        for n in 0..self.fronts.len() {
             let view = View {
                 generation: 1,
                 deployment: Some((Some(Arc::clone(plan)), Vec::new())),
                 valid_until: Tick(u64::MAX),
-                fronts: FRONTS,
+                fronts: self.fronts.len(),
                 wall_clock: (1_000_000_000, self.now),
                 requested_at: self.now,
             };
             self.step_front(n, Input::View(Box::new(view)));
         }
         self.publish_endpoints();
-        (0..CLASSES.len()).for_each(|class| self.next_arrival(class));
+        (0..self.classes.len()).for_each(|class| self.next_arrival(class));
         self.schedule(self.options.duration / 3, Event::Disturbance(true));
         self.schedule(self.options.duration * 2 / 3, Event::Disturbance(false));
         while let Some(Reverse((at, serial))) = self.queue.pop() {
@@ -203,7 +198,7 @@
     /// over.
     fn next_arrival(&mut self, class: usize) {
         let factor = if class == 0 { self.burst_factor } else { 1.0 };
-        let rate = CLASSES[class].rate * self.options.load * factor;
+        let rate = self.classes[class].rate * self.options.load * factor;
         let interval_s = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate;
         if self.now.since(START_TIME).as_secs_f64() + interval_s
             < self.options.duration.as_secs_f64()
@@ -255,7 +250,7 @@
 
     fn arrive(&mut self, class: usize) {
         self.next_arrival(class);
-        let spec = &CLASSES[class];
+        let spec = self.classes[class];
         let prompt = spec.prompt(class, self.serial, &mut self.rng);
         let head = RequestHead {
             name: self.calls.len().to_string(),
@@ -266,7 +261,7 @@
             body_bytes: Class::body_bytes(&prompt),
             prompt: Some(prompt.clone()),
         };
-        let front = self.rng.random_range(0..FRONTS);
+        let front = self.rng.random_range(0..self.fronts.len());
         let call = self.calls.len();
         self.calls.push(Call {
             class,
@@ -331,7 +326,7 @@
     }
 
     fn dispatch(&mut self, front: usize, call: usize, engine: usize, rank: u8) {
-        let class = &CLASSES[self.calls[call].class];
+        let class = self.classes[self.calls[call].class];
         let prompt = self.calls[call].prompt.clone();
         if zone_name(front) != zone_name(engine) {
             self.metrics.transferred_bytes += Class::body_bytes(&prompt) as u64;
@@ -419,8 +414,9 @@
             return;
         }
         let now = self.now;
+        let classes = self.classes;
         let call = &mut self.calls[index];
-        let class = &CLASSES[call.class];
+        let class = &classes[call.class];
         let Some((first_at, last_at)) = call.event_times else {
             return;
         };
@@ -457,9 +453,10 @@
     }
 
     fn set_disturbance(&mut self, active: bool) {
+        let factor = self.options.workload.burst_factor();
         match self.options.disturbance {
             Disturbance::None => {}
-            Disturbance::Burst => self.burst_factor = if active { BURST_FACTOR } else { 1.0 },
+            Disturbance::Burst => self.burst_factor = if active { factor } else { 1.0 },
             Disturbance::Slow => self.engines[0].slowdown = if active { SLOWDOWN } else { 1.0 },
             Disturbance::Crash => {
                 for engine in 0..ZONES {
@@ -484,11 +481,12 @@
 
     /// Sends the list of available engines to all fronts.
     fn publish_endpoints(&mut self) {
-        let endpoints: Vec<_> = (0..ENGINES)
+        let endpoints: Vec<_> = (0..self.engines.len())
             .filter(|n| self.available[*n])
-            .map(|n| endpoint_info(n, self.now))
+            .map(|n| endpoint_info(self.options.workload, n, self.now))
             .collect();
-        (0..FRONTS).for_each(|front| self.step_front(front, Input::Endpoints(endpoints.clone())));
+        (0..self.fronts.len())
+            .for_each(|front| self.step_front(front, Input::Endpoints(endpoints.clone())));
     }
 }
 
--- a/crates/enginesim/src/traffic.rs
+++ b/crates/enginesim/src/traffic.rs
@@ -68,7 +68,54 @@
     },
 ];
 
+pub(crate) const SURVEY_CLASSES: [Class; 3] = [
+    Class {
+        path: "/digest/",
+        rate: 208.0,
+        shared_parts: (1, 0),
+        session_parts: (1034, 13_300),
+        unique_tokens: 3720,
+        output_tokens: 119,
+        latency_target: Duration::from_millis(1200),
+        event_gap: Duration::from_millis(800),
+        timeout: Duration::from_millis(8000),
+    },
+    Class {
+        path: "/quote/",
+        rate: 119.0,
+        shared_parts: (4, 2520),
+        session_parts: (514, 3780),
+        unique_tokens: 2890,
+        output_tokens: 49,
+        latency_target: Duration::from_millis(400),
+        event_gap: Duration::from_millis(300),
+        timeout: Duration::from_millis(4000),
+    },
+    Class {
+        path: "/query/",
+        rate: 172.0,
+        shared_parts: (80, 210),
+        session_parts: (742, 140),
+        unique_tokens: 1110,
+        output_tokens: 175,
+        latency_target: Duration::from_millis(250),
+        event_gap: Duration::from_millis(200),
+        timeout: Duration::from_millis(8000),
+    },
+];
+
 impl Class {
+    /// The class at engines of another speed: the same work in less or more time.
+    pub(crate) fn at_speed(&self, speed: f64) -> Self {
+        Self {
+            rate: self.rate * speed,
+            latency_target: self.latency_target.div_f64(speed),
+            event_gap: self.event_gap.div_f64(speed),
+            timeout: self.timeout.div_f64(speed),
+            ..*self
+        }
+    }
+
     /// Draws a prompt of this class from a random session. `serial` makes the identity of the last
     /// part unique.
     pub(crate) fn prompt(&self, class_index: usize, serial: u64, rng: &mut Pcg32) -> Prompt {
--- a/crates/front/src/listing.rs
+++ b/crates/front/src/listing.rs
@@ -30,10 +30,6 @@
 
 /// Interval between fetches of the listing.
 const FETCH_INTERVAL: Duration = Duration::from_millis(900);
-/// Maximum age of the control group's listing. The leader of the control group fetches the listing
-/// more than once per second, and a draining endpoint must stop receiving new requests within a few
-/// seconds.
-const MAX_LISTING_AGE: Duration = Duration::from_millis(1800);
 /// Interval between checks of the age of the control group's listing.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay before a retry after a fetch failed.
@@ -81,6 +77,8 @@
     /// When the control group read the listing that it last supplied, in microseconds of the clock;
     /// 0 if it has supplied none.
     pub(crate) listing_read: Arc<AtomicU64>,
+    /// Maximum age of the control group's listing.
+    pub(crate) max_age: Duration,
     /// Whether the last fetch succeeded.
     pub(crate) reachable: bool,
 }
@@ -90,7 +88,7 @@
     /// `None` once the core has ended.
     pub(crate) fn step(&mut self) -> Option<()> {
         let read_at = Tick(self.listing_read.load(Ordering::Acquire));
-        if read_at > Tick::default() && self.clock.now().since(read_at) < MAX_LISTING_AGE {
+        if read_at > Tick::default() && self.clock.now().since(read_at) < self.max_age {
             thread::park_timeout(AGE_CHECK_INTERVAL);
             return Some(());
         }
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -142,6 +142,7 @@
         log: log.clone(),
         clock,
         listing_read,
+        max_age: settings.listing_age,
         reachable: true,
     };
     let listing_fetcher = Worker::start("front-list", move || fetcher.step());
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -18,6 +18,10 @@
 const DEFAULT_SHUTDOWN_DELAY_MS: u64 = 2500;
 /// Default time limit of a graceful shutdown.
 const DEFAULT_SHUTDOWN_TIMEOUT_MS: u64 = 8000;
+/// Default time within which a draining endpoint must stop receiving requests.
+const DEFAULT_DRAIN_MS: u64 = 3000;
+/// Time of the drain limit that is left for reading the listing, and once more after a failure.
+const LISTING_READ_TIME: Duration = Duration::from_millis(1200);
 /// Default length of a usage window.
 const DEFAULT_USAGE_WINDOW_S: u64 = 300;
 /// Default length of the retry window.
@@ -36,6 +40,8 @@
         #[serde(default)]
         metrics: Option<String>,
         list: String,
+        #[serde(default = "default_drain")]
+        drain_ms: u64,
         #[serde(default = "default_shutdown_delay")]
         linger_ms: u64,
         #[serde(default = "default_shutdown_timeout")]
@@ -51,6 +57,10 @@
     }
 }
 
+fn default_drain() -> u64 {
+    DEFAULT_DRAIN_MS
+}
+
 fn default_shutdown_delay() -> u64 {
     DEFAULT_SHUTDOWN_DELAY_MS
 }
@@ -92,6 +102,8 @@
     pub metrics: Option<SocketAddr>,
     /// The address that serves the platform's endpoint listing.
     pub listing: SocketAddr,
+    /// Age of the control group's endpoint listing above which the front reads the listing itself.
+    pub listing_age: Duration,
     /// How long a stopping front still accepts new connections.
     pub shutdown_delay: Duration,
     /// Time limit of a graceful shutdown, including `shutdown_delay`.
@@ -120,6 +132,7 @@
         let metrics = raw.metrics.as_ref();
         let metrics = metrics.and_then(|text| validator.listen("metrics", text, raw.public));
         let listing = validator.address("list", &raw.list);
+        let drain_ms = validator.in_range("drain_ms", raw.drain_ms, 1500, 600_000);
         let shutdown_delay_ms = validator.in_range("linger_ms", raw.linger_ms, 0, 600_000);
         let shutdown_timeout_ms = validator.in_range("grace_ms", raw.grace_ms, 0, 600_000);
         let usage_window_s = validator.in_range("window_s", raw.window_s, 1, 86_400);
@@ -142,6 +155,7 @@
             ready,
             metrics,
             listing,
+            listing_age: Duration::from_millis(drain_ms).saturating_sub(LISTING_READ_TIME),
             shutdown_delay: Duration::from_millis(shutdown_delay_ms),
             shutdown_timeout: Duration::from_millis(shutdown_timeout_ms),
             usage_window: Duration::from_secs(usage_window_s),
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -24,6 +24,7 @@
     Queued, //
 };
 use crate::balance::Balancer;
+use crate::lanes::is_long;
 use crate::message::{
     Output,
     RequestHead, //
@@ -102,7 +103,10 @@
     /// The backlog above which a request is queued; none if the request is never queued.
     pub(crate) fn backlog_limit_ms(&self, id: RequestId) -> Option<f64> {
         let request = self.requests.get(id)?;
-        backlog::limit_ms(request.prompt.as_ref()?, request.priority.route)
+        let route = request.plan.route(request.route)?;
+        let long = is_long(request.prompt.as_ref()?);
+        let limit_ms = backlog::limit_ms(request.priority.route, route.latency_target);
+        limit_ms.filter(|_| long)
     }
 
     /// Reconsiders the queued requests in order of priority. Dispatches those below the limit and
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,6 +18,7 @@
 
 use crate::balance::Balancer;
 use crate::endpoint::Endpoint;
+use crate::endpoints::Observed;
 use crate::message::{
     Attempt,
     Decision,
@@ -177,20 +178,28 @@
         if std::mem::replace(&mut request.started, true) {
             return;
         }
-        let delay = request.delay(now);
+        let service = request.plan.service(request.service);
+        let speed = service.map(|service| self.endpoints.speed(&service.name));
+        let delay = request.delay(now, &speed.unwrap_or_default());
         let pending_tokens = std::mem::take(&mut request.pending_tokens);
         let endpoint = request.endpoint;
         let account = request.account.and_then(|id| request.plan.account(id));
         if let Some(account) = account {
             self.usage.count(now, &account.name);
         }
-        if let Some(endpoint) = endpoint.and_then(|id| self.endpoints.get_mut(id)) {
+        let Some(id) = endpoint else {
+            return;
+        };
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.pending_tokens = endpoint.pending_tokens.saturating_sub(pending_tokens);
-            endpoint.record_delay(now, delay);
-            if let Some(load) = load {
-                endpoint.record_load(now, load);
-            }
         }
+        let observed = Observed {
+            prompt: request.prompt.as_ref(),
+            elapsed_ms: request.elapsed_ms(now),
+            delay,
+            load,
+        };
+        self.endpoints.record_response(now, id, &observed);
     }
 
     pub(crate) fn attempt_failed(
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -12,35 +12,32 @@
     Ticket, //
 };
 
-use crate::lanes::SHORT_PROMPT_TOKENS;
-use crate::message::Prompt;
 use crate::request::Priority;
 
-/// Backlog of the best engine above which prompts of the lowest ranks wait, in milliseconds: a
-/// third of the latency target of their routes.
-const LOW_RANK_LIMIT_MS: f64 = 400.0;
-/// Backlog of the best engine above which prompts of rank 1 wait, in milliseconds.
-const RANK_1_LIMIT_MS: f64 = 1500.0;
+/// Backlog of the best engine above which prompts of the lowest ranks wait, as a share of the
+/// latency target of their route.
+const LOW_RANK_LIMIT: f64 = 1.0 / 3.0;
+/// Backlog of the best engine above which prompts of rank 1 wait, as a multiple of the latency
+/// target of their route.
+const RANK_1_LIMIT: f64 = 3.0;
 /// Factor on the limit for a request at the end of its wait. Below the raised limit the request is
 /// dispatched, above it rejected.
-const FINAL_FACTOR: f64 = 2.5;
+const FINAL_FACTOR: f64 = 1.6;
 /// Interval at which queued requests are reconsidered.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Divisor of a request's remaining time that gives its maximum wait.
-const WAIT_DIVISOR: u32 = 4;
+const WAIT_DIVISOR: u32 = 8;
 /// Maximum number of queued requests.
 const MAX_QUEUED: usize = 128;
 
-/// The backlog above which a prompt waits, in milliseconds, by the rank of its route; none if the
-/// prompt never waits.
-pub(crate) fn limit_ms(prompt: &Prompt, rank: u8) -> Option<f64> {
-    if prompt.input_tokens <= SHORT_PROMPT_TOKENS {
-        return None;
-    }
+/// The backlog above which a long prompt waits, in milliseconds, by the rank and the latency target
+/// of its route; none if the prompt never waits.
+pub(crate) fn limit_ms(rank: u8, target: Duration) -> Option<f64> {
+    let target_ms = target.as_secs_f64() * 1000.0;
     match rank {
         0 => None,
-        1 => Some(RANK_1_LIMIT_MS),
-        _ => Some(LOW_RANK_LIMIT_MS),
+        1 => Some(target_ms * RANK_1_LIMIT),
+        _ => Some(target_ms * LOW_RANK_LIMIT),
     }
 }
 
--- a/crates/relay/src/balance.rs
+++ b/crates/relay/src/balance.rs
@@ -5,17 +5,10 @@
 use rand::RngExt;
 use rand_pcg::Pcg32;
 
-use crate::lanes::PREFILL_TOKENS_PER_MS;
-
-/// Milliseconds that each running request adds to an engine's step, as stated in the users' site
-/// files.
-const STEP_MS_PER_REQUEST: f64 = 0.121;
-/// Engine steps by which concurrent requests delay the first token.
-const STEPS_TO_FIRST_TOKEN: f64 = 20.0;
-/// Cost of each concurrent request beyond an engine's slots, in milliseconds.
-const OVER_SLOTS_MS: f64 = 20.0;
-/// Cost of a fully used plain endpoint, in milliseconds.
-const PLAIN_WORK_MS: f64 = 20.0;
+/// Cost of each concurrent request beyond an engine's slots, as a share of the base time.
+const OVER_SLOTS_SHARE: f64 = 0.25;
+/// Cost of a fully used plain endpoint, as a share of the base time.
+const PLAIN_WORK_SHARE: f64 = 0.7;
 /// Cost of a failure rate of 1, in milliseconds.
 const FAILURE_RATE_MS: f64 = 1500.0;
 /// Cost of each request that is past its latency target, in milliseconds.
@@ -31,8 +24,13 @@
     pub inflight: f64,
     /// Requests that the endpoint executes concurrently.
     pub slots: f64,
-    /// Prompt tokens to prefill before this request's response starts; none for plain requests.
-    pub prefill_tokens: Option<f64>,
+    /// Time to prefill the prompts that are due before this request's response starts, in
+    /// milliseconds; none for plain requests.
+    pub prefill_ms: Option<f64>,
+    /// Time to the start of a response at an idle endpoint without prefill, in milliseconds.
+    pub base_ms: f64,
+    /// Time by which each concurrent request delays the start of a response, in milliseconds.
+    pub request_ms: f64,
     /// Cost of ignoring prefix-cache affinity and prompt lanes, in milliseconds.
     pub affinity_cost: f64,
     /// Delay that other requests at the endpoint cause, in milliseconds.
@@ -60,13 +58,13 @@
     fn cost(estimate: &Estimate) -> f64 {
         let slots = estimate.slots.max(1.0);
         let over = (estimate.inflight + 1.0 - slots).max(0.0);
-        let work = match estimate.prefill_tokens {
-            Some(tokens) => {
-                tokens / PREFILL_TOKENS_PER_MS
-                    + estimate.inflight * STEP_MS_PER_REQUEST * STEPS_TO_FIRST_TOKEN
-                    + over * OVER_SLOTS_MS
+        let work = match estimate.prefill_ms {
+            Some(prefill_ms) => {
+                prefill_ms
+                    + estimate.inflight * estimate.request_ms
+                    + over * estimate.base_ms * OVER_SLOTS_SHARE
             }
-            None => estimate.inflight / slots * PLAIN_WORK_MS + over / slots * PLAIN_WORK_MS * 2.0,
+            None => (estimate.inflight + over * 2.0) / slots * estimate.base_ms * PLAIN_WORK_SHARE,
         };
         work + estimate.affinity_cost
             + estimate.queue_delay
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -117,31 +117,35 @@
 
     /// Records the time to the start of a response beyond prefill, in milliseconds.
     pub(crate) fn record_delay(&mut self, now: Tick, delay: f64) {
-        let previous = self.delay(now);
+        let previous = self.delay(now, 0.0);
         let average = previous + (delay - previous) * NEWEST_WEIGHT;
         self.delay = Some((average, now));
     }
 
     /// The expected time to the start of a response beyond prefill, in milliseconds. It reflects
-    /// queueing behind requests of all fronts.
-    pub(crate) fn delay(&self, now: Tick) -> f64 {
-        let Some((delay, measured_at)) = self.delay else {
-            return 0.0;
-        };
-        let age = now.since(measured_at).as_secs_f64() / DELAY_LIFETIME.as_secs_f64();
-        delay * (1.0 - age).max(0.0)
+    /// queueing behind requests of all fronts. The older the last measurement, the more the typical
+    /// delay counts.
+    pub(crate) fn delay(&self, now: Tick, typical: f64) -> f64 {
+        let (delay, weight) = self.delay.map_or((0.0, 0.0), |(delay, measured_at)| {
+            (delay, weight(now, measured_at, DELAY_LIFETIME))
+        });
+        delay * weight + typical * (1.0 - weight)
     }
 
     /// In-flight requests of all fronts: this front's own, plus those of other fronts by the last
-    /// reported load.
-    pub(crate) fn total_inflight(&self, now: Tick) -> f64 {
-        let own = f64::from(self.inflight);
-        let Some((load, own_reported, reported_at)) = self.load else {
-            return own;
-        };
-        let age = now.since(reported_at).as_secs_f64() / LOAD_LIFETIME.as_secs_f64();
-        let others = (load.running + load.waiting).saturating_sub(own_reported);
-        own + f64::from(others) * (1.0 - age).max(0.0)
+    /// reported load. The older the report, the more the typical number counts.
+    pub(crate) fn total_inflight(&self, now: Tick, typical: f64) -> f64 {
+        let weight = self
+            .load
+            .map_or(0.0, |(.., at)| weight(now, at, LOAD_LIFETIME));
+        let others = self.reported_others().unwrap_or_default();
+        f64::from(self.inflight) + others * weight + typical * (1.0 - weight)
+    }
+
+    /// In-flight requests of other fronts when the endpoint last reported its load.
+    pub(crate) fn reported_others(&self) -> Option<f64> {
+        let (load, own, _) = self.load?;
+        Some(f64::from((load.running + load.waiting).saturating_sub(own)))
     }
 
     /// Prompt tokens that the endpoint must prefill. A cached part saves its prefill only if all
@@ -175,3 +179,9 @@
         }
     }
 }
+
+/// The weight of an observation of a given time, which falls linearly over its lifetime.
+fn weight(now: Tick, observed_at: Tick, lifetime: Duration) -> f64 {
+    let age = now.since(observed_at).as_secs_f64() / lifetime.as_secs_f64();
+    (1.0 - age).max(0.0)
+}
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -16,8 +16,33 @@
 use slotmap::SlotMap;
 
 use crate::endpoint::Endpoint;
-use crate::lanes::Lanes;
-use crate::message::EndpointInfo;
+use crate::lanes::{
+    Lanes,
+    is_long, //
+};
+use crate::message::{
+    EndpointInfo,
+    Load,
+    Prompt, //
+};
+use crate::speed::Speed;
+use crate::typical::{
+    Typical,
+    TypicalValues, //
+};
+
+/// What a front observes when a response starts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Observed<'a> {
+    /// The request's prompt; none for plain requests.
+    pub(crate) prompt: Option<&'a Prompt>,
+    /// Time from the dispatch of the request, in milliseconds.
+    pub(crate) elapsed_ms: f64,
+    /// The part of that time beyond what an idle endpoint needs, in milliseconds.
+    pub(crate) delay: f64,
+    /// The load that the endpoint reported.
+    pub(crate) load: Option<Load>,
+}
 
 /// All endpoints, by key and by instance.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +51,10 @@
     instances: HashMap<String, EndpointId>,
     /// Lanes by service; recomputed when the set of endpoints changes, not for each request.
     lanes: HashMap<String, Lanes>,
+    /// What is typical of each service's endpoints, by lane: false for the lane of short prompts.
+    typical: HashMap<(String, bool), Typical>,
+    /// The learned speed of each service's endpoints.
+    speeds: HashMap<String, Speed>,
 }
 
 impl Endpoints {
@@ -95,6 +124,42 @@
         self.lanes.get(service)
     }
 
+    /// The speed of a service's endpoints.
+    pub(crate) fn speed(&self, service: &str) -> Speed {
+        self.speeds.get(service).copied().unwrap_or_default()
+    }
+
+    /// What is typical of the endpoints that serve a prompt, or a plain request, of a service.
+    pub(crate) fn typical(
+        &self,
+        now: Tick,
+        service: &str,
+        prompt: Option<&Prompt>,
+    ) -> TypicalValues {
+        let typical = self.typical.get(&lane_key(service, prompt));
+        typical.map_or_else(TypicalValues::default, |typical| typical.values(now))
+    }
+
+    /// Records the start of a response and the load that its endpoint reported.
+    pub(crate) fn record_response(&mut self, now: Tick, id: EndpointId, observed: &Observed<'_>) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        endpoint.record_delay(now, observed.delay);
+        if let Some(load) = observed.load {
+            endpoint.record_load(now, load);
+        }
+        let service = endpoint.info.service.clone();
+        let others = endpoint.reported_others();
+        let tokens = observed.prompt.map_or(0, Prompt::unique_tokens);
+        let queue_ms = self.typical(now, &service, observed.prompt).delay;
+        let speed = self.speeds.entry(service.clone()).or_default();
+        speed.record(tokens, observed.elapsed_ms, queue_ms);
+        let key = lane_key(&service, observed.prompt);
+        let typical = self.typical.entry(key).or_default();
+        typical.record(now, observed.delay, others);
+    }
+
     fn update_lanes(&mut self) {
         let services = self.endpoints.values().map(|e| e.info.service.clone());
         let services: BTreeSet<_> = services.collect();
@@ -114,3 +179,8 @@
         }
     }
 }
+
+/// The service and whether a prompt belongs to the lane of long prompts.
+fn lane_key(service: &str, prompt: Option<&Prompt>) -> (String, bool) {
+    (service.to_owned(), prompt.is_some_and(is_long))
+}
--- a/crates/relay/src/lanes.rs
+++ b/crates/relay/src/lanes.rs
@@ -10,26 +10,25 @@
     BTreeMap,
     HashSet, //
 };
-use std::time::Duration;
 
 use ids::EndpointId;
 
 use crate::endpoint::Endpoint;
 use crate::message::Prompt;
+use crate::speed::Speed;
 
 /// Maximum number of tokens in a short prompt. Such a prompt fits, with room to spare, into one
-/// prefill chunk of about 2,000 tokens.
-pub(crate) const SHORT_PROMPT_TOKENS: u64 = 1500;
+/// prefill chunk, which engines commonly limit to 2,048 tokens.
+const SHORT_PROMPT_TOKENS: u64 = 1500;
 /// One in this many engines of a zone is reserved for short prompts.
-const ENGINES_PER_SHORT_LANE: usize = 3;
-/// Queueing delay in the lane for short prompts at which they spill over into the other lane.
-const SPILL_DELAY: Duration = Duration::from_millis(120);
+const ENGINES_PER_SHORT_LANE: usize = 5;
+/// Queueing delay in the lane for short prompts at which they spill over into the other lane, as a
+/// multiple of the base time of a response.
+const SPILL_DELAY_FACTOR: f64 = 1.5;
 /// Cost of a long prompt in the lane for short ones, in milliseconds per square millisecond of
 /// prefill. The cost is quadratic because prefill time lengthens both the pause and the number of
 /// streams for which the pause is too long.
-const LONG_PROMPT_PENALTY: f64 = 0.1;
-/// Prompt tokens that an engine prefills per millisecond, as stated on the users' pages.
-pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 92.1;
+const LONG_PROMPT_PENALTY: f64 = 0.2;
 
 /// The endpoints reserved for short prompts.
 #[derive(Clone, Debug, Default)]
@@ -53,19 +52,21 @@
     }
 
     /// Cost of an endpoint's lane for a prompt, in milliseconds.
-    pub(crate) fn cost(&self, endpoint: EndpointId, prompt: &Prompt) -> f64 {
-        let short = prompt.input_tokens <= SHORT_PROMPT_TOKENS;
-        match (self.0.contains(&endpoint), short) {
-            (true, true) | (false, false) => 0.0,
-            (false, true) => SPILL_DELAY.as_secs_f64() * 1000.0,
-            (true, false) => {
-                (prompt.input_tokens as f64 / PREFILL_TOKENS_PER_MS).powi(2) * LONG_PROMPT_PENALTY
-            }
+    pub(crate) fn cost(&self, endpoint: EndpointId, prompt: &Prompt, speed: &Speed) -> f64 {
+        match (self.0.contains(&endpoint), is_long(prompt)) {
+            (true, false) | (false, true) => 0.0,
+            (false, false) => speed.base_ms() * SPILL_DELAY_FACTOR,
+            (true, true) => speed.prefill_ms(prompt.input_tokens).powi(2) * LONG_PROMPT_PENALTY,
         }
     }
 
     /// Whether an endpoint is in the lane of a prompt.
     pub(crate) fn matches(&self, endpoint: EndpointId, prompt: &Prompt) -> bool {
-        self.0.contains(&endpoint) == (prompt.input_tokens <= SHORT_PROMPT_TOKENS)
+        self.0.contains(&endpoint) != is_long(prompt)
     }
 }
+
+/// Whether a prompt belongs to the lane of long prompts.
+pub(crate) fn is_long(prompt: &Prompt) -> bool {
+    prompt.input_tokens > SHORT_PROMPT_TOKENS
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,8 @@
 mod request;
 mod retry_budget;
 mod select;
+mod speed;
+mod typical;
 mod usage_count;
 mod view_wait;
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -12,11 +12,9 @@
 
 use plan::Plan;
 
-use crate::lanes::PREFILL_TOKENS_PER_MS;
 use crate::message::Prompt;
+use crate::speed::Speed;
 
-/// Time to the first event of a short prompt's response at an idle engine, in milliseconds.
-const FIRST_EVENT_MS: f64 = 80.0;
 /// Response bytes per token, including the framing of events.
 const BYTES_PER_TOKEN: f64 = 12.0;
 
@@ -82,9 +80,14 @@
         self.body_bytes as f64 + output as f64 * BYTES_PER_TOKEN
     }
 
-    /// How long the current attempt has waited beyond the prefill of its prompt, in milliseconds.
-    pub(crate) fn delay(&self, now: Tick) -> f64 {
-        let waited = now.since(self.sent_at).as_secs_f64() * 1000.0;
-        (waited - self.pending_tokens as f64 / PREFILL_TOKENS_PER_MS - FIRST_EVENT_MS).max(0.0)
+    /// How long the current attempt has waited, in milliseconds.
+    pub(crate) fn elapsed_ms(&self, now: Tick) -> f64 {
+        now.since(self.sent_at).as_secs_f64() * 1000.0
+    }
+
+    /// How long the current attempt has waited beyond what an idle endpoint needs, in milliseconds.
+    pub(crate) fn delay(&self, now: Tick, speed: &Speed) -> f64 {
+        let expected = speed.prefill_ms(self.pending_tokens) + speed.base_ms();
+        (self.elapsed_ms(now) - expected).max(0.0)
     }
 }
--- a/crates/relay/src/select.rs
+++ b/crates/relay/src/select.rs
@@ -20,12 +20,10 @@
     Estimate, //
 };
 use crate::endpoint::Endpoint;
-use crate::lanes::{
-    Lanes,
-    PREFILL_TOKENS_PER_MS, //
-};
+use crate::lanes::Lanes;
 use crate::message::Prompt;
 use crate::relay::Relay;
+use crate::request::Request;
 
 /// Latency cost of an endpoint in another zone: two network hops.
 const CROSS_ZONE_COST: Duration = Duration::from_millis(2);
@@ -81,9 +79,13 @@
             candidates.retain(|(_, endpoint)| !endpoint.health.ejected(now));
         }
         let congestion = self.congestion(now);
+        let typical = self
+            .endpoints
+            .typical(now, &service.name, request.prompt.as_ref());
         let cross_zone_cost = CROSS_ZONE_COST
             + Duration::from_secs_f64(request.transfer_bytes() * CROSS_ZONE_S_PER_BYTE);
         let lanes = self.endpoints.lanes(&service.name)?;
+        let speed = self.endpoints.speed(&service.name);
         let preferred = request
             .prompt
             .as_ref()
@@ -92,9 +94,9 @@
             let same_zone = endpoint.info.zone == self.options.zone;
             let congestion = congestion.get(id).copied().unwrap_or_default();
             let mut estimate = Estimate {
-                inflight: endpoint.total_inflight(now),
+                inflight: endpoint.total_inflight(now, typical.others),
                 slots: f64::from(endpoint.info.slots),
-                queue_delay: endpoint.delay(now).max(congestion.delay),
+                queue_delay: endpoint.delay(now, typical.delay).max(congestion.delay),
                 overdue: congestion.overdue,
                 failure_rate: endpoint.health.failure_rate(now),
                 zone_cost: if same_zone {
@@ -102,25 +104,35 @@
                 } else {
                     cross_zone_cost
                 },
+                base_ms: speed.base_ms(),
+                request_ms: speed.request_ms(),
                 ..Estimate::default()
             };
             if let Some(prompt) = &request.prompt {
                 let prefill = endpoint.prefill_tokens(now, prompt, preferred == Some(*id));
                 let missed = prefill.saturating_sub(prompt.unique_tokens());
-                let missed_ms = missed as f64 / PREFILL_TOKENS_PER_MS;
+                let missed_ms = speed.prefill_ms(missed);
                 let factor = CACHE_MISS_FACTOR + estimate.inflight * CACHE_MISS_FACTOR_PER_REQUEST;
-                estimate.prefill_tokens = Some((prefill + endpoint.pending_tokens) as f64);
-                estimate.affinity_cost = lanes.cost(*id, prompt) + missed_ms * factor;
+                estimate.prefill_ms = Some(speed.prefill_ms(prefill + endpoint.pending_tokens));
+                estimate.affinity_cost = lanes.cost(*id, prompt, &speed) + missed_ms * factor;
             }
             estimate
         };
         let estimates: Vec<_> = candidates.iter().map(estimate).collect();
         let chosen = self.balancer.choose(&estimates, &mut self.rng)?;
         let (id, endpoint) = candidates[chosen];
-        let prefill_ms = endpoint.pending_tokens as f64 / PREFILL_TOKENS_PER_MS;
+        let prefill_ms = speed.prefill_ms(endpoint.pending_tokens);
         Some((id, estimates[chosen].queue_delay + prefill_ms))
     }
 
+    /// How long a request's current attempt has waited beyond what an idle endpoint needs, in
+    /// milliseconds.
+    pub(crate) fn request_delay(&self, now: Tick, request: &Request) -> f64 {
+        let service = request.plan.service(request.service);
+        let speed = service.map(|service| self.endpoints.speed(&service.name));
+        request.delay(now, &speed.unwrap_or_default())
+    }
+
     /// Congestion by endpoint, derived from requests whose response has not started.
     fn congestion(&self, now: Tick) -> HashMap<EndpointId, Congestion> {
         let mut congestion: HashMap<_, Congestion> = HashMap::new();
@@ -130,7 +142,7 @@
             };
             let entry = congestion.entry(endpoint).or_default();
             entry.overdue += f64::from(u8::from(request.due_at < now));
-            entry.delay = entry.delay.max(request.delay(now));
+            entry.delay = entry.delay.max(self.request_delay(now, request));
         }
         congestion
     }
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -105,6 +105,9 @@
     urgent.rank = 0;
     let mut urgent_prompt = route("/first/", "m", RetryPolicy::AtMostOnceStream, 1);
     urgent_prompt.rank = 0;
+    // Backlog limits follow from the latency target, so the route of long prompts has a long one.
+    let mut stream = route("/stream/", "m", RetryPolicy::AtMostOnceStream, 1);
+    stream.latency_target = Duration::from_millis(1200);
     let mut open = route("/open/", "p", RetryPolicy::Idempotent, 2);
     open.open = true;
     let spec = PlanSpec {
@@ -112,7 +115,7 @@
         routes: vec![
             route("/once/", "p", RetryPolicy::AtMostOnce, 1),
             route("/safe/", "p", RetryPolicy::Idempotent, 2),
-            route("/stream/", "m", RetryPolicy::AtMostOnceStream, 1),
+            stream,
             route("/resume/", "m", RetryPolicy::ResumableStream, 2),
             open,
             urgent,
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -13,6 +13,18 @@
 
 /// The version of the messages between processes. A process rejects messages of other versions.
 const VERSION: u8 = 1;
+/// The version of messages whose payload is compressed, after its size before compression as a
+/// little-endian number of [`SIZE_BYTES`].
+const COMPRESSED_VERSION: u8 = 2;
+/// Payloads of at least this size are compressed: the plan and the directory, which each control
+/// process sends to many others over its one link.
+const MIN_COMPRESSED_BYTES: usize = 4096;
+/// Level of the compression; 1 is the fastest.
+const COMPRESSION_LEVEL: i32 = 1;
+/// Size of the length before a compressed payload.
+const SIZE_BYTES: usize = 4;
+/// Largest payload after decompression, in bytes. It bounds the memory that a message can take.
+const MAX_PAYLOAD_BYTES: usize = 64 * 1024 * 1024;
 /// The context of the key derivation. It keeps this key distinct from other keys that are derived
 /// from the cluster secret.
 const SEAL_CONTEXT: &str = "bergamothinge 2026-12 peer message seal";
@@ -87,8 +99,13 @@
     /// [`WireError::Malformed`] if the format cannot represent the value.
     pub fn seal<T: Serialize>(&self, path: &str, value: &T) -> Result<Vec<u8>, WireError> {
         let payload = encode(value)?;
+        let (version, payload) = if payload.len() < MIN_COMPRESSED_BYTES {
+            (VERSION, payload)
+        } else {
+            (COMPRESSED_VERSION, compress(&payload)?)
+        };
         let mut bytes = Vec::with_capacity(1 + TAG_BYTES + payload.len());
-        bytes.push(VERSION);
+        bytes.push(version);
         bytes.extend_from_slice(self.tag(path, &payload).as_bytes());
         bytes.extend_from_slice(&payload);
         Ok(bytes)
@@ -101,7 +118,7 @@
     /// [`WireError`], which states why the message was rejected.
     pub fn open<T: DeserializeOwned>(&self, path: &str, bytes: &[u8]) -> Result<T, WireError> {
         let (version, rest) = bytes.split_first().ok_or(WireError::Unauthenticated)?;
-        if *version != VERSION {
+        if ![VERSION, COMPRESSED_VERSION].contains(version) {
             return Err(WireError::Version(*version));
         }
         let (tag, payload) = rest
@@ -111,6 +128,9 @@
         if self.tag(path, payload) != blake3::Hash::from_bytes(*tag) {
             return Err(WireError::Unauthenticated);
         }
+        if *version == COMPRESSED_VERSION {
+            return decode(&decompress(payload)?);
+        }
         decode(payload)
     }
 
@@ -127,6 +147,31 @@
     }
 }
 
+/// Compresses a payload and puts its size before it.
+fn compress(payload: &[u8]) -> Result<Vec<u8>, WireError> {
+    let size = u32::try_from(payload.len())
+        .map_err(|_| WireError::Malformed("the message is too large".to_owned()))?;
+    let packed = zstd::bulk::compress(payload, COMPRESSION_LEVEL)
+        .map_err(|error| WireError::Malformed(error.to_string()))?;
+    let mut bytes = Vec::with_capacity(SIZE_BYTES + packed.len());
+    bytes.extend_from_slice(&size.to_le_bytes());
+    bytes.extend_from_slice(&packed);
+    Ok(bytes)
+}
+
+/// Undoes [`compress`]. Allocates no more than the stated size, which is limited.
+fn decompress(bytes: &[u8]) -> Result<Vec<u8>, WireError> {
+    let malformed = |error: &str| WireError::Malformed(error.to_owned());
+    let (size, packed) = bytes
+        .split_first_chunk::<SIZE_BYTES>()
+        .ok_or_else(|| malformed("the compressed message is too short"))?;
+    let size = usize::try_from(u32::from_le_bytes(*size)).unwrap_or(usize::MAX);
+    if size > MAX_PAYLOAD_BYTES {
+        return Err(malformed("the compressed message is too large"));
+    }
+    zstd::bulk::decompress(packed, size).map_err(|error| malformed(&error.to_string()))
+}
+
 /// Why a frame could not be read.
 #[derive(Debug)]
 pub enum FrameError {
--- a/crates/wire/tests/seal.rs
+++ b/crates/wire/tests/seal.rs
@@ -28,7 +28,35 @@
     bytes
 }
 
+/// A document like a plan with many routes.
+fn document() -> String {
+    let route = |n: u64| {
+        let name = n.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
+        format!(
+            r#"{{"Name":"r-{name:x}","Host":"ficu95.example","PathPrefix":"/{name:x}/","Kind":"stream","TimeoutMs":3000}}"#
+        )
+    };
+    (0..1400).map(route).collect::<Vec<_>>().join(",")
+}
+
 case::cases! {
+    long_message_is_compressed_to_a_fifth: {
+        let document = document();
+        let sealer = sealer("quito", "s");
+        let bytes = sealer.seal("/peer/feed", &document).unwrap();
+        assert!(bytes.len() < document.len() / 5, "{} of {}", bytes.len(), document.len());
+        assert_eq!(sealer.open::<String>("/peer/feed", &bytes), Ok(document));
+    };
+    altered_or_truncated_long_message_is_rejected: {
+        let sealer = sealer("quito", "s");
+        let bytes = sealer.seal("/peer/feed", &document()).unwrap();
+        for at in [0, 1, 33, 36, 40, bytes.len() / 2, bytes.len() - 1] {
+            let mut altered = bytes.clone();
+            altered[at] ^= 1;
+            assert!(sealer.open::<String>("/peer/feed", &altered).is_err(), "{at}");
+            assert!(sealer.open::<String>("/peer/feed", &bytes[..at]).is_err(), "{at}");
+        }
+    };
     unchanged_message_is_accepted: assert_eq!(
         open(&sealer("quito", "s"), "/peer/view", &sealed()),
         Ok((7, "text".to_owned()))
