Lose no usage when a lease lapses during a report, in an outage, or to a wrong clock

Now the report is repeated with the same counts, which the platform ignores. - Statements beyond 64 were dropped though never accepted. Only accepted ones are dropped now. - More than eight open windows evicted the oldest: an outage of 40 s lost counts, and a process with a wrong clock displaced those of all others. Windows far ahead are ignored until the earlier ones are sealed; processes repeat their counts until then.

--- a/crates/govern/src/billing.rs
+++ b/crates/govern/src/billing.rs
@@ -71,13 +71,11 @@
         self.sealing = false;
     }
 
-    /// Records the billing interface's response to a report, and schedules a retry if it was not
-    /// accepted.
-    pub(crate) fn response_received(&mut self, now: Tick, accepted: bool) {
-        if !accepted {
-            self.reporting = false;
-            self.retry_at = now + REPORT_RETRY;
-        }
+    /// Schedules another report of the same statement, because the last one was not accepted or its
+    /// acceptance could not be proposed.
+    pub(crate) fn report_failed(&mut self, now: Tick) {
+        self.reporting = false;
+        self.retry_at = now + REPORT_RETRY;
     }
 
     /// Records that the acceptance of a report is committed, so that the next statement may be
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -221,6 +221,19 @@
         }
     }
 
+    /// Proposes a command of this host's own duties. Returns whether it is in the log; it is not if
+    /// this host has no valid lease or the command cannot be encoded.
+    pub(crate) fn propose_duty(
+        &mut self,
+        now: Tick,
+        command: &Command,
+        out: &mut Outbox<Output>,
+    ) -> bool {
+        let last = self.node.status().last;
+        self.propose(now, None, command, out);
+        self.node.status().last > last
+    }
+
     /// Proposes a command. With a ticket, replies to its request once the command is committed or
     /// cannot be proposed.
     pub(crate) fn propose(
@@ -498,10 +511,9 @@
         accepted: bool,
         out: &mut Outbox<Output>,
     ) {
-        if accepted {
-            // The next window is reported only once this acceptance is committed.
-            self.propose(now, None, &Command::AcceptWindow(number), out);
-        } else {
+        // The next window is reported only once this acceptance is committed. If it cannot be
+        // proposed, the report is repeated.
+        if !accepted || !self.propose_duty(now, &Command::AcceptWindow(number), out) {
             self.delivering = false;
             self.delivery_retry = now + DELIVERY_RETRY;
         }
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -187,9 +187,11 @@
         accepted: bool,
         out: &mut Outbox<Output>,
     ) {
-        self.billing.response_received(now, accepted);
-        if accepted {
-            self.propose(now, None, &Command::AcceptStatement(window), out);
+        // The next statement is reported only once this acceptance is committed. If it cannot be
+        // proposed, the report is repeated.
+        let recorded = accepted && self.propose_duty(now, &Command::AcceptStatement(window), out);
+        if !recorded {
+            self.billing.report_failed(now);
         }
     }
 
--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -199,6 +199,8 @@
     pub(crate) listing: Vec<u8>,
     /// Whether the platform accepts reports.
     pub(crate) accepts_reports: bool,
+    /// Time until the platform responds to a report, in microseconds.
+    pub(crate) report_time: u64,
     /// Whether hosts report writes as synced before the disk has synced them. The protocol forbids it.
     pub(crate) skip_sync: bool,
     /// The last identity given to a host with an empty disk.
@@ -238,6 +240,7 @@
             listing_reads: Vec::new(),
             listing: b"list".to_vec(),
             accepts_reports: true,
+            report_time: HOP_US,
             skip_sync: false,
             last_id: 100,
         };
@@ -530,7 +533,8 @@
                 let window = statement.window;
                 self.reports.push((n, lease.term.0, statement));
                 let delivered = Input::StatementDelivered(window, self.accepts_reports);
-                self.schedule(HOP_US, Event::Input(n, incarnation, Box::new(delivered)));
+                let event = Event::Input(n, incarnation, Box::new(delivered));
+                self.schedule(self.report_time, event);
             }
             Output::FetchListing => {
                 self.listing_reads[n] += 1;
--- a/crates/govern/tests/plan.rs
+++ b/crates/govern/tests/plan.rs
@@ -216,6 +216,31 @@
         assert_eq!(reports.len(), 1);
         assert_eq!(reports[0].2.runs["ana"], 3);
     };
+    // The acceptance cannot be proposed without a lease. The report is repeated, with the same
+    // counts, and the windows after it follow.
+    report_accepted_while_the_lease_has_lapsed_is_repeated: {
+        let (mut group, leader) = group_with_plan();
+        let window = group.window();
+        group.report_time = 505_000;
+        group.tally("f1", &[(window, 3), (window + 1, 4)]);
+        while group.reports.is_empty() {
+            group.advance(1);
+        }
+        group.isolate(leader);
+        group.advance(508);
+        group.heal();
+        group.report_time = 1000;
+        let term = group.reports[0].1;
+        group.advance(20_000);
+        // The group kept its leader, so no new term has started the reports anew.
+        assert!(group.reports.iter().all(|(n, at, _)| (*n, *at) == (leader, term)));
+        let counts = |at: u64| {
+            let reports = group.reports.iter().filter(move |(.., s)| s.window == at);
+            reports.map(|(.., s)| s.runs["ana"]).collect::<Vec<_>>()
+        };
+        assert_eq!(counts(window), [3, 3]);
+        assert_eq!(counts(window + 1), [4]);
+    };
     rejected_report_is_retried_with_the_same_counts: {
         let (mut group, leader) = group_with_plan();
         let window = group.window();
--- a/crates/usage/src/statement.rs
+++ b/crates/usage/src/statement.rs
@@ -16,10 +16,12 @@
 
 use crate::window::Delivery;
 
-/// Sealed statements that are kept; they span a few minutes.
-const MAX_STATEMENTS: usize = 64;
-/// Open windows that are kept for processes that report late.
-const MAX_OPEN_WINDOWS: usize = 8;
+/// Accepted statements that are kept; they span a few minutes. Statements that the billing interface
+/// has not accepted are always kept.
+const MAX_ACCEPTED: usize = 64;
+/// Number of windows, from the next one to seal, whose counts are recorded. Processes repeat the
+/// counts of later windows until these are sealed.
+const MAX_OPEN_WINDOWS: u64 = 8;
 
 /// Number of requests whose execution started, by account.
 pub type Runs = BTreeMap<String, u64>;
@@ -65,17 +67,21 @@
 
 impl Statements {
     /// Records a process's counts, which replace its earlier ones. Counts for sealed windows are
-    /// ignored.
+    /// ignored, and so are those for windows far ahead: the process repeats them.
     pub fn record(&mut self, tally: Tally) {
         let (reporter, windows) = tally;
-        for (window, runs) in windows {
-            if self.last.is_none_or(|last| window > last) {
-                let reporters = self.open.entry(window).or_default();
-                reporters.insert(reporter.clone(), runs);
-            }
-        }
-        while self.open.len() > MAX_OPEN_WINDOWS {
-            self.open.pop_first();
+        let first = windows.iter().map(|(window, _)| *window).min();
+        let Some(next) = self.next_to_seal().or(first) else {
+            return;
+        };
+        let sealed = |window: u64| self.last.is_some_and(|last| window <= last);
+        let end = next.saturating_add(MAX_OPEN_WINDOWS);
+        let counted = windows
+            .into_iter()
+            .filter(|(window, _)| !sealed(*window) && *window < end);
+        for (window, runs) in counted {
+            let reporters = self.open.entry(window).or_default();
+            reporters.insert(reporter.clone(), runs);
         }
     }
 
@@ -98,7 +104,13 @@
             sources: reporters.len(),
             delivery: Delivery::Pending,
         });
-        if self.sealed.len() > MAX_STATEMENTS {
+        self.trim();
+    }
+
+    /// Drops the oldest accepted statements beyond [`MAX_ACCEPTED`].
+    fn trim(&mut self) {
+        let accepted = |statement: &&Statement| matches!(statement.delivery, Delivery::Accepted);
+        while self.sealed.len() > MAX_ACCEPTED && self.sealed.front().filter(accepted).is_some() {
             self.sealed.pop_front();
         }
     }
@@ -112,6 +124,7 @@
         if let Some(statement) = found {
             statement.delivery = Delivery::Accepted;
         }
+        self.trim();
     }
 
     /// How many processes reported the last sealed window.
--- a/crates/usage/tests/statements.rs
+++ b/crates/usage/tests/statements.rs
@@ -76,4 +76,32 @@
         assert_eq!(Statements::default().next_to_seal(), None);
         assert_eq!(recorded(&[tally("a", 1, &[(9, 0), (7, 3)])]).next_to_seal(), Some(7));
     };
+    // The billing interface may be unreachable for a long time.
+    statements_that_were_never_accepted_are_kept: {
+        let mut statements = recorded(&[tally("a", 1, &[(1, 5)])]);
+        (1..=200).for_each(|window| statements.seal(window));
+        let pending = statements.pending().unwrap();
+        assert_eq!((pending.window, pending.runs["ana"]), (1, 5));
+        (1..=200).for_each(|window| statements.accept(window));
+        assert_eq!(statements.pending(), None);
+    };
+    // A process whose clock is wrong must not displace the counts of others.
+    counts_of_windows_far_ahead_displace_no_open_window: {
+        let mut statements = recorded(&[tally("a", 1, &[(7, 5)])]);
+        let ahead: Vec<_> = (1000..1020).map(|window| (window, 1)).collect();
+        statements.record(tally("b", 1, &ahead));
+        statements.seal(7);
+        assert_eq!(statements.pending().unwrap().runs["ana"], 5);
+    };
+    // During an outage processes repeat their counts, and the windows are sealed one by one.
+    windows_of_an_outage_are_all_counted: {
+        let all: Vec<_> = (7..40).map(|window| (window, 1)).collect();
+        let mut statements = recorded(&[tally("a", 1, &all)]);
+        for window in 7..40 {
+            statements.record(tally("a", 1, &all));
+            statements.seal(window);
+            assert_eq!(statements.pending().unwrap().runs["ana"], 1, "{window}");
+            statements.accept(window);
+        }
+    };
 }
