Limit short calls in time as a whole, and reset them when they end early

oxhttp limits each read, so a platform or control host that sends a byte now and then in a head or a body held its caller for good: the listing thread would never have read the listing again. The client now runs on hyper and smol, as the front's does, with one timeout from the connection to the last byte, and resets the connection if a call ends early, so that a usage report held up by a partition cannot arrive after its lease.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -1,22 +1,39 @@
 //! The client for short calls to control hosts, the platform and engines' control interfaces.
 
 use std::fmt;
-use std::io::{
-    self,
-    Read, //
-};
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oxhttp::model::header::CONTENT_LENGTH;
-use oxhttp::model::{
-    Body,
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::body::{
+    Bytes,
+    Incoming, //
+};
+use hyper::client::conn::http1;
+use hyper::header::{
+    CONNECTION,
+    CONTENT_LENGTH,
+    HOST,
     HeaderName,
-    HeaderValue,
+    HeaderValue, //
+};
+use hyper::{
     Method,
     Request,
     Uri, //
 };
+use rustix::net::sockopt::set_socket_linger;
+use smol::Timer;
+use smol::future::{
+    self,
+    FutureExt, //
+};
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
 
 /// Why a call failed.
 #[derive(Debug)]
@@ -63,17 +80,19 @@
     pub body: Vec<u8>,
 }
 
-/// Makes short calls, each on a new connection.
+/// Makes short calls, each on a new connection. A call that ends early resets its connection, so that
+/// bytes held up in the network do not arrive later.
 #[derive(Clone, Copy, Debug)]
 pub struct Client {
     timeout: Duration,
 }
 
 /// Largest response to a short call. The largest supported configuration is smaller.
-const MAX_RESPONSE_BYTES: u64 = 64 * 1024 * 1024;
+const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
 impl Client {
-    /// Creates a client that waits at most `timeout` for the connection and for each read.
+    /// Creates a client whose calls take at most `timeout`, from the connection to the last byte of
+    /// the response.
     pub fn new(timeout: Duration) -> Self {
         Self { timeout }
     }
@@ -92,34 +111,60 @@
         body: Vec<u8>,
     ) -> Result<Response, CallError> {
         let request = build(address, method, target, headers, body)?;
-        let client = oxhttp::Client::new().with_global_timeout(self.timeout);
-        let response = client
-            .request(request)
-            .map_err(|error| match error.kind() {
-                io::ErrorKind::ConnectionRefused => CallError::NotConnected(error),
-                io::ErrorKind::WouldBlock => CallError::TimedOut,
-                _ => CallError::Failed(error),
-            })?;
+        let timeout = async {
+            Timer::after(self.timeout).await;
+            Err(CallError::TimedOut)
+        };
+        smol::block_on(exchange(address, request).or(timeout))
+    }
+}
+
+/// Opens a connection, sends a request and reads the complete response.
+async fn exchange(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response, CallError> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => CallError::NotConnected(error),
+            _ => CallError::Failed(error),
+        })?;
+    stream.set_nodelay(true).map_err(CallError::Failed)?;
+    set_socket_linger(&stream, Some(Duration::ZERO))
+        .map_err(|error| CallError::Failed(error.into()))?;
+    let handshake = http1::handshake(FuturesIo::new(stream)).await;
+    let (mut sender, driver) = handshake.map_err(failed)?;
+    let drive = async {
+        // The request on the connection reports its errors.
+        let _ = driver.await;
+        future::pending().await
+    };
+    let call = async {
+        let response = sender.send_request(request).await.map_err(failed)?;
         let status = response.status().as_u16();
-        let mut body = response.into_body();
-        let expected = body.len();
-        let mut bytes = Vec::new();
-        let read = body
-            .by_ref()
-            .take(MAX_RESPONSE_BYTES + 1)
-            .read_to_end(&mut bytes);
-        read.map_err(CallError::Failed)?;
-        if bytes.len() as u64 > MAX_RESPONSE_BYTES {
-            return Err(CallError::TooLarge);
+        let body = read(response.into_body()).await?;
+        Ok(Response { status, body })
+    };
+    call.or(drive).await
+}
+
+/// Reads a body up to [`MAX_RESPONSE_BYTES`].
+async fn read(mut body: Incoming) -> Result<Vec<u8>, CallError> {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(failed)?.into_data() {
+            bytes.extend_from_slice(&data);
         }
-        if expected.is_some_and(|expected| expected != bytes.len() as u64) {
-            return Err(CallError::Failed(io::ErrorKind::UnexpectedEof.into()));
+        if bytes.len() > MAX_RESPONSE_BYTES {
+            return Err(CallError::TooLarge);
         }
-        Ok(Response {
-            status,
-            body: bytes,
-        })
     }
+    Ok(bytes)
+}
+
+fn failed(error: hyper::Error) -> CallError {
+    CallError::Failed(io::Error::other(error))
 }
 
 /// Builds a request. The library sets the content length from the body.
@@ -129,15 +174,18 @@
     target: &str,
     headers: &[(&str, &str)],
     body: Vec<u8>,
-) -> Result<Request<Body>, CallError> {
+) -> Result<Request<Full<Bytes>>, CallError> {
     let malformed = |error: &dyn fmt::Display| CallError::Malformed(error.to_string());
-    let uri: Uri = format!("http://{address}{target}")
-        .parse()
-        .map_err(|error| malformed(&error))?;
+    let uri: Uri = target.parse().map_err(|error| malformed(&error))?;
     let method: Method = method.parse().map_err(|error| malformed(&error))?;
-    let mut request = Request::new(Body::from(body));
+    let host = HeaderValue::from_str(&address.to_string()).map_err(|error| malformed(&error))?;
+    let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.uri_mut() = uri;
     *request.method_mut() = method;
+    request.headers_mut().insert(HOST, host);
+    request
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
     for (name, value) in headers {
         let name: HeaderName = name.parse().map_err(|error| malformed(&error))?;
         let value: HeaderValue = value.parse().map_err(|error| malformed(&error))?;
--- /dev/null
+++ b/crates/edge/tests/client.rs
@@ -0,0 +1,86 @@
+//! Calls end in bounded time and memory, whatever the other side sends.
+
+use std::io::{
+    Read,
+    Write, //
+};
+use std::net::{
+    SocketAddr,
+    TcpListener, //
+};
+use std::sync::mpsc::{
+    Receiver,
+    channel, //
+};
+use std::thread;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use edge::{
+    CallError,
+    Client,
+    Response, //
+};
+
+/// Timeout of the calls, far below the time for which the servers send.
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Serves one connection: sends `start`, and then `repeated` at intervals until the caller closes the
+/// connection or 20 s have passed. The receiver gets whether the caller closed it.
+fn server(
+    start: &'static str,
+    repeated: String,
+    interval: Duration,
+) -> (SocketAddr, Receiver<bool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tx, rx) = channel();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 1024]);
+        let mut open = stream.write_all(start.as_bytes()).is_ok();
+        for _ in 0..20_000 / interval.as_millis().max(1) {
+            open = open && stream.write_all(repeated.as_bytes()).is_ok();
+            if !open {
+                break;
+            }
+            thread::sleep(interval);
+        }
+        let _ = tx.send(!open);
+    });
+    (address, rx)
+}
+
+/// Calls a server. A failed call must have ended before the server did, by closing the connection.
+fn call(server: (SocketAddr, Receiver<bool>)) -> Result<Response, CallError> {
+    let (address, closed) = server;
+    let result = Client::new(TIMEOUT).call(address, "GET", "/", &[], Vec::new());
+    assert!(result.is_ok() || closed.recv().unwrap());
+    result
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+case::cases! {
+    complete_response_is_returned: {
+        let server = server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", String::new(), TIMEOUT);
+        assert_eq!(call(server).unwrap().body, b"ok");
+    };
+    body_that_trickles_without_end_times_out: {
+        let server = server(HEAD, "1\r\nx\r\n".to_owned(), Duration::from_millis(50));
+        assert_matches!(call(server), Err(CallError::TimedOut));
+    };
+    body_without_end_is_too_large_or_times_out: {
+        let chunk = format!("{:x}\r\n{}\r\n", 1 << 20, "x".repeat(1 << 20));
+        let server = server(HEAD, chunk, Duration::ZERO);
+        assert_matches!(call(server), Err(CallError::TimedOut | CallError::TooLarge));
+    };
+    head_without_end_is_a_failure: {
+        let server = server("HTTP/1.1 200 OK\r\n", "X-Filler: filler\r\n".repeat(100), Duration::ZERO);
+        assert_matches!(call(server), Err(CallError::Failed(_)));
+    };
+    head_that_trickles_without_end_times_out: {
+        let server = server("HTTP/1.1 200 OK\r\nX-Filler: ", "x".to_owned(), Duration::from_millis(50));
+        assert_matches!(call(server), Err(CallError::TimedOut));
+    };
+}
