Close responses without end, and count only complete events as progress

From the users' list of troubles, each played by an engine in platform/tests: - An event without end grew the front's buffer without limit. It is limited to 256 kB; the stream is resumed elsewhere or broken off. - A stalled stream that sends a byte now and then was never resumed, since each chunk restarted the limit for pauses.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -46,7 +46,7 @@
 };
 
 /// Maximum size of a response that is read completely. Responses of engines take a few kilobytes.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// The head of a response whose body has not been read yet.
 pub(crate) struct OpenResponse {
--- a/crates/front/src/event_buffer.rs
+++ b/crates/front/src/event_buffer.rs
@@ -1,5 +1,12 @@
 //! Buffers a stream of server-sent events, so that the front forwards only complete events.
 
+/// Maximum size of an incomplete event, in bytes. Events of engines take about a hundred bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// The endpoint sends an event without end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTooLarge;
+
 /// Buffers the bytes of an incomplete event at the end of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct EventBuffer {
@@ -14,17 +21,25 @@
     }
 
     /// Adds bytes and returns all complete events in the buffer; empty if there are none.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// [`EventTooLarge`] if the incomplete event exceeds the limit.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLarge> {
         self.buffer.extend_from_slice(bytes);
         let Some(end) = end_of_last_event(&self.buffer) else {
-            return Vec::new();
+            return if self.buffer.len() > MAX_EVENT_BYTES {
+                Err(EventTooLarge)
+            } else {
+                Ok(Vec::new())
+            };
         };
         let rest = self.buffer.split_off(end);
         let events = std::mem::replace(&mut self.buffer, rest);
         if let Some(id) = find_last_id(&events) {
             self.last_id = Some(id);
         }
-        events
+        Ok(events)
     }
 
     /// Returns the remaining bytes at the end of a stream.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -27,7 +27,10 @@
     ProtocolAdapter,
     ResponseHead, //
 };
-pub use event_buffer::EventBuffer;
+pub use event_buffer::{
+    EventBuffer,
+    EventTooLarge, //
+};
 pub use role::{
     Handle,
     run, //
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -70,7 +70,10 @@
     Attachment,
     FrontInbox, //
 };
-use crate::event_buffer::EventBuffer;
+use crate::event_buffer::{
+    EventBuffer,
+    EventTooLarge, //
+};
 use crate::metrics::{
     Metrics,
     Stage, //
@@ -360,7 +363,10 @@
                 .with_deadline(deadline, next_chunk(&mut response.body))
                 .await?
             {
-                Some(bytes) => first = events.push(&bytes),
+                Some(bytes) => {
+                    let complete = events.push(&bytes);
+                    first = complete.map_err(|EventTooLarge| Failure::Garbled)?;
+                }
                 None => {
                     // A stream that ends without a complete event is forwarded unchanged.
                     first = events.take_rest();
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -27,7 +27,10 @@
     OutgoingRequest,
     next_chunk, //
 };
-use crate::event_buffer::EventBuffer;
+use crate::event_buffer::{
+    EventBuffer,
+    EventTooLarge, //
+};
 use crate::serve::{
     CoreClient,
     NextStep, //
@@ -76,22 +79,19 @@
         attempt: &Attempt,
         mut response: OpenResponse,
     ) -> Result<(), Option<Failure>> {
-        loop {
-            let clock = &self.attempts.clock;
-            let deadline = attempt.max_gap.map_or(attempt.deadline, |gap| {
-                (clock.now() + gap).min(attempt.deadline)
-            });
-            let bytes = self
-                .attempts
-                .with_deadline(deadline, next_chunk(&mut response.body))
-                .await?;
-            let Some(bytes) = bytes else {
-                break;
-            };
+        // Only a complete event is progress: an endpoint that sends a byte now and then has stalled.
+        let mut deadline = self.gap_deadline(attempt);
+        while let Some(bytes) = self
+            .attempts
+            .with_deadline(deadline, next_chunk(&mut response.body))
+            .await?
+        {
             let events = self.events.push(&bytes);
+            let events = events.map_err(|EventTooLarge| Failure::Garbled)?;
             if !events.is_empty() {
                 self.send(attempt.deadline, Chunk::Data(events.into()))
                     .await?;
+                deadline = self.gap_deadline(attempt);
             }
         }
         let rest = self.events.take_rest();
@@ -105,6 +105,13 @@
         Ok(())
     }
 
+    /// When the next complete event must have arrived.
+    fn gap_deadline(&self, attempt: &Attempt) -> Tick {
+        let now = self.attempts.clock.now();
+        let gap_end = attempt.max_gap.map(|gap| now + gap);
+        gap_end.map_or(attempt.deadline, |end| end.min(attempt.deadline))
+    }
+
     /// Sends further attempts until an endpoint resumes the stream after the last complete event.
     /// Returns `None` if the core allows no further attempt.
     async fn resume(
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -112,7 +112,7 @@
         };
         // If the remaining time is too short for two attempts, a timeout would only cost the
         // request its place in the endpoint's queue.
-        let retry_allowed = retry_allowed && request.deadline.since(now) >= timeout * 2;
+        let retry_start = retry_allowed && request.deadline.since(now) >= timeout * 2;
         let account = request.account.and_then(|id| plan.account(id));
         Some(Attempt {
             request: id,
@@ -123,7 +123,7 @@
             rank: request.priority.rank(),
             retry: route.retry,
             deadline: request.deadline,
-            start_deadline: retry_allowed.then_some(now + timeout),
+            start_deadline: retry_start.then_some(now + timeout),
             max_gap: retry_allowed.then_some(route.event_gap * GAP_TIMEOUT_FACTOR),
         })
     }
