Check the lease on the open connection, and serve no old directory

From the users' list of troubles: - Around a pause: a usage report was checked against the lease before its connection was opened; a process suspended in between would have sent it. The check is made on the open connection now, right before the write. - After a restart: a control host that has lost touch with the leader, or whose leader cannot read the listing, kept serving its last directory; a front that had just started would have used endpoints that left.

--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -98,7 +98,7 @@
     fn from(error: CallError) -> Self {
         match error {
             CallError::TimedOut => Self::Backend(Kind::EndpointTimeout),
-            CallError::NotConnected(_) | CallError::Malformed(_) => {
+            CallError::NotConnected(_) | CallError::Malformed(_) | CallError::NotPermitted => {
                 Self::Backend(Kind::EndpointMissing)
             }
             CallError::Failed(_) | CallError::TooLarge => Self::Backend(Kind::EndpointFailed),
--- a/crates/control/src/billing.rs
+++ b/crates/control/src/billing.rs
@@ -100,15 +100,17 @@
             .iter()
             .map(|(name, value)| (name.as_str(), value.as_str()))
             .collect();
-        // The lease is checked immediately before the request is sent: it may have expired while
-        // the process was suspended, and the process must not send then.
-        let remaining = lease.expires_at.since(self.clock.now());
-        if remaining < MIN_LEASE_REMAINING {
+        // The lease is checked again immediately before the request is written: it may have expired
+        // while the process was suspended or the connection was opened.
+        let remaining = || lease.expires_at.since(self.clock.now());
+        let permitted = || remaining() >= MIN_LEASE_REMAINING;
+        if !permitted() {
+            event!(self.log, WindowDeferred, "window" => number, "fault" => "the lease has expired");
             return false;
         }
-        let client = Client::new(remaining.min(Duration::from_secs(1)) / 2);
+        let client = Client::new(remaining().min(Duration::from_secs(1)) / 2);
         let body = request.body.clone();
-        match client.call(platform, "POST", &request.target, &headers, body) {
+        match client.post_if(platform, &request.target, &headers, body, permitted) {
             Ok(response) if response.status == 200 => {
                 event!(self.log, WindowDelivered, "window" => number);
                 true
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -353,7 +353,9 @@
     };
     let server = Server::start("control-edge", common.listen, common.limits, handler);
     let server = server.map_err(RunError::Edge)?;
-    event!(log, Started, "listen" => server.address().to_string(), "member" => id.to_string());
+    let mirror = disk.is_none();
+    event!(log, Started, "listen" => server.address().to_string(),
+        "member" => (!mirror).then(|| id.to_string()), "mirror" => mirror);
     Ok(Handle {
         server,
         plan_servers,
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -48,6 +48,8 @@
     TimedOut,
     /// The response is larger than the limit.
     TooLarge,
+    /// The permission to send had expired when the connection was open. No byte was sent.
+    NotPermitted,
 }
 
 impl fmt::Display for CallError {
@@ -58,6 +60,7 @@
             Self::Failed(error) => write!(f, "connection failed during the call: {error}"),
             Self::TimedOut => f.write_str("no response within the timeout"),
             Self::TooLarge => f.write_str("response too large"),
+            Self::NotPermitted => f.write_str("the permission to send has expired"),
         }
     }
 }
@@ -67,7 +70,10 @@
 impl CallError {
     /// Whether certainly no byte of the request was sent.
     pub fn unsent(&self) -> bool {
-        matches!(self, Self::Malformed(_) | Self::NotConnected(_))
+        matches!(
+            self,
+            Self::Malformed(_) | Self::NotConnected(_) | Self::NotPermitted
+        )
     }
 }
 
@@ -111,11 +117,38 @@
         body: Vec<u8>,
     ) -> Result<Response, CallError> {
         let request = build(address, method, target, headers, body)?;
+        self.run(address, request, || true)
+    }
+
+    /// As [`Client::call`] with a POST request, which is sent only if `permitted` still returns true
+    /// once the connection is open. The process may have been suspended while it opened.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`]; [`CallError::NotPermitted`] if the request was not sent for that reason.
+    pub fn post_if(
+        &self,
+        address: SocketAddr,
+        target: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+        permitted: impl Fn() -> bool,
+    ) -> Result<Response, CallError> {
+        let request = build(address, "POST", target, headers, body)?;
+        self.run(address, request, permitted)
+    }
+
+    fn run(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        permitted: impl Fn() -> bool,
+    ) -> Result<Response, CallError> {
         let timeout = async {
             Timer::after(self.timeout).await;
             Err(CallError::TimedOut)
         };
-        smol::block_on(exchange(address, request).or(timeout))
+        smol::block_on(exchange(address, request, permitted).or(timeout))
     }
 }
 
@@ -123,6 +156,7 @@
 async fn exchange(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    permitted: impl Fn() -> bool,
 ) -> Result<Response, CallError> {
     let stream = TcpStream::connect(address)
         .await
@@ -141,6 +175,9 @@
         future::pending().await
     };
     let call = async {
+        if !permitted() {
+            return Err(CallError::NotPermitted);
+        }
         let response = sender.send_request(request).await.map_err(failed)?;
         let status = response.status().as_u16();
         let body = read(response.into_body()).await?;
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -66,6 +66,17 @@
         let server = server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", String::new(), TIMEOUT);
         assert_eq!(call(server).unwrap().body, b"ok");
     };
+    // The process may be suspended between the decision to send and the open connection.
+    request_is_not_sent_once_its_permission_has_expired: {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let client = Client::new(TIMEOUT);
+        let result = client.post_if(address, "/", &[], b"order".to_vec(), || false);
+        assert_matches!(result, Err(error @ CallError::NotPermitted) if error.unsent());
+        let (mut stream, _) = listener.accept().unwrap();
+        // The connection was reset; not a byte of the request came.
+        assert!(stream.read(&mut [0; 16]).unwrap_or_default() == 0);
+    };
     body_that_trickles_without_end_times_out: {
         let server = server(HEAD, "1\r\nx\r\n".to_owned(), Duration::from_millis(50));
         assert_matches!(call(server), Err(CallError::TimedOut));
--- a/crates/front/src/listing.rs
+++ b/crates/front/src/listing.rs
@@ -32,6 +32,9 @@
 const FETCH_INTERVAL: Duration = Duration::from_millis(900);
 /// Interval between checks of the age of the control group's listing.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+/// How long a front that has just started waits for the control group's listing. The group supplies
+/// it with the first deployment, without which the front serves nothing.
+const START_GRACE: Duration = Duration::from_secs(1);
 /// Delay before a retry after a fetch failed.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -87,8 +90,7 @@
     /// Fetches the listing once, unless the control group supplies a recent one, and waits. Returns
     /// `None` once the core has ended.
     pub(crate) fn step(&mut self) -> Option<()> {
-        let read_at = Tick(self.listing_read.load(Ordering::Acquire));
-        if read_at > Tick::default() && self.clock.now().since(read_at) < self.max_age {
+        if self.awaits_control_group() {
             thread::park_timeout(AGE_CHECK_INTERVAL);
             return Some(());
         }
@@ -110,6 +112,15 @@
         Some(())
     }
 
+    /// Whether the control group has supplied a recent listing or may still supply the first one.
+    fn awaits_control_group(&self) -> bool {
+        let now = self.clock.now();
+        match Tick(self.listing_read.load(Ordering::Acquire)) {
+            read_at if read_at > Tick::default() => now.since(read_at) < self.max_age,
+            _ => now.since(Tick::default()) < START_GRACE,
+        }
+    }
+
     fn fetch(&mut self) -> Result<Vec<EndpointInfo>, String> {
         let pages = fetch_listing(&self.decoder.adapter, self.address)?;
         self.decoder.decode(&pages)
--- a/crates/govern/src/directory.rs
+++ b/crates/govern/src/directory.rs
@@ -14,6 +14,9 @@
 /// few seconds of being listed as draining, and calls to the platform are priced and limited in
 /// number.
 const READ_INTERVAL: Duration = Duration::from_millis(700);
+/// Age at which a directory is no longer served. Endpoints that it lists may have left, and a front
+/// that has just started would send requests to them.
+const DIRECTORY_TTL: Duration = Duration::from_secs(3);
 /// Low bits of a directory version, which count the directories of one term. The high bits hold the
 /// term.
 const COUNT_BITS: u32 = 32;
@@ -61,9 +64,15 @@
         }
     }
 
-    /// The directory; none before the first read.
-    pub(crate) fn directory(&self) -> Option<&Directory> {
-        self.read_at.map(|_| &self.directory)
+    /// The directory; none before the first read, or if the last one is too long ago.
+    pub(crate) fn directory(&self, now: Tick) -> Option<&Directory> {
+        let read_at = self.read_at?;
+        (now.since(read_at) < DIRECTORY_TTL).then_some(&self.directory)
+    }
+
+    /// The version of the directory, whatever its age; 0 before the first read.
+    pub(crate) fn version(&self) -> u64 {
+        self.directory.version
     }
 
     /// Time since the listing was last read; none before the first read.
--- a/crates/govern/src/mirror.rs
+++ b/crates/govern/src/mirror.rs
@@ -112,8 +112,9 @@
             .map_or(0, |snapshot| snapshot.generation)
     }
 
-    fn directory_version(&self) -> u64 {
-        let directory = self.reader.directory();
+    /// The version of the directory that this process serves; 0 if it serves none.
+    fn served_version(&self, now: Tick) -> u64 {
+        let directory = self.reader.directory(now);
         directory.map_or(0, |directory| directory.version)
     }
 
@@ -207,7 +208,7 @@
             .retain(|_, at| now.since(*at) <= SUBSCRIBER_ACTIVE);
         let held = FeedPosition {
             generation: Some(self.generation()),
-            directory: self.directory_version(),
+            directory: self.reader.version(),
         };
         self.uplink.request(now, host, held, self.fronts.len(), out);
     }
@@ -231,7 +232,7 @@
             return over.then_some(Reply::Unavailable);
         }
         let update = self.generation() > pending.held.generation
-            || self.directory_version() > pending.held.directory;
+            || self.served_version(now) > pending.held.directory;
         let renewed = self.uplink.refreshed_at >= Some(pending.received_at)
             && waited >= pending.max_wait / RENEWAL_DIVISOR;
         (update || renewed || over).then(|| self.deployment_reply(now, pending))
@@ -241,7 +242,7 @@
         let (unix_ms, received_at) = self.wall_clock;
         let held = pending.held;
         let newer = |snapshot: &&DeploymentSnapshot| snapshot.generation > held.generation;
-        let directory = self.reader.directory();
+        let directory = self.reader.directory(now);
         Reply::Deployment(Box::new(DeploymentReply {
             snapshot: self.snapshot.as_ref().filter(newer).cloned(),
             directory: directory
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -125,7 +125,7 @@
         let leader = self.leader().filter(|_| !self.node.leads());
         let held = FeedPosition {
             generation: None,
-            directory: self.directory_version(),
+            directory: self.reader.version(),
         };
         let fronts = self.deployments.active(now, SUBSCRIBER_ACTIVE);
         if let Some((leader, uplink)) = leader.zip(self.uplink.as_mut()) {
@@ -133,11 +133,6 @@
         }
     }
 
-    fn directory_version(&self) -> u64 {
-        let directory = self.reader.directory();
-        directory.map_or(0, |directory| directory.version)
-    }
-
     /// Requests to join the group if this host has no leader. As leader under a valid lease, reads
     /// the listing of endpoints, changes the group, and seals and reports usage. A leader wakes for
     /// every heartbeat, so these duties need no timer.
@@ -199,7 +194,7 @@
     /// have reached their deadline.
     pub(crate) fn reply_to_deployments(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let generation = self.machine.deployment.generation();
-        let directory = self.directory_version();
+        let directory = self.served_version(now);
         let has_update =
             |held: &DeploymentVersions| held.generation != generation || held.directory < directory;
         for (ticket, held) in self.deployments.take_ready(now, self.applied, has_update) {
@@ -215,7 +210,7 @@
     /// their deadline.
     pub(crate) fn reply_to_feeds(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let current = self.machine.deployment.generation();
-        let directory = self.directory_version();
+        let directory = self.served_version(now);
         let has_update = |held: &FeedPosition| {
             held.generation.is_some_and(|held| held != current) || held.directory < directory
         };
@@ -235,6 +230,12 @@
         }
     }
 
+    /// The version of the directory that this host serves; 0 if it serves none.
+    fn served_version(&self, now: Tick) -> u64 {
+        let directory = self.reader.directory(now);
+        directory.map_or(0, |directory| directory.version)
+    }
+
     /// The control processes that fronts may poll.
     fn distributors(&self, now: Tick) -> Vec<Distributor> {
         let Some(uplink) = &self.uplink else {
@@ -266,7 +267,7 @@
         let newer = |directory: &&::plan::Directory| directory.version > held.directory;
         DeploymentReply {
             snapshot: (held.generation != deployment.generation()).then(|| deployment.snapshot()),
-            directory: self.reader.directory().filter(newer).cloned(),
+            directory: self.reader.directory(now).filter(newer).cloned(),
             directory_age: self.reader.age(now),
             leader: self.leader(),
             hosts: self.hosts(),
--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -197,6 +197,8 @@
     pub(crate) listing_reads: Vec<usize>,
     /// The content of the platform's listing.
     pub(crate) listing: Vec<u8>,
+    /// Whether the platform's listing can be read.
+    pub(crate) listing_available: bool,
     /// Whether the platform accepts reports.
     pub(crate) accepts_reports: bool,
     /// Time until the platform responds to a report, in microseconds.
@@ -239,6 +241,7 @@
             reports: Vec::new(),
             listing_reads: Vec::new(),
             listing: b"list".to_vec(),
+            listing_available: true,
             accepts_reports: true,
             report_time: HOP_US,
             skip_sync: false,
@@ -459,7 +462,9 @@
             Event::Join(n, member) => {
                 self.request(n, Request::Join(member));
             }
-            Event::Listing(n, incarnation) if self.incarnations[n] == incarnation => {
+            Event::Listing(n, incarnation)
+                if self.incarnations[n] == incarnation && self.listing_available =>
+            {
                 let pages = vec![ByteBuf::from(self.listing.clone())];
                 self.step(n, Some(Input::Listing(pages)));
             }
--- a/crates/govern/tests/plan.rs
+++ b/crates/govern/tests/plan.rs
@@ -183,6 +183,40 @@
         assert_eq!(reply.leader.unwrap().ip().to_string(), format!("10.0.0.{leader}"));
         assert_eq!(group.listing_reads[follower], 0);
     };
+    // A front that has just started knows no endpoint; an old directory would bring departed ones
+    // back into use.
+    directory_is_not_served_once_it_is_old: {
+        let (mut group, leader) = group_with_plan();
+        group.advance(1000);
+        group.listing_available = false;
+        group.advance(2000);
+        for n in [leader, others(leader)[0]] {
+            assert!(group.deployment(n, 0).unwrap().directory.is_some());
+        }
+        group.advance(2000);
+        for n in [leader, others(leader)[0]] {
+            assert!(group.deployment(n, 0).unwrap().directory.is_none());
+        }
+        group.listing_available = true;
+        group.advance(1500);
+        for n in [leader, others(leader)[0]] {
+            assert!(group.deployment(n, 0).unwrap().directory.is_some());
+        }
+    };
+    restarted_hosts_serve_no_directory_of_before: {
+        let (mut group, _) = group_with_plan();
+        group.advance(1000);
+        (0..3).for_each(|n| group.crash(n));
+        group.listing = b"newer list".to_vec();
+        (0..3).for_each(|n| group.start(n));
+        for _ in 0..20 {
+            for n in 0..3 {
+                let reply = group.deployment(n, 0);
+                let directory = reply.and_then(|reply| reply.directory);
+                assert!(directory.is_none_or(|d| d.pages[0].as_slice() == b"newer list"));
+            }
+        }
+    };
     new_leader_has_a_higher_directory_version: {
         let (mut group, leader) = group_with_plan();
         group.advance(2000);
