Retry attempts that reached no endpoint without the budget

Cause: with a fifth of the endpoints lost at once (a zone, a quarter of the engines), a front needs a retry for a fifth of its requests; its share of the budget is 0.16 of them. The budget limits what endpoints receive beyond the first arrival of a request; an attempt whose connection could not be opened did not arrive.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -276,7 +276,8 @@
         }
     }
 
-    /// Whether a request may be retried after a failure. If so, takes the retry from the budget.
+    /// Whether a request may be retried after a failure. If so, takes the retry from the budget,
+    /// unless the attempt reached no endpoint.
     pub(crate) fn may_retry(
         &mut self,
         now: Tick,
@@ -303,6 +304,10 @@
         if !allowed || request.deadline.since(now) < MIN_RETRY_TIME {
             return false;
         }
+        if failure == Failure::Unreached {
+            // No endpoint received the attempt, so the next one is no additional load.
+            return true;
+        }
         let budget = self.retry_budgets.entry(service.name.clone()).or_default();
         let window = self.options.retry_window;
         let extra = self.options.retry_extra / self.fronts as f64;
