Give the data directory a module of its own, and names to tuples and flags

The leader's record of distributors and the lanes of a service are types instead of tuples and a flag. No change of behaviour.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! The control thread runs the core. Requests enter through [`edge`] servers; the core's outputs go
 //! to dedicated threads: one for the disk, one for billing, one for the endpoint listing, one for
-//! requests to join a group, and one for each other control host.
+//! requests to join a group, one for the feed, and one for each other control host.
+//!
+//! A host without a data directory runs the core of a mirror, which is no member of the group.
 
 mod admin;
 mod api;
@@ -18,6 +20,7 @@
 mod platform;
 mod role;
 mod settings;
+mod storage;
 mod transport;
 
 pub use platform::{
@@ -29,9 +32,7 @@
 };
 pub use role::{
     Handle,
-    InitMode,
     RunError,
-    init,
     run,
     run_with, //
 };
@@ -40,3 +41,7 @@
     Settings,
     read_secret, //
 };
+pub use storage::{
+    InitMode,
+    init, //
+};
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{
@@ -12,13 +11,9 @@
 };
 
 use agree::{
-    Body,
-    DurableState,
-    Entry,
     Member,
     MemberId,
     PromotionPolicy,
-    Record,
     Stage,
     Timing, //
 };
@@ -46,13 +41,9 @@
 };
 use ids::{
     Clock,
-    ClusterName,
     DigestKey,
-    HostName,
     Incarnation,
-    Index,
     Monotonic,
-    Term,
     millis, //
 };
 use obs::{
@@ -63,10 +54,7 @@
 use peer::ControlClient;
 use plan::Distributor;
 use step::Worker;
-use store::{
-    StateDir,
-    StoreError, //
-};
+use store::StoreError;
 use wire::{
     MessagePack,
     Sealer,
@@ -85,7 +73,6 @@
     self,
     Deliverer, //
 };
-use crate::codec;
 use crate::command::CommandHandler;
 use crate::disk::{
     self,
@@ -108,10 +95,8 @@
     NoPlatform,
     PlatformCodec, //
 };
-use crate::settings::{
-    PlanSettings,
-    Settings, //
-};
+use crate::settings::Settings;
+use crate::storage;
 use crate::transport::Transport;
 
 /// How long a stopping host may take to respond to the requests that it has received.
@@ -163,38 +148,6 @@
     }
 }
 
-/// How an empty data directory is initialized.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum InitMode {
-    /// The host is the first member of a new group.
-    Bootstrap,
-    /// The host becomes a member of an existing group later, by an operator's command or by its own
-    /// request to join.
-    Join,
-}
-
-/// Initializes an empty data directory with a new member identity, and returns the identity.
-///
-/// # Errors
-///
-/// [`RunError::Store`] if the directory cannot be written or already holds state;
-/// [`RunError::State`] if the first record cannot be encoded.
-pub fn init(settings: &Settings, mode: InitMode) -> Result<MemberId, RunError> {
-    let id = rand::random();
-    let record = match mode {
-        InitMode::Join => Record::default(),
-        InitMode::Bootstrap => bootstrap_record(vec![Member {
-            id: MemberId(id),
-            host: settings.common.host.clone(),
-            address: settings.address(),
-            stage: Stage::Voter,
-        }]),
-    };
-    let data = settings.data_dir.as_deref().ok_or(RunError::NoDataDir)?;
-    StateDir::init(data, id, &codec::encode_frame(&[record])?)?;
-    Ok(MemberId(id))
-}
-
 /// A running control host.
 pub struct Handle {
     server: Server,
@@ -234,7 +187,7 @@
     let common = &settings.common;
     let clock = Monotonic::start();
     let stored = match &settings.data_dir {
-        Some(data) => Some(open_or_init(settings, data, &log)?),
+        Some(data) => Some(storage::open_or_init(settings, data, &log)?),
         None => None,
     };
     // A mirror's identity is never that of a member, so that no member accepts its messages.
@@ -369,21 +322,6 @@
     })
 }
 
-/// What a member of the group has read from its disk.
-struct Stored {
-    dir: StateDir,
-    id: MemberId,
-    durable: DurableState,
-}
-
-/// Opens the data directory. A host that serves a plan initializes an empty one first.
-fn open_or_init(settings: &Settings, data: &Path, log: &Logger) -> Result<Stored, RunError> {
-    if let Some(plan) = &settings.plan {
-        prepare_data_dir(settings, plan, data)?;
-    }
-    open(data, log)
-}
-
 /// The options of a member of the group.
 fn member_options(settings: &Settings, id: MemberId) -> Options {
     Options {
@@ -430,57 +368,6 @@
     })
 }
 
-/// Initializes an empty data directory. If the settings require a new group and name this host as
-/// a seed, the host becomes a member of that group; otherwise it requests to join a group later.
-fn prepare_data_dir(settings: &Settings, plan: &PlanSettings, data: &Path) -> Result<(), RunError> {
-    if StateDir::exists(data) {
-        return Ok(());
-    }
-    let own = settings.address();
-    if !plan.bootstrap || !plan.seeds.contains(&own) {
-        return init(settings, InitMode::Join).map(|_| ());
-    }
-    let cluster = &settings.common.cluster;
-    let mut seeds = plan.seeds.clone();
-    seeds.sort_unstable();
-    seeds.dedup();
-    let members = seeds.iter().map(|seed| bootstrap_member(cluster, *seed));
-    let members = members.collect::<Result<Vec<_>, _>>()?;
-    // All seeds start with the same entry, so that they agree on it without a leader.
-    let record = bootstrap_record(members);
-    let id = bootstrap_member(cluster, own)?.id;
-    StateDir::init(data, id.0, &codec::encode_frame(&[record])?)?;
-    Ok(())
-}
-
-/// The first record of a new group with these members.
-fn bootstrap_record(members: Vec<Member>) -> Record {
-    Record {
-        vote: Some((Term(1), None)),
-        truncate: None,
-        entries: vec![Entry {
-            index: Index(1),
-            term: Term(1),
-            body: Body::Members(members),
-        }],
-    }
-}
-
-/// A seed as a member of a new group. Its identity is derived from its address, so that all seeds
-/// obtain the same identity without communication.
-fn bootstrap_member(cluster: &ClusterName, address: SocketAddr) -> Result<Member, RunError> {
-    let digest = blake3::hash(format!("{cluster} {address}").as_bytes());
-    let (id, _) = digest.as_bytes().split_at(8);
-    let id = id.iter().fold(0, |id, byte| id << 8 | u64::from(*byte));
-    let host = HostName::try_from(format!("seed-{}", address.ip()).as_str());
-    Ok(Member {
-        id: MemberId(id),
-        host: host.map_err(|error| RunError::State(error.to_string()))?,
-        address,
-        stage: Stage::Voter,
-    })
-}
-
 /// Serves the counters.
 struct MetricsHandler(Counters);
 
@@ -494,26 +381,6 @@
     }
 }
 
-/// Opens the data directory and decodes the durable state.
-fn open(data: &Path, log: &Logger) -> Result<Stored, RunError> {
-    let (dir, recovered) = StateDir::open(data)?;
-    if recovered.torn_bytes > 0 {
-        event!(log, JournalTruncated, "bytes" => recovered.torn_bytes);
-    }
-    let (meta, state) = codec::decode_snapshot(&recovered.snapshot)?;
-    let mut durable = DurableState::new(meta, state);
-    for frame in &recovered.records {
-        codec::decode_frame(frame)?
-            .into_iter()
-            .for_each(|record| durable.replay(record));
-    }
-    Ok(Stored {
-        dir,
-        id: MemberId(recovered.identity),
-        durable,
-    })
-}
-
 fn unix_millis() -> u64 {
     let elapsed = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/govern/src/feed.rs
+++ b/crates/govern/src/feed.rs
@@ -41,47 +41,50 @@
     pub(crate) directory: u64,
 }
 
-/// The leader's record of the control processes that it feeds.
-#[derive(Debug, Default)]
-pub(crate) struct Distributors {
-    /// By address: the zone, the number of fronts that poll the process, and when it last sent a
-    /// request.
-    seen: BTreeMap<SocketAddr, (String, usize, Tick)>,
+/// What the leader knows of a control process that it feeds.
+#[derive(Debug)]
+struct Fed {
+    zone: String,
+    /// How many fronts poll the process.
+    subscribers: usize,
+    /// When it last sent a request.
+    seen_at: Tick,
 }
 
+/// The leader's record of the control processes that it feeds, by address.
+#[derive(Debug, Default)]
+pub(crate) struct Distributors(BTreeMap<SocketAddr, Fed>);
+
 impl Distributors {
     /// Records a distributor's request.
     pub(crate) fn record(&mut self, now: Tick, distributor: &Distributor, subscribers: usize) {
-        self.seen
-            .retain(|_, (.., at)| now.since(*at) < DISTRIBUTOR_TTL);
-        let entry = (distributor.zone.clone(), subscribers, now);
-        self.seen.insert(distributor.address, entry);
+        self.0
+            .retain(|_, fed| now.since(fed.seen_at) < DISTRIBUTOR_TTL);
+        let fed = Fed {
+            zone: distributor.zone.clone(),
+            subscribers,
+            seen_at: now,
+        };
+        self.0.insert(distributor.address, fed);
     }
 
     /// How many fronts poll the distributors.
     pub(crate) fn subscribers(&self, now: Tick) -> usize {
-        self.current(now)
-            .map(|(_, subscribers, _)| subscribers)
-            .sum()
+        self.current(now).map(|(_, fed)| fed.subscribers).sum()
     }
 
     /// The distributors that have sent a request recently.
     pub(crate) fn list(&self, now: Tick) -> Vec<Distributor> {
-        let current = self
-            .seen
-            .iter()
-            .filter(|(_, (.., at))| now.since(*at) < DISTRIBUTOR_TTL);
-        let distributor =
-            |(address, (zone, ..)): (&SocketAddr, &(String, usize, Tick))| Distributor {
-                address: *address,
-                zone: zone.clone(),
-            };
-        current.map(distributor).collect()
+        let distributor = |(address, fed): (&SocketAddr, &Fed)| Distributor {
+            address: *address,
+            zone: fed.zone.clone(),
+        };
+        self.current(now).map(distributor).collect()
     }
 
-    fn current(&self, now: Tick) -> impl Iterator<Item = &(String, usize, Tick)> {
-        let seen = self.seen.values();
-        seen.filter(move |(.., at)| now.since(*at) < DISTRIBUTOR_TTL)
+    fn current(&self, now: Tick) -> impl Iterator<Item = (&SocketAddr, &Fed)> {
+        let current = move |fed: &Fed| now.since(fed.seen_at) < DISTRIBUTOR_TTL;
+        self.0.iter().filter(move |(_, fed)| current(fed))
     }
 }
 
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -17,8 +17,8 @@
 
 use crate::endpoint::Endpoint;
 use crate::lanes::{
-    Lanes,
-    is_long, //
+    Lane,
+    Lanes, //
 };
 use crate::message::{
     EndpointInfo,
@@ -51,8 +51,8 @@
     instances: HashMap<String, EndpointId>,
     /// Lanes by service; recomputed when the set of endpoints changes, not for each request.
     lanes: HashMap<String, Lanes>,
-    /// What is typical of each service's endpoints, by lane: false for the lane of short prompts.
-    typical: HashMap<(String, bool), Typical>,
+    /// What is typical of the endpoints in each lane of a service.
+    typical: HashMap<(String, Lane), Typical>,
     /// The learned speed of each service's endpoints.
     speeds: HashMap<String, Speed>,
 }
@@ -136,7 +136,7 @@
         service: &str,
         prompt: Option<&Prompt>,
     ) -> TypicalValues {
-        let typical = self.typical.get(&lane_key(service, prompt));
+        let typical = self.typical.get(&(service.to_owned(), Lane::of(prompt)));
         typical.map_or_else(TypicalValues::default, |typical| typical.values(now))
     }
 
@@ -155,7 +155,7 @@
         let queue_ms = self.typical(now, &service, observed.prompt).delay;
         let speed = self.speeds.entry(service.clone()).or_default();
         speed.record(tokens, observed.elapsed_ms, queue_ms);
-        let key = lane_key(&service, observed.prompt);
+        let key = (service, Lane::of(observed.prompt));
         let typical = self.typical.entry(key).or_default();
         typical.record(now, observed.delay, others);
     }
@@ -179,8 +179,3 @@
         }
     }
 }
-
-/// The service and whether a prompt belongs to the lane of long prompts.
-fn lane_key(service: &str, prompt: Option<&Prompt>) -> (String, bool) {
-    (service.to_owned(), prompt.is_some_and(is_long))
-}
--- a/crates/relay/src/lanes.rs
+++ b/crates/relay/src/lanes.rs
@@ -30,6 +30,26 @@
 /// streams for which the pause is too long.
 const LONG_PROMPT_PENALTY: f64 = 0.2;
 
+/// The part of a service's endpoints that a request prefers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Lane {
+    /// The endpoints for short prompts; also all endpoints of a plain service.
+    Short,
+    /// The endpoints for long prompts.
+    Long,
+}
+
+impl Lane {
+    /// The lane of a request with a prompt, or of a plain request.
+    pub(crate) fn of(prompt: Option<&Prompt>) -> Self {
+        if prompt.is_some_and(is_long) {
+            Self::Long
+        } else {
+            Self::Short
+        }
+    }
+}
+
 /// The endpoints reserved for short prompts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Lanes(HashSet<EndpointId>);
--- a/crates/relay/src/speed.rs
+++ b/crates/relay/src/speed.rs
@@ -16,10 +16,14 @@
 const PREFILL_STEP: f64 = 0.04;
 /// Prompt length at which the prefill time adapts at its full step.
 const LONG_TOKENS: f64 = 4000.0;
-/// Initial estimate and limits of the base time, in milliseconds.
-const BASE_MS: (f64, f64, f64) = (60.0, 2.0, 1000.0);
-/// Initial estimate and limits of the prefill rate, in tokens per millisecond.
-const PREFILL_RATE: (f64, f64, f64) = (100.0, 5.0, 5000.0);
+/// Estimate of the base time before the first observation, in milliseconds.
+const INITIAL_BASE_MS: f64 = 60.0;
+/// Shortest and longest base time, in milliseconds.
+const BASE_MS: (f64, f64) = (2.0, 1000.0);
+/// Estimate of the prefill time before the first observation, in milliseconds per token.
+const INITIAL_TOKEN_MS: f64 = 0.01;
+/// Shortest and longest prefill time, in milliseconds per token.
+const TOKEN_MS: (f64, f64) = (0.0002, 0.2);
 /// Share of the base time by which each request in a batch delays the first token of another one.
 const REQUEST_SHARE: f64 = 0.03;
 
@@ -33,8 +37,8 @@
 impl Default for Speed {
     fn default() -> Self {
         Self {
-            base_ms: BASE_MS.0,
-            token_ms: 1.0 / PREFILL_RATE.0,
+            base_ms: INITIAL_BASE_MS,
+            token_ms: INITIAL_TOKEN_MS,
         }
     }
 }
@@ -55,8 +59,8 @@
         let weight = (tokens / LONG_TOKENS).min(1.0);
         let base_ms = self.base_ms * (1.0 + direction * BASE_STEP * (1.0 - weight));
         let token_ms = self.token_ms * (1.0 + direction * PREFILL_STEP * weight);
-        self.base_ms = base_ms.clamp(BASE_MS.1, BASE_MS.2);
-        self.token_ms = token_ms.clamp(1.0 / PREFILL_RATE.2, 1.0 / PREFILL_RATE.1);
+        self.base_ms = base_ms.clamp(BASE_MS.0, BASE_MS.1);
+        self.token_ms = token_ms.clamp(TOKEN_MS.0, TOKEN_MS.1);
     }
 
     /// Time to the start of a response without a prompt to prefill, in milliseconds.
