Reject prompts that no engine of the service can hold

Such a prompt was queued at the front and then rejected by every engine as if it were full, so its caller was told to come back. It is rejected at once with a kind of its own (413, not executed). The test failed before.

--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -80,6 +80,8 @@
     BodyInvalid, "body_invalid", 400, NotExecuted, 0, "the request body is not valid for this call";
     /// The body exceeds the size limit.
     BodyTooLarge, "body_too_large", 413, NotExecuted, 0, "the request body is too large";
+    /// The prompt exceeds the memory of every engine of the service.
+    PromptTooLarge, "prompt_too_large", 413, NotExecuted, 0, "the prompt is larger than the memory of any endpoint";
     /// The headers exceed the size limit.
     HeadTooLarge, "head_too_large", 431, NotExecuted, 0, "the request headers are too large";
     /// No route serves the model or path.
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -27,6 +27,7 @@
 use crate::lanes::is_long;
 use crate::message::{
     Output,
+    Prompt,
     RequestHead, //
 };
 use crate::relay::{
@@ -164,6 +165,9 @@
             .timeout
             .map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let service = self.draw_service(route).ok_or(Kind::EndpointMissing)?;
+        if exceeds_memory(&plan, service, head.prompt.as_ref()) {
+            return Err(Kind::PromptTooLarge);
+        }
         let request = self.requests.insert(Request {
             name: head.name,
             plan: Arc::clone(&plan),
@@ -205,6 +209,13 @@
     }
 }
 
+/// Whether a prompt is larger than the memory of each of a service's engines.
+fn exceeds_memory(plan: &Plan, service: ServiceId, prompt: Option<&Prompt>) -> bool {
+    let engine = plan.service(service).and_then(|service| service.engine);
+    let tokens = prompt.map_or(0, |prompt| prompt.input_tokens);
+    engine.is_some_and(|engine| tokens > engine.kv_tokens)
+}
+
 /// The account to which a request's key belongs; none if the route or plan needs no key.
 fn account_of(plan: &Plan, route: &Route, key: Option<&str>) -> Result<Option<AccountId>, Kind> {
     if route.open || !plan.requires_key() {
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -389,6 +389,15 @@
         let attempt = assert_matches!(decision, Decision::Dispatch(attempt) => *attempt);
         assert_eq!((attempt.account, attempt.rank), (None, 8));
     };
+    // The engines of the plan hold 300,000 tokens.
+    prompt_above_the_memory_of_any_engine_is_rejected_at_once: {
+        let mut front = Front::overloaded();
+        let outputs = front.arrive_with_prompt("/stream/", 300_002);
+        assert_matches!(&outputs[..],
+            [.., Output::Reply(_, Decision::Reject(Kind::PromptTooLarge, _))]);
+        let outputs = front.arrive_with_prompt("/first/", 299_998);
+        assert_matches!(&outputs[..], [.., Output::Reply(_, Decision::Dispatch(_))]);
+    };
     unknown_route_is_rejected: {
         assert_eq!(Front::ready().rejected("/none/x", Some("k")), Kind::RouteUnknown);
     };
