--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -49,6 +49,7 @@
     FencingToken,
     Incarnation,
     Index,
+    PartId,
     Percent,
     Revision,
     Term,
--- a/crates/ids/src/unit.rs
+++ b/crates/ids/src/unit.rs
@@ -139,6 +139,8 @@
     FencingToken;
     /// Identifies one execution of a process; a restarted process has a different incarnation.
     Incarnation;
+    /// Identifies a part of a prompt, in all prompts that share the part.
+    PartId;
     /// Correlation identifier within one process: an output of a decision core carries the ticket of
     /// the input to which it responds.
     Ticket;
--- /dev/null
+++ b/crates/quarantine/src/evidence.rs
@@ -0,0 +1,71 @@
+//! Reports of crashes and of served parts.
+
+use std::time::Duration;
+
+use ids::PartId;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_with::{
+    DurationMilliSeconds,
+    serde_as, //
+};
+
+/// A crash of an engine, as fronts observed it.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// The engine's instance.
+    pub instance: String,
+    /// Time since the crash.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+    /// The shared parts of the prompts to which the engine had begun no response, or only just.
+    pub parts: Vec<PartId>,
+}
+
+/// The last complete response to a prompt with a part.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Served {
+    /// The part.
+    pub part: PartId,
+    /// Time since the response was complete.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+}
+
+/// What one or more fronts observed. Fronts repeat their evidence, so that a new leader gets it too.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Evidence {
+    /// Crashes.
+    pub crashes: Vec<Crash>,
+    /// When the parts involved were last served.
+    pub served: Vec<Served>,
+}
+
+impl Evidence {
+    /// Whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.served.is_empty()
+    }
+
+    /// Adds to all ages the time for which the evidence was held.
+    #[must_use]
+    pub fn aged(mut self, by: Duration) -> Self {
+        let crashes = self.crashes.iter_mut().map(|crash| &mut crash.age);
+        let served = self.served.iter_mut().map(|served| &mut served.age);
+        crashes.chain(served).for_each(|age| *age += by);
+        self
+    }
+
+    /// Adds the evidence of another report.
+    pub fn append(&mut self, mut other: Self) {
+        self.crashes.append(&mut other.crashes);
+        self.served.append(&mut other.served);
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,25 @@
+//! Prompt parts that crash engines.
+//!
+//! Some prompt part may crash each engine that begins a response to it. Fronts record which prompts
+//! were in progress at an engine that crashed, and which parts were served, in [`Suspects`], and
+//! report both as [`Evidence`]. The leader of the control group merges the evidence of all fronts.
+//! Parts that were present in several crashes and were not served since are put into the replicated
+//! [`Quarantine`], and fronts reject requests that contain them.
+
+mod evidence;
+mod list;
+mod suspects;
+
+pub use evidence::{
+    Crash,
+    Evidence,
+    Served, //
+};
+pub use list::{
+    Quarantine,
+    Sentence, //
+};
+pub use suspects::{
+    Suspects,
+    Verdict, //
+};
--- /dev/null
+++ b/crates/quarantine/src/suspects.rs
@@ -0,0 +1,196 @@
+//! Infers from crashes which part caused them.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+use std::time::Duration;
+
+use ids::{
+    PartId,
+    Tick, //
+};
+
+use crate::evidence::{
+    Crash,
+    Evidence,
+    Served, //
+};
+
+/// Observations of the same instance within this time are of the same crash.
+const SAME_CRASH: Duration = Duration::from_secs(1);
+/// Crashes within this time count as one, since one cause, such as the loss of a rack, may end
+/// several engines at once.
+const SAME_MOMENT: Duration = Duration::from_millis(200);
+/// Number of separate crashes after which a part that was not served since the first is the cause.
+const MIN_CRASHES: usize = 3;
+/// Time after the last of these crashes in which all fronts report what they know: a report may be
+/// held on its way for [`REPORT_DELAY`] and for the interval at which control processes request the
+/// feed.
+const SETTLE: Duration = Duration::from_millis(700);
+/// How long a front collects observations before it reports them.
+pub(crate) const REPORT_DELAY: Duration = Duration::from_millis(100);
+/// How long fronts repeat an observation with later reports.
+const REPEAT_SPAN: Duration = Duration::from_secs(60);
+/// Age at which crashes no longer count.
+const MAX_AGE: Duration = Duration::from_secs(600);
+/// Crashes above which the oldest is dropped.
+const MAX_CRASHES: usize = 256;
+/// Served parts above which those served longest ago are dropped.
+const MAX_SERVED: usize = 8192;
+
+/// A crash and the parts that may have caused it.
+#[derive(Clone, Debug)]
+struct Observed {
+    instance: String,
+    at: Tick,
+    parts: BTreeSet<PartId>,
+}
+
+/// A part that causes crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// The part.
+    pub part: PartId,
+    /// The first crash that counted.
+    pub since: Tick,
+}
+
+/// Crashes, and when parts were last served.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    /// The crashes, oldest first.
+    crashes: Vec<Observed>,
+    served: BTreeMap<PartId, Tick>,
+}
+
+impl Suspects {
+    /// How long a front collects observations before it reports them.
+    pub const REPORT_DELAY: Duration = REPORT_DELAY;
+
+    /// Records the crash of an engine and the parts of a prompt that was in progress there.
+    pub fn crashed(&mut self, at: Tick, instance: &str, parts: impl IntoIterator<Item = PartId>) {
+        let same = self.crashes.iter_mut().find(|crash| {
+            let apart = crash.at.since(at).max(at.since(crash.at));
+            crash.instance == instance && apart < SAME_CRASH
+        });
+        match same {
+            Some(crash) => crash.parts.extend(parts),
+            None => {
+                let crash = Observed {
+                    instance: instance.to_owned(),
+                    at,
+                    parts: parts.into_iter().collect(),
+                };
+                let after = self.crashes.partition_point(|earlier| earlier.at <= at);
+                self.crashes.insert(after, crash);
+            }
+        }
+        let oldest = self.crashes.len().saturating_sub(MAX_CRASHES);
+        self.crashes.drain(..oldest);
+        self.crashes.retain(|crash| at.since(crash.at) < MAX_AGE);
+    }
+
+    /// Records that a prompt with a part was served completely.
+    pub fn served(&mut self, at: Tick, part: PartId) {
+        let last = self.served.entry(part).or_insert(at);
+        *last = at.max(*last);
+        if self.served.len() > MAX_SERVED {
+            let mut times: Vec<_> = self.served.values().copied().collect();
+            let (_, median, _) = times.select_nth_unstable(MAX_SERVED / 2);
+            let median = *median;
+            self.served.retain(|_, served_at| *served_at > median);
+        }
+    }
+
+    /// When a part was last served.
+    pub fn served_at(&self, part: PartId) -> Option<Tick> {
+        self.served.get(&part).copied()
+    }
+
+    /// Merges reported evidence.
+    pub fn record(&mut self, now: Tick, evidence: &Evidence) {
+        for crash in &evidence.crashes {
+            let parts = crash.parts.iter().copied();
+            self.crashed(now - crash.age, &crash.instance, parts);
+        }
+        for served in &evidence.served {
+            self.served(now - served.age, served.part);
+        }
+    }
+
+    /// The recent crashes, and when their parts were last served.
+    pub fn evidence(&self, now: Tick) -> Evidence {
+        let recent = |crash: &&Observed| now.since(crash.at) < REPEAT_SPAN;
+        let recent: Vec<_> = self.crashes.iter().filter(recent).collect();
+        let parts: BTreeSet<_> = recent.iter().flat_map(|crash| &crash.parts).collect();
+        let served = parts.into_iter().filter_map(|part| {
+            let age = now.since(self.served_at(*part)?);
+            Some(Served { part: *part, age })
+        });
+        Evidence {
+            served: served.collect(),
+            crashes: recent
+                .into_iter()
+                .map(|crash| Crash {
+                    instance: crash.instance.clone(),
+                    age: now.since(crash.at),
+                    parts: crash.parts.iter().copied().collect(),
+                })
+                .collect(),
+        }
+    }
+
+    /// The parts outside of quarantine that cause crashes.
+    ///
+    /// A part that was present in fewer crashes than another one is no cause if the other explains
+    /// its crashes: prompts without the cause break off with the engine too.
+    pub fn verdicts(&self, now: Tick, quarantined: impl Fn(PartId) -> bool) -> Vec<Verdict> {
+        let mut open: Vec<_> = self
+            .crashes
+            .iter()
+            .filter(|crash| !crash.parts.iter().any(|part| quarantined(*part)))
+            .collect();
+        let mut verdicts = Vec::new();
+        loop {
+            let counts = self.counts(&open);
+            let most = counts.values().map(Vec::len).max().unwrap_or_default();
+            if most < MIN_CRASHES {
+                return verdicts;
+            }
+            let causes = counts.iter().filter(|(_, moments)| moments.len() == most);
+            let causes: Vec<_> = causes
+                .map(|(part, moments)| (*part, moments[0], moments[MIN_CRASHES - 1]))
+                .collect();
+            open.retain(|crash| !causes.iter().any(|(part, ..)| crash.parts.contains(part)));
+            let settled = causes
+                .iter()
+                .filter(|(.., decisive)| now.since(*decisive) >= SETTLE);
+            verdicts.extend(settled.map(|(part, since, _)| Verdict {
+                part: *part,
+                since: *since,
+            }));
+        }
+    }
+
+    /// For each part, the separate moments of the crashes in which it was present and after which it
+    /// was not served.
+    fn counts(&self, crashes: &[&Observed]) -> BTreeMap<PartId, Vec<Tick>> {
+        let mut counts: BTreeMap<PartId, Vec<Tick>> = BTreeMap::new();
+        for crash in crashes {
+            for part in &crash.parts {
+                if self.served_at(*part) >= Some(crash.at) {
+                    continue;
+                }
+                let moments = counts.entry(*part).or_default();
+                let separate = moments
+                    .last()
+                    .is_none_or(|last| crash.at.since(*last) >= SAME_MOMENT);
+                if separate {
+                    moments.push(crash.at);
+                }
+            }
+        }
+        counts
+    }
+}
