Replicate the quarantine of prompt parts and carry its evidence

Control processes now receive evidence at /peer/evidence. One that does not lead passes it on with its next request for the feed, with the time for which it held it added, and again if that request fails. The leader judges it under a valid lease at most every 50 ms, with at most one command of a kind in the log uncommitted, and puts parts into quarantine for 15 minutes or releases them. The quarantine is part of the replicated state; mirrors get it with the feed, fronts with their poll.

Fronts neither send evidence nor apply the quarantine yet: they poll with version 0 and ignore the response's field.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -49,6 +49,7 @@
     DeploymentRequest,
     DeploymentResponse,
     Envelope,
+    EvidenceRequest,
     FeedRequest,
     FeedResponse,
     PeerResponse,
@@ -83,6 +84,7 @@
     Feed,
     Join,
     Tally,
+    Evidence,
 }
 
 /// The format of a response.
@@ -134,6 +136,9 @@
                 self.counters.count(Counter::UsageMerged);
                 self.peer_request(exchange, paths::TALLY, PeerKind::Tally, tally);
             }
+            paths::EVIDENCE => {
+                self.peer_request(exchange, paths::EVIDENCE, PeerKind::Evidence, evidence);
+            }
             "/counters" => admin::counters(exchange, &self.counters),
             _ => self.admin_request(exchange),
         }
@@ -232,6 +237,7 @@
     let versions = DeploymentVersions {
         generation: message.generation,
         directory: message.directory_version,
+        quarantine: message.quarantine_version,
     };
     Request::Deployment(
         front_subscriber(message.host, message.incarnation),
@@ -251,7 +257,10 @@
         subscribers: usize::try_from(message.subscribers).unwrap_or(usize::MAX),
         generation: message.generation,
         directory: message.directory_version,
+        // A process that gets the deployment from the log gets the quarantine from there too.
+        quarantine: message.generation.and(Some(message.quarantine.version)),
         tallies: message.tallies,
+        evidence: message.quarantine.evidence,
         max_wait: message.max_wait,
     }))
 }
@@ -264,6 +273,11 @@
     Request::Tally((reporter, message.windows))
 }
 
+fn evidence(message: EvidenceRequest) -> Request {
+    let front = front_subscriber(message.host, message.incarnation);
+    Request::Evidence(front, message.evidence)
+}
+
 /// Identifies a front as a subscriber. A front subscribes with the kind of an entry.
 fn front_subscriber(host: HostName, incarnation: Incarnation) -> SubscriberId {
     SubscriberId {
@@ -338,6 +352,7 @@
             (PeerKind::Tally, Reply::LastSealed(last)) => {
                 self.send(exchange, &PeerResponse::Done(last));
             }
+            (PeerKind::Evidence, Reply::Recorded) => self.send(exchange, &PeerResponse::Done(())),
             (kind, Reply::NotLeader(leader)) => self.not_leader(exchange, kind, leader),
             (kind, _) => self.unavailable(exchange, kind),
         }
@@ -356,6 +371,7 @@
             subscribers: reply.subscribers as u64,
             unix_ms: reply.unix_ms,
             distributors: reply.distributors,
+            quarantine: reply.quarantine,
         }
     }
 
@@ -370,7 +386,7 @@
             ),
             PeerKind::Feed => self.send(exchange, &PeerResponse::<FeedResponse>::NotLeader(leader)),
             PeerKind::Tally => self.send(exchange, &PeerResponse::<Option<u64>>::NotLeader(leader)),
-            PeerKind::Usage | PeerKind::Join => {
+            PeerKind::Usage | PeerKind::Join | PeerKind::Evidence => {
                 self.send(exchange, &PeerResponse::<()>::NotLeader(leader));
             }
         }
@@ -386,7 +402,7 @@
             }
             PeerKind::Feed => self.send(exchange, &PeerResponse::<FeedResponse>::Unavailable),
             PeerKind::Tally => self.send(exchange, &PeerResponse::<Option<u64>>::Unavailable),
-            PeerKind::Usage | PeerKind::Join => {
+            PeerKind::Usage | PeerKind::Join | PeerKind::Evidence => {
                 self.send(exchange, &PeerResponse::<()>::Unavailable);
             }
         }
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -100,6 +100,14 @@
                 self.counters.count(Counter::UsageSealed);
                 event!(self.log, WindowSealed, "window" => number);
             }
+            Event::PartQuarantined(part) => {
+                self.counters.count(Counter::PartQuarantined);
+                event!(self.log, PartQuarantined, "part" => format!("{:016x}", part.0));
+            }
+            Event::PartReleased(part) => {
+                self.counters.count(Counter::PartReleased);
+                event!(self.log, PartReleased, "part" => format!("{:016x}", part.0));
+            }
             Event::CodecFailed(error) => {
                 event!(self.log, DiskFailed, "fault" => error.clone());
                 let _ = self.failed.send(error);
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -29,6 +29,7 @@
     DeploymentResponse,
     FeedResponse,
     PeerResponse,
+    QuarantineReport,
     paths, //
 };
 
@@ -127,6 +128,10 @@
         directory_version: request.directory,
         tallies: request.tallies,
         max_wait: request.max_wait,
+        quarantine: QuarantineReport {
+            version: request.quarantine.unwrap_or_default(),
+            evidence: request.evidence,
+        },
     }
 }
 
@@ -141,6 +146,7 @@
         subscribers,
         unix_ms,
         distributors,
+        quarantine,
     } = response.deployment;
     FeedReply {
         deployment: DeploymentReply {
@@ -153,6 +159,7 @@
             unix_ms,
             distributors,
             ttl: Some(ttl),
+            quarantine,
         },
         last_sealed: response.last_sealed,
     }
--- a/crates/front/src/deployment.rs
+++ b/crates/front/src/deployment.rs
@@ -152,6 +152,7 @@
             generation: self.generation,
             directory_version: self.directory_version,
             max_wait: wait,
+            quarantine_version: 0,
         };
         self.control
             .call_host(host, paths::DEPLOYMENT, &request, timeout)
--- a/crates/govern/src/command.rs
+++ b/crates/govern/src/command.rs
@@ -6,7 +6,8 @@
 };
 use ids::{
     AccountName,
-    AttemptId, //
+    AttemptId,
+    PartId, //
 };
 use ledger::{
     Claimed,
@@ -15,6 +16,7 @@
     Settlement, //
 };
 use plan::Document;
+use quarantine::Sentence;
 use serde::{
     Deserialize,
     Serialize, //
@@ -81,6 +83,10 @@
     /// Records that the billing interface accepted a statement.
     #[serde(rename = "Stated")]
     AcceptStatement(u64),
+    /// Puts prompt parts into quarantine.
+    Quarantine(Vec<(PartId, Sentence)>),
+    /// Releases prompt parts from quarantine.
+    Release(Vec<PartId>),
 }
 
 /// The result of applying a command.
--- a/crates/govern/src/feed.rs
+++ b/crates/govern/src/feed.rs
@@ -1,4 +1,4 @@
-//! Distribution of the deployment and the directory over two levels: the leader feeds the other
+//! Distribution of the deployment, the directory and the quarantine over two levels: the leader feeds the other
 //! control processes, and each control process serves the fronts that poll it.
 
 use std::collections::BTreeMap;
@@ -14,6 +14,7 @@
     Tally, //
 };
 
+use crate::evidence::Reports;
 use crate::message::{
     FeedReply,
     FeedRequest,
@@ -32,13 +33,15 @@
 /// Time since its last request after which the leader no longer counts a distributor.
 const DISTRIBUTOR_TTL: Duration = Duration::from_secs(3);
 
-/// The version of the deployment and the directory that a distributor holds.
+/// The versions of the deployment, the directory and the quarantine that a distributor holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FeedPosition {
     /// The deployment's generation; none if the distributor does not get it from the feed.
     pub(crate) generation: Option<u64>,
     /// The directory's version.
     pub(crate) directory: u64,
+    /// The quarantine's version; none if the distributor does not get it from the feed.
+    pub(crate) quarantine: Option<u64>,
 }
 
 /// What the leader knows of a control process that it feeds.
@@ -107,6 +110,8 @@
     pub(crate) last_sealed: Option<u64>,
     /// Usage to report with the next request.
     tallies: BTreeMap<Reporter, Vec<(u64, Runs)>>,
+    /// Evidence to report with the next request.
+    pub(crate) reports: Reports,
 }
 
 impl Uplink {
@@ -122,6 +127,7 @@
             subscribers: 0,
             last_sealed: None,
             tallies: BTreeMap::new(),
+            reports: Reports::default(),
         }
     }
 
@@ -168,7 +174,9 @@
             subscribers,
             generation: held.generation,
             directory: held.directory,
+            quarantine: held.quarantine,
             tallies: std::mem::take(&mut self.tallies).into_iter().collect(),
+            evidence: self.reports.send(now),
             max_wait: FEED_WAIT,
         };
         out.push(Output::RequestFeed(host, Box::new(request)));
@@ -182,6 +190,7 @@
         self.distributors.clone_from(&reply.deployment.distributors);
         self.subscribers = reply.deployment.subscribers;
         self.last_sealed = self.last_sealed.max(reply.last_sealed);
+        self.reports.sent();
         sent_at
     }
 
@@ -189,5 +198,6 @@
     pub(crate) fn failed(&mut self, now: Tick) {
         self.sent_at = None;
         self.retry_at = now + FEED_RETRY;
+        self.reports.unsent();
     }
 }
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -41,6 +41,7 @@
     FeedPosition,
     Uplink, //
 };
+use crate::judge::Judge;
 use crate::machine::Machine;
 use crate::membership::Membership;
 use crate::message::{
@@ -96,6 +97,7 @@
     pub(crate) reader: DirectoryReader,
     pub(crate) membership: Membership,
     pub(crate) billing: Billing,
+    pub(crate) judge: Judge,
     pub(crate) reads: Vec<Read>,
     /// The term in which this host leads; none if it does not lead.
     led_term: Option<Term>,
@@ -140,6 +142,7 @@
             reader: DirectoryReader::default(),
             membership: Membership::default(),
             billing: Billing::default(),
+            judge: Judge::default(),
             reads: Vec::new(),
             led_term: None,
             started_at: now,
@@ -200,6 +203,9 @@
             Request::Document => self.start_read(now, ticket, ReadKind::Document, out),
             Request::Join(member) => self.join(now, ticket, member, out),
             Request::Tally(tally) => self.tally(now, ticket, tally, out),
+            Request::Evidence(front, evidence) => {
+                self.evidence(now, ticket, (front, evidence), out);
+            }
             Request::Member(change) => self.change_group(now, ticket, &change, out),
             Request::Status => {
                 let status = Box::new(self.status(now));
@@ -382,6 +388,14 @@
                 out.push(Output::Event(Event::WindowSealed(*window)));
             }
             Command::AcceptStatement(_) => self.billing.accepted(),
+            Command::Quarantine(sentences) => {
+                self.judge.imposing = false;
+                self.report_imposed(sentences, out);
+            }
+            Command::Release(parts) => {
+                self.judge.releasing = false;
+                self.report_released(parts, out);
+            }
             _ => {}
         }
         let outcome = self.machine.apply(command);
@@ -448,6 +462,7 @@
             self.sealing = false;
             self.delivering = false;
             self.billing = Billing::default();
+            self.judge = Judge::default();
         }
         if let Some(new) = leads {
             out.push(Output::Event(Event::Elected(new)));
--- /dev/null
+++ b/crates/govern/src/judge.rs
@@ -0,0 +1,91 @@
+//! The leader's judgement on prompt parts: it puts parts that crash engines into quarantine, and
+//! releases them once their time is over or a response to them was complete.
+
+use std::time::Duration;
+
+use ids::{
+    PartId,
+    Tick,
+    millis, //
+};
+use quarantine::{
+    Evidence,
+    Quarantine,
+    Sentence,
+    Suspects, //
+};
+
+/// How long a part stays in quarantine.
+const QUARANTINE_SPAN: Duration = Duration::from_secs(15 * 60);
+/// Interval between judgements. Each one goes through all crashes on record.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a judgement changes about the quarantine.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub(crate) struct Judgement {
+    /// Parts to put into quarantine.
+    pub(crate) imposed: Vec<(PartId, Sentence)>,
+    /// Parts to release.
+    pub(crate) released: Vec<PartId>,
+}
+
+/// The leader's state for judging parts. It starts empty with each term.
+#[derive(Debug, Default)]
+pub(crate) struct Judge {
+    suspects: Suspects,
+    judged_at: Option<Tick>,
+    /// Whether a command that imposes quarantine is in the log and not committed.
+    pub(crate) imposing: bool,
+    /// Whether a command that releases parts is in the log and not committed.
+    pub(crate) releasing: bool,
+}
+
+impl Judge {
+    /// Records evidence, whose ages count from `now`.
+    pub(crate) fn record(&mut self, now: Tick, evidence: &Evidence) {
+        self.suspects.record(now, evidence);
+    }
+
+    /// Returns whether a judgement is due, and if so records that it takes place.
+    pub(crate) fn start_if_due(&mut self, now: Tick) -> bool {
+        let due = self.judged_at.is_none_or(|at| now.since(at) >= INTERVAL);
+        if due {
+            self.judged_at = Some(now);
+        }
+        due
+    }
+
+    /// Returns what is to be changed. `unix_ms` converts to Unix time in milliseconds; a time before
+    /// this process started becomes that of its start.
+    pub(crate) fn judge(
+        &self,
+        now: Tick,
+        unix_ms: impl Fn(Tick) -> u64,
+        quarantine: &Quarantine,
+    ) -> Judgement {
+        let mut judgement = Judgement::default();
+        if !self.imposing {
+            let quarantined = |part| quarantine.sentence(part).is_some();
+            let verdicts = self.suspects.verdicts(now, quarantined).into_iter();
+            let until_ms = unix_ms(now).saturating_add(millis(QUARANTINE_SPAN));
+            let sentences = verdicts.map(|verdict| {
+                let since_ms = unix_ms(verdict.since);
+                (verdict.part, Sentence { since_ms, until_ms })
+            });
+            judgement.imposed = sentences.collect();
+        }
+        if !self.releasing {
+            // It is unknown which of two times before the start is the earlier one.
+            let started_ms = unix_ms(Tick::default());
+            let ended = |(part, sentence): &(PartId, Sentence)| {
+                let since_ms = sentence.since_ms.max(started_ms);
+                let served_at = self.suspects.served_at(*part);
+                let served = served_at.is_some_and(|at| unix_ms(at) > since_ms);
+                served || sentence.until_ms <= unix_ms(now)
+            };
+            let ended = quarantine.parts().filter(ended);
+            judgement.released = ended.map(|(part, _)| part).collect();
+        }
+        judgement
+    }
+}
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -1,8 +1,8 @@
 //! The decision core of a control host: the replicated state machine, and the duties of its leader.
 //!
 //! [`Govern`] combines the consensus node [`agree::Node`] with the aggregates that it replicates:
-//! the configuration registry, the ledger of claims, the deployment and the usage windows. A
-//! [`Codec`] encodes commands and snapshots.
+//! the configuration registry, the ledger of claims, the deployment, the usage windows and the
+//! quarantine of prompt parts. A [`Codec`] encodes commands and snapshots.
 //!
 //! [`Mirror`] is the core of a control process without a disk. It is not a member of the group: it
 //! gets the deployment from the leader and distributes it to fronts.
@@ -11,8 +11,10 @@
 mod command;
 mod confirm;
 mod directory;
+mod evidence;
 mod feed;
 mod govern;
+mod judge;
 mod machine;
 mod membership;
 mod message;
--- a/crates/govern/src/machine.rs
+++ b/crates/govern/src/machine.rs
@@ -8,6 +8,7 @@
 };
 use ledger::Ledger;
 use plan::Deployment;
+use quarantine::Quarantine;
 use serde::{
     Deserialize,
     Serialize, //
@@ -35,6 +36,8 @@
     pub deployment: Deployment,
     /// Usage windows of the wall clock, from fronts' tallies.
     pub statements: Statements,
+    /// The prompt parts in quarantine.
+    pub quarantine: Quarantine,
 }
 
 /// The stored form of a [`Machine`].
@@ -46,6 +49,13 @@
     usage: UsageWindows,
     deployment: Deployment,
     statements: Statements,
+    // Not stored before its first change, so that hosts of the version before can load the snapshot.
+    #[serde(default, skip_serializing_if = "is_unchanged")]
+    quarantine: Quarantine,
+}
+
+fn is_unchanged(quarantine: &Quarantine) -> bool {
+    quarantine.version() == 0
 }
 
 impl Machine {
@@ -98,6 +108,14 @@
                 self.statements.accept(window);
                 Outcome::Applied
             }
+            Command::Quarantine(sentences) => {
+                self.quarantine.impose(sentences);
+                Outcome::Applied
+            }
+            Command::Release(parts) => {
+                self.quarantine.lift(&parts);
+                Outcome::Applied
+            }
         }
     }
 
@@ -109,6 +127,7 @@
             usage: self.usage.clone(),
             deployment: self.deployment.clone(),
             statements: self.statements.clone(),
+            quarantine: self.quarantine.clone(),
         }
     }
 }
@@ -123,6 +142,7 @@
             usage: state.usage,
             deployment: state.deployment,
             statements: state.statements,
+            quarantine: state.quarantine,
         })
     }
 }
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -21,6 +21,7 @@
 use ids::{
     Incarnation,
     Index,
+    PartId,
     Revision,
     Term,
     Tick,
@@ -32,6 +33,10 @@
     Distributor,
     Document, //
 };
+use quarantine::{
+    Evidence,
+    Quarantine, //
+};
 use serde_bytes::ByteBuf;
 use usage::{
     Statement,
@@ -93,10 +98,11 @@
     Member(MemberChange),
     /// Read this host's status, without confirmation.
     Status,
-    /// Wait for a deployment of another generation or a newer directory: the subscriber, the versions
-    /// that it holds and how long it waits.
+    /// Wait for a deployment of another generation, a newer directory or another quarantine: the
+    /// subscriber, the versions that it holds and how long it waits.
     Deployment(SubscriberId, DeploymentVersions, Duration),
-    /// Wait, as a distributor, for a newer deployment or directory. Only the leader replies to it.
+    /// Wait, as a distributor, for a newer deployment or directory or another quarantine. Only the
+    /// leader replies to it.
     Feed(Box<FeedRequest>),
     /// Read the plan document, with a leader's confirmation.
     Document,
@@ -104,6 +110,9 @@
     Join(Member),
     /// Record a process's counts for usage windows.
     Tally(Tally),
+    /// Record what a front knows of prompt parts that crash engines. It replaces what the front
+    /// reported before.
+    Evidence(SubscriberId, Evidence),
 }
 
 /// The versions that a subscriber of the deployment holds.
@@ -113,6 +122,8 @@
     pub generation: u64,
     /// The directory's version.
     pub directory: u64,
+    /// The quarantine's version.
+    pub quarantine: u64,
 }
 
 /// Brings a subscriber of the deployment up to date.
@@ -137,6 +148,8 @@
     /// How long the reply is valid, counted from when the subscriber sent its request; none if it
     /// is valid for the configured time.
     pub ttl: Option<Duration>,
+    /// The quarantine; none if the subscriber holds this version.
+    pub quarantine: Option<Quarantine>,
 }
 
 /// A distributor's request for the deployment and the directory.
@@ -152,8 +165,12 @@
     pub generation: Option<u64>,
     /// The version of its directory.
     pub directory: u64,
+    /// The version of its quarantine; none if it gets the quarantine from the replicated log.
+    pub quarantine: Option<u64>,
     /// The usage that its fronts reported since its last request.
     pub tallies: Vec<Tally>,
+    /// What its fronts reported of prompt parts that crash engines.
+    pub evidence: Evidence,
     /// How long it waits for an update.
     pub max_wait: Duration,
 }
@@ -233,6 +250,8 @@
     Document(Option<Document>),
     /// The last sealed usage window of the wall clock; none before the first.
     LastSealed(Option<u64>),
+    /// The evidence was recorded, or will be passed on to the leader.
+    Recorded,
     /// This host does not lead; the leader's address, if known.
     NotLeader(Option<SocketAddr>),
     /// No leader confirmed the request in time. A command may still be applied later.
@@ -279,6 +298,10 @@
     MembersChanged(usize),
     /// The usage window with this number was sealed.
     WindowSealed(u64),
+    /// This host leads, and a prompt part was put into quarantine.
+    PartQuarantined(PartId),
+    /// This host leads, and a prompt part was released from quarantine.
+    PartReleased(PartId),
     /// A committed entry or a snapshot cannot be encoded or decoded, with the reason. The core stops.
     CodecFailed(String),
 }
--- a/crates/govern/src/mirror.rs
+++ b/crates/govern/src/mirror.rs
@@ -1,6 +1,6 @@
 //! The core of a control process without a disk. It is not a member of the control group and never
-//! votes. It copies the deployment and the directory from the leader, serves them to fronts, passes
-//! the fronts' usage on, and refers all other requests to the leader.
+//! votes. It copies the deployment, the directory and the quarantine from the leader, serves them to
+//! fronts, passes the fronts' usage and evidence on, and refers all other requests to the leader.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,6 +15,10 @@
     DeploymentSnapshot,
     Distributor, //
 };
+use quarantine::{
+    Evidence,
+    Quarantine, //
+};
 use step::{
     Core,
     Outbox, //
@@ -78,6 +82,7 @@
     /// The members of the group.
     members: Vec<SocketAddr>,
     snapshot: Option<DeploymentSnapshot>,
+    quarantine: Quarantine,
     /// When the copy expires. Fronts must not use it any longer.
     valid_until: Tick,
     reader: DirectoryReader,
@@ -98,6 +103,7 @@
             leader: None,
             members: Vec::new(),
             snapshot: None,
+            quarantine: Quarantine::default(),
             valid_until: Tick::default(),
             reader: DirectoryReader::default(),
             wall_clock: (0, Tick::default()),
@@ -137,6 +143,9 @@
                 self.reply_to_fronts(now, out);
             }
             Request::Tally(tally) => out.push(Output::Reply(ticket, self.tally(now, tally))),
+            Request::Evidence(front, evidence) => {
+                out.push(Output::Reply(ticket, self.evidence(now, front, evidence)));
+            }
             _ => out.push(Output::Reply(ticket, Reply::NotLeader(self.leader))),
         }
     }
@@ -151,6 +160,16 @@
         Reply::LastSealed(self.uplink.last_sealed)
     }
 
+    /// Passes a front's evidence on to the leader, or refers the front to the leader while this process
+    /// has lost touch with it.
+    fn evidence(&mut self, now: Tick, front: SubscriberId, evidence: Evidence) -> Reply {
+        if !self.uplink.in_touch(now) {
+            return Reply::NotLeader(self.leader);
+        }
+        self.uplink.reports.add(now, front, evidence);
+        Reply::Recorded
+    }
+
     /// Renews the copy. Its validity counts from when the request for it was sent.
     fn renew(&mut self, now: Tick, reply: FeedReply) {
         let sent_at = self.uplink.replied(now, &reply);
@@ -162,13 +181,19 @@
             }
         }
         self.members = deployment.hosts;
-        if let Some(snapshot) = deployment.snapshot {
-            // A copy that goes back to an older generation is never valid.
-            if snapshot.generation < self.generation() {
-                return;
-            }
+        // A copy that goes back to an older generation or quarantine is never valid.
+        let (snapshot, quarantine) = (deployment.snapshot, deployment.quarantine);
+        let older = |snapshot: &DeploymentSnapshot| snapshot.generation < self.generation();
+        let earlier = |quarantine: &Quarantine| quarantine.version() < self.quarantine.version();
+        if snapshot.as_ref().is_some_and(older) || quarantine.as_ref().is_some_and(earlier) {
+            return;
+        }
+        if let Some(snapshot) = snapshot {
             self.snapshot = Some(snapshot);
         }
+        if let Some(quarantine) = quarantine {
+            self.quarantine = quarantine;
+        }
         self.reader
             .adopt(now, deployment.directory, deployment.directory_age);
         self.wall_clock = (deployment.unix_ms, now);
@@ -209,6 +234,7 @@
         let held = FeedPosition {
             generation: Some(self.generation()),
             directory: self.reader.version(),
+            quarantine: Some(self.quarantine.version()),
         };
         self.uplink.request(now, host, held, self.fronts.len(), out);
     }
@@ -228,11 +254,15 @@
         let waited = now.since(pending.received_at);
         let over = waited >= pending.max_wait;
         let valid = now < self.valid_until && self.uplink.in_touch(now);
-        if !valid || self.generation() < pending.held.generation {
+        let held = pending.held;
+        let quarantine = self.quarantine.version();
+        let behind = self.generation() < held.generation || quarantine < held.quarantine;
+        if !valid || behind {
             return over.then_some(Reply::Unavailable);
         }
-        let update = self.generation() > pending.held.generation
-            || self.served_version(now) > pending.held.directory;
+        let update = self.generation() > held.generation
+            || self.served_version(now) > held.directory
+            || quarantine > held.quarantine;
         let renewed = self.uplink.refreshed_at >= Some(pending.received_at)
             && waited >= pending.max_wait / RENEWAL_DIVISOR;
         (update || renewed || over).then(|| self.deployment_reply(now, pending))
@@ -242,6 +272,7 @@
         let (unix_ms, received_at) = self.wall_clock;
         let held = pending.held;
         let newer = |snapshot: &&DeploymentSnapshot| snapshot.generation > held.generation;
+        let quarantine = &self.quarantine;
         let directory = self.reader.directory(now);
         Reply::Deployment(Box::new(DeploymentReply {
             snapshot: self.snapshot.as_ref().filter(newer).cloned(),
@@ -256,6 +287,7 @@
             distributors: self.uplink.distributors.clone(),
             // The front counts from when it sent its request, which was earlier.
             ttl: Some(self.valid_until.since(pending.received_at)),
+            quarantine: (quarantine.version() > held.quarantine).then(|| quarantine.clone()),
         }))
     }
 }
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -1,14 +1,20 @@
 //! Requests and duties that a control host has only where it serves a plan: membership, the
-//! directory of endpoints, the deployment's subscribers and the fronts' usage.
+//! directory of endpoints, the deployment's subscribers, the fronts' usage and the quarantine of
+//! prompt parts.
 
 use std::time::Duration;
 
 use ::plan::Distributor;
 use agree::Member;
 use ids::{
+    PartId,
     Tick,
     Ticket, //
 };
+use quarantine::{
+    Evidence,
+    Sentence, //
+};
 use serde_bytes::ByteBuf;
 use step::Outbox;
 use usage::Tally;
@@ -23,12 +29,14 @@
 use crate::message::{
     DeploymentReply,
     DeploymentVersions,
+    Event,
     FeedError,
     FeedReply,
     FeedRequest,
     Output,
     Reply, //
 };
+use crate::subscribers::SubscriberId;
 
 /// A process that requested the deployment within this time counts as a subscriber.
 pub(crate) const SUBSCRIBER_ACTIVE: Duration = Duration::from_secs(3);
@@ -72,6 +80,27 @@
         out.push(Output::Reply(ticket, Reply::LastSealed(last)));
     }
 
+    /// Records a front's evidence as leader with a valid lease. Another host passes it on to the
+    /// leader, or refers the front to the leader while it has lost touch with it.
+    pub(crate) fn evidence(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        (front, evidence): (SubscriberId, Evidence),
+        out: &mut Outbox<Output>,
+    ) {
+        let leads = self.node.leads();
+        let uplink = self.uplink.as_mut();
+        if self.node.lease(now).is_some() {
+            self.judge.record(now, &evidence);
+        } else if let Some(uplink) = uplink.filter(|uplink| !leads && uplink.in_touch(now)) {
+            uplink.reports.add(now, front, evidence);
+        } else {
+            return self.refer_to_leader(ticket, out);
+        }
+        out.push(Output::Reply(ticket, Reply::Recorded));
+    }
+
     /// Refers a requester to the leader, unless this host leads without a valid lease.
     fn refer_to_leader(&self, ticket: Ticket, out: &mut Outbox<Output>) {
         let leader = self.leader().filter(|_| !self.node.leads());
@@ -92,11 +121,13 @@
         for tally in request.tallies {
             self.billing.add(tally);
         }
+        self.judge.record(now, &request.evidence);
         self.distributors
             .record(now, &request.distributor, request.subscribers);
         let held = FeedPosition {
             generation: request.generation,
             directory: request.directory,
+            quarantine: request.quarantine,
         };
         self.feeds
             .add(now, ticket, request.id, held, request.max_wait);
@@ -126,6 +157,7 @@
         let held = FeedPosition {
             generation: None,
             directory: self.reader.version(),
+            quarantine: None,
         };
         let fronts = self.deployments.active(now, SUBSCRIBER_ACTIVE);
         if let Some((leader, uplink)) = leader.zip(self.uplink.as_mut()) {
@@ -134,8 +166,8 @@
     }
 
     /// Requests to join the group if this host has no leader. As leader under a valid lease, reads
-    /// the listing of endpoints, changes the group, and seals and reports usage. A leader wakes for
-    /// every heartbeat, so these duties need no timer.
+    /// the listing of endpoints, changes the group, judges prompt parts, and seals and reports usage. A
+    /// leader wakes for every heartbeat, so these duties need no timer.
     pub(crate) fn advance_plan(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let Some(plan) = self.options.plan.clone() else {
             return;
@@ -160,6 +192,7 @@
                 self.handle_node_outputs(now, node_out, out);
             }
         }
+        self.judge_parts(now, out);
         let unix_ms = self.unix_ms(now);
         let statements = &self.machine.statements;
         match self.billing.next_action(now, unix_ms, &plan, statements) {
@@ -174,6 +207,56 @@
         }
     }
 
+    /// Puts prompt parts into quarantine or releases them, as leader under a valid lease.
+    fn judge_parts(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        // What this host received before it was elected.
+        if let Some(uplink) = &mut self.uplink {
+            self.judge.record(now, &uplink.reports.take(now));
+        }
+        if !self.judge.start_if_due(now) {
+            return;
+        }
+        let unix_ms = |at| self.unix_ms(at);
+        let judgement = self.judge.judge(now, unix_ms, &self.machine.quarantine);
+        if !judgement.imposed.is_empty() {
+            self.judge.imposing = true;
+            let command = Command::Quarantine(judgement.imposed);
+            if !self.propose_duty(now, &command, out) {
+                self.judge.imposing = false;
+            }
+        }
+        if !judgement.released.is_empty() {
+            self.judge.releasing = true;
+            let command = Command::Release(judgement.released);
+            if !self.propose_duty(now, &command, out) {
+                self.judge.releasing = false;
+            }
+        }
+    }
+
+    /// Reports the parts that a command is about to put into quarantine, if this host leads.
+    pub(crate) fn report_imposed(
+        &self,
+        sentences: &[(PartId, Sentence)],
+        out: &mut Outbox<Output>,
+    ) {
+        let held = |part| self.machine.quarantine.sentence(part).is_some();
+        let parts = sentences.iter().map(|(part, _)| *part);
+        if self.node.leads() {
+            let imposed = parts.filter(|part| !held(*part));
+            imposed.for_each(|part| out.push(Output::Event(Event::PartQuarantined(part))));
+        }
+    }
+
+    /// Reports the parts that a command is about to release, if this host leads.
+    pub(crate) fn report_released(&self, parts: &[PartId], out: &mut Outbox<Output>) {
+        let held = |part| self.machine.quarantine.sentence(part).is_some();
+        if self.node.leads() {
+            let released = parts.iter().filter(|part| held(**part));
+            released.for_each(|part| out.push(Output::Event(Event::PartReleased(*part))));
+        }
+    }
+
     /// Handles the billing interface's response to a statement.
     pub(crate) fn statement_delivered(
         &mut self,
@@ -195,8 +278,12 @@
     pub(crate) fn reply_to_deployments(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let generation = self.machine.deployment.generation();
         let directory = self.served_version(now);
-        let has_update =
-            |held: &DeploymentVersions| held.generation != generation || held.directory < directory;
+        let quarantine = self.machine.quarantine.version();
+        let has_update = |held: &DeploymentVersions| {
+            held.generation != generation
+                || held.directory < directory
+                || held.quarantine != quarantine
+        };
         for (ticket, held) in self.deployments.take_ready(now, self.applied, has_update) {
             let reply = self.deployment_reply(now, held);
             out.push(Output::Reply(ticket, Reply::Deployment(Box::new(reply))));
@@ -211,13 +298,17 @@
     pub(crate) fn reply_to_feeds(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let current = self.machine.deployment.generation();
         let directory = self.served_version(now);
+        let quarantine = self.machine.quarantine.version();
         let has_update = |held: &FeedPosition| {
-            held.generation.is_some_and(|held| held != current) || held.directory < directory
+            held.generation.is_some_and(|held| held != current)
+                || held.directory < directory
+                || held.quarantine.is_some_and(|held| held != quarantine)
         };
         for (ticket, held) in self.feeds.take_ready(now, self.applied, has_update) {
             let held = DeploymentVersions {
                 generation: held.generation.unwrap_or(current),
                 directory: held.directory,
+                quarantine: held.quarantine.unwrap_or(quarantine),
             };
             let reply = FeedReply {
                 deployment: self.deployment_reply(now, held),
@@ -264,6 +355,7 @@
 
     fn deployment_reply(&self, now: Tick, held: DeploymentVersions) -> DeploymentReply {
         let deployment = &self.machine.deployment;
+        let quarantine = &self.machine.quarantine;
         let newer = |directory: &&::plan::Directory| directory.version > held.directory;
         DeploymentReply {
             snapshot: (held.generation != deployment.generation()).then(|| deployment.snapshot()),
@@ -275,6 +367,7 @@
             unix_ms: self.unix_ms(now),
             distributors: self.distributors(now),
             ttl: None,
+            quarantine: (held.quarantine != quarantine.version()).then(|| quarantine.clone()),
         }
     }
 
--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -691,6 +691,7 @@
         let held = DeploymentVersions {
             generation: 0,
             directory,
+            quarantine: 0,
         };
         let request = self.request(
             n,
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -71,6 +71,8 @@
     Elected "control.elected" "terms in which the host was elected leader";
     UsageMerged "usage.merged" "usage reports merged";
     UsageSealed "usage.sealed" "usage windows sealed";
+    PartQuarantined "quarantine.imposed" "prompt parts put into quarantine";
+    PartReleased "quarantine.lifted" "prompt parts released from quarantine";
 }
 
 /// The counters of one process. Clones share their values.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -25,6 +25,10 @@
     Directory,
     Distributor, //
 };
+use quarantine::{
+    Evidence,
+    Quarantine, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -60,6 +64,8 @@
     pub const JOIN: &str = "/peer/join";
     /// A front's usage by window.
     pub const TALLY: &str = "/peer/tally";
+    /// What a front knows of prompt parts that crash engines.
+    pub const EVIDENCE: &str = "/peer/evidence";
     /// An attempt, from an entry to an agent.
     pub const ATTEMPT: &str = "/peer/attempt";
     /// The path that responses are sealed for. It is never requested. It keeps a sealed request
@@ -126,7 +132,7 @@
     pub control_hosts: Vec<SocketAddr>,
 }
 
-/// Requests a deployment or directory newer than the subscriber's.
+/// Requests a deployment or directory newer than the subscriber's, or another quarantine.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -142,6 +148,10 @@
     /// How long the control host may hold the request until a newer one exists.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub max_wait: Duration,
+    /// The version of the quarantine that the subscriber has.
+    // Not sent while it is 0, so that processes of the version before accept the message.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub quarantine_version: u64,
 }
 
 /// The deployment and directory that bring a subscriber up to date.
@@ -169,6 +179,9 @@
     pub unix_ms: u64,
     /// The control processes that serve this request's path.
     pub distributors: Vec<Distributor>,
+    /// The quarantine, if the control host has another version than the subscriber.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub quarantine: Option<Quarantine>,
 }
 
 /// A distributor's request for a deployment or directory newer than its own. Only the leader
@@ -195,6 +208,20 @@
     /// How long the leader may hold the request until a newer deployment or directory exists.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub max_wait: Duration,
+    /// What the distributor has and knows of prompt parts that crash engines.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub quarantine: QuarantineReport,
+}
+
+/// What a distributor has and knows of prompt parts that crash engines.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct QuarantineReport {
+    /// The version of the distributor's quarantine; 0 if it gets the quarantine from the replicated
+    /// log.
+    pub version: u64,
+    /// What its fronts reported since its last request.
+    pub evidence: Evidence,
 }
 
 /// Brings a distributor up to date.
@@ -219,6 +246,18 @@
     pub windows: Vec<(u64, Runs)>,
 }
 
+/// Reports what a front knows of prompt parts that crash engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EvidenceRequest {
+    /// The front's host.
+    pub host: HostName,
+    /// The incarnation of its process.
+    pub incarnation: Incarnation,
+    /// The evidence. It replaces what this process reported before.
+    pub evidence: Evidence,
+}
+
 /// Claims the execution of a request that must be executed at most once.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -260,3 +299,8 @@
     /// The request did not succeed. A command may still be applied later.
     Unavailable,
 }
+
+/// Whether a field at the end of a message may be left out.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
