Let crashes expire when parts are judged

Crashes older than ten minutes were dropped only when a further crash was recorded. A leader whose record got no further crash would have condemned the part again as soon as its 15 minutes of quarantine were over, without end. The age is now checked when parts are judged.

crashes_older_than_ten_minutes_do_not_condemn failed on the code before.

--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -149,6 +149,7 @@
         let mut open: Vec<_> = self
             .crashes
             .iter()
+            .filter(|crash| now.since(crash.at) < MAX_AGE)
             .filter(|crash| !crash.parts.iter().any(|part| quarantined(*part)))
             .collect();
         let mut verdicts = Vec::new();
--- /dev/null
+++ b/crates/quarantine/tests/suspects.rs
@@ -0,0 +1,245 @@
+//! Which parts are the cause of crashes, and which are not.
+
+use std::time::Duration;
+
+use ids::{
+    PartId,
+    Tick, //
+};
+use quarantine::{
+    Crash,
+    Evidence,
+    Served,
+    Suspects, //
+};
+
+/// A time later than all that these tests record, in milliseconds.
+const SETTLED: u64 = 100_000;
+
+fn at(ms: u64) -> Tick {
+    Tick(ms * 1000)
+}
+
+/// Suspects that observed crashes: the time in milliseconds, the instance and the parts of each.
+fn crashes(list: &[(u64, &str, &[u64])]) -> Suspects {
+    let mut suspects = Suspects::default();
+    for (ms, instance, parts) in list {
+        let parts = parts.iter().copied().map(PartId);
+        suspects.crashed(at(*ms), instance, parts);
+    }
+    suspects
+}
+
+/// Three crashes of different instances, with the same parts.
+fn three_crashes(parts: &[u64]) -> Suspects {
+    crashes(&[
+        (10_000, "a", parts),
+        (11_000, "b", parts),
+        (12_000, "c", parts),
+    ])
+}
+
+/// The condemned parts at a time in milliseconds, with parts in quarantine.
+fn condemned_with(suspects: &Suspects, ms: u64, quarantined: &[u64]) -> Vec<u64> {
+    let verdicts = suspects.verdicts(at(ms), |part| quarantined.contains(&part.0));
+    let mut parts: Vec<_> = verdicts.iter().map(|verdict| verdict.part.0).collect();
+    parts.sort_unstable();
+    parts
+}
+
+fn condemned(suspects: &Suspects) -> Vec<u64> {
+    condemned_with(suspects, SETTLED, &[])
+}
+
+/// A front's report of one crash.
+fn report(instance: &str, age_ms: u64, parts: &[u64]) -> Evidence {
+    Evidence {
+        crashes: vec![Crash {
+            instance: instance.to_owned(),
+            age: Duration::from_millis(age_ms),
+            parts: parts.iter().copied().map(PartId).collect(),
+        }],
+        served: Vec::new(),
+    }
+}
+
+case::cases! {
+    three_crashes_without_service_condemn_after_the_settling_time: {
+        let suspects = three_crashes(&[1]);
+        assert_eq!(condemned_with(&suspects, 12_699, &[]), []);
+        assert_eq!(condemned_with(&suspects, 12_700, &[]), [1]);
+    };
+    verdict_counts_from_the_first_crash: {
+        let verdicts = three_crashes(&[1]).verdicts(at(SETTLED), |_| false);
+        assert_eq!(verdicts[0].since, at(10_000));
+    };
+    two_crashes_do_not_condemn: assert_eq!(
+        condemned(&crashes(&[(10_000, "a", &[1]), (11_000, "b", &[1])])),
+        []
+    );
+    crashes_in_a_row_of_one_instance_condemn: assert_eq!(
+        condemned(&crashes(&[(10_000, "a", &[1]), (14_000, "a", &[1]), (18_000, "a", &[1])])),
+        [1]
+    );
+    crashes_without_a_common_part_condemn_nothing: assert_eq!(
+        condemned(&crashes(&[(10_000, "a", &[1]), (11_000, "b", &[2]), (12_000, "c", &[3]), (13_000, "d", &[])])),
+        []
+    );
+    part_in_all_crashes_explains_those_of_a_part_in_some: assert_eq!(
+        condemned(&crashes(&[
+            (10_000, "a", &[1, 2]),
+            (11_000, "b", &[1, 2]),
+            (12_000, "c", &[1, 2]),
+            (13_000, "d", &[1]),
+        ])),
+        [1]
+    );
+    two_causes_with_separate_crashes_are_both_condemned: assert_eq!(
+        condemned(&crashes(&[
+            (10_000, "a", &[1, 3]),
+            (11_000, "b", &[2]),
+            (12_000, "c", &[1]),
+            (13_000, "d", &[2, 3]),
+            (14_000, "e", &[1]),
+            (15_000, "f", &[2]),
+            (16_000, "g", &[1]),
+        ])),
+        [1, 2]
+    );
+    // The crashes of the part that has not settled yet explain those of the others.
+    part_that_has_not_settled_still_explains_crashes: {
+        let suspects = crashes(&[
+            (10_000, "a", &[1, 2]),
+            (10_300, "b", &[1, 2]),
+            (10_600, "c", &[1, 2]),
+            (10_900, "d", &[1]),
+        ]);
+        assert_eq!(condemned_with(&suspects, 11_000, &[]), []);
+        assert_eq!(condemned_with(&suspects, 11_300, &[]), [1]);
+    };
+    part_served_after_the_crashes_is_cleared: {
+        let mut suspects = three_crashes(&[1, 2]);
+        suspects.served(at(12_001), PartId(2));
+        assert_eq!(condemned(&suspects), [1]);
+    };
+    part_served_between_the_crashes_is_cleared_of_the_earlier_ones: {
+        let mut suspects = three_crashes(&[1]);
+        suspects.served(at(10_500), PartId(1));
+        assert_eq!(condemned(&suspects), []);
+        suspects.crashed(at(13_000), "d", [PartId(1)]);
+        assert_eq!(condemned(&suspects), [1]);
+        assert_eq!(suspects.verdicts(at(SETTLED), |_| false)[0].since, at(11_000));
+    };
+    part_served_before_the_crashes_is_not_cleared: {
+        let mut suspects = three_crashes(&[1]);
+        suspects.served(at(9_999), PartId(1));
+        assert_eq!(condemned(&suspects), [1]);
+    };
+    earlier_service_does_not_replace_a_later_one: {
+        let mut suspects = three_crashes(&[1]);
+        suspects.served(at(12_500), PartId(1));
+        suspects.served(at(5_000), PartId(1));
+        assert_eq!(suspects.served_at(PartId(1)), Some(at(12_500)));
+        assert_eq!(condemned(&suspects), []);
+    };
+    simultaneous_crashes_of_several_engines_count_once: {
+        let rack = [(10_000, "a", [1]), (10_050, "b", [1]), (10_100, "c", [1]), (10_199, "d", [1])];
+        let rack = rack.each_ref().map(|(ms, instance, parts)| (*ms, *instance, parts.as_slice()));
+        let mut suspects = crashes(&rack);
+        assert_eq!(condemned(&suspects), []);
+        suspects.crashed(at(11_000), "e", [PartId(1)]);
+        assert_eq!(condemned(&suspects), []);
+        suspects.crashed(at(12_000), "f", [PartId(1)]);
+        assert_eq!(condemned(&suspects), [1]);
+    };
+    reports_of_the_same_crash_by_several_fronts_are_one_crash: {
+        let mut suspects = Suspects::default();
+        for ms in [10_000, 10_010, 10_400, 10_900] {
+            suspects.record(at(ms), &report("a", ms - 10_000 + 7, &[1]));
+        }
+        suspects.crashed(at(11_500), "b", [PartId(1)]);
+        assert_eq!(condemned(&suspects), []);
+        assert_eq!(suspects.evidence(at(12_000)).crashes.len(), 2);
+    };
+    same_crash_has_the_parts_of_all_reports: {
+        let mut suspects = crashes(&[(10_000, "a", &[1]), (11_000, "b", &[1]), (12_000, "c", &[2])]);
+        assert_eq!(condemned(&suspects), []);
+        suspects.record(at(12_100), &report("c", 100, &[1]));
+        assert_eq!(condemned(&suspects), [1]);
+    };
+    order_of_reports_does_not_matter: {
+        let mut suspects = Suspects::default();
+        for ms in [12_000, 10_000, 11_000] {
+            suspects.record(at(13_000), &report(&ms.to_string(), 13_000 - ms, &[1]));
+        }
+        let verdicts = suspects.verdicts(at(SETTLED), |_| false);
+        assert_eq!((verdicts[0].part, verdicts[0].since), (PartId(1), at(10_000)));
+    };
+    part_in_quarantine_explains_crashes: {
+        let suspects = three_crashes(&[1, 2]);
+        assert_eq!(condemned(&suspects), [1, 2]);
+        assert_eq!(condemned_with(&suspects, SETTLED, &[1]), []);
+    };
+    // A leader whose record gets no further crash kept condemning the part after its quarantine.
+    crashes_older_than_ten_minutes_do_not_condemn: {
+        let suspects = three_crashes(&[1]);
+        assert_eq!(condemned_with(&suspects, 10_000 + 599_000, &[]), [1]);
+        assert_eq!(condemned_with(&suspects, 10_000 + 600_000, &[]), []);
+    };
+    only_the_latest_256_crashes_are_kept: {
+        let mut suspects = Suspects::default();
+        for n in 0..400 {
+            suspects.crashed(at(10_000 + n * 10), &n.to_string(), [PartId(n)]);
+        }
+        let evidence = suspects.evidence(at(14_000));
+        assert_eq!(evidence.crashes.len(), 256);
+        assert_eq!(evidence.crashes[0].parts, [PartId(144)]);
+    };
+    only_parts_served_lately_are_kept: {
+        let mut suspects = Suspects::default();
+        for n in 0..100_000 {
+            suspects.served(at(n), PartId(n));
+        }
+        let kept = (0..100_000).filter(|n| suspects.served_at(PartId(*n)).is_some()).count();
+        assert!((4096..=8192).contains(&kept), "{kept}");
+        assert!(suspects.served_at(PartId(99_999 - 4000)).is_some());
+        assert!(suspects.served_at(PartId(0)).is_none());
+    };
+    evidence_repeats_the_crashes_of_a_minute: {
+        let suspects = crashes(&[(10_000, "a", &[1]), (40_000, "b", &[2])]);
+        let instances = |ms| {
+            let evidence = suspects.evidence(at(ms));
+            evidence.crashes.into_iter().map(|crash| crash.instance).collect::<Vec<_>>()
+        };
+        assert_eq!(instances(69_999), ["a", "b"]);
+        assert_eq!(instances(70_000), ["b"]);
+        assert!(suspects.evidence(at(100_000)).is_empty());
+    };
+    evidence_tells_when_the_parts_of_its_crashes_were_served: {
+        let mut suspects = crashes(&[(10_000, "a", &[1, 2])]);
+        suspects.served(at(9_000), PartId(2));
+        suspects.served(at(9_500), PartId(3));
+        let evidence = suspects.evidence(at(12_000));
+        let age = Duration::from_millis(3000);
+        assert_eq!(evidence.served, [Served { part: PartId(2), age }]);
+    };
+    evidence_passed_on_with_its_age_condemns_as_the_original_does: {
+        let suspects = three_crashes(&[1]);
+        let evidence = suspects.evidence(at(13_000)).aged(Duration::from_millis(700));
+        let mut leader = Suspects::default();
+        leader.record(at(513_700), &evidence);
+        let verdicts = leader.verdicts(at(514_000), |_| false);
+        assert_eq!((verdicts[0].part, verdicts[0].since), (PartId(1), at(510_000)));
+    };
+    appended_evidence_condemns_as_both_parts_do: {
+        let mut evidence = report("a", 3000, &[1, 2]);
+        evidence.append(report("b", 2000, &[1]));
+        evidence.append(report("c", 1000, &[1, 2]));
+        let served = Served { part: PartId(2), age: Duration::from_millis(500) };
+        evidence.append(Evidence { crashes: Vec::new(), served: vec![served] });
+        let mut suspects = Suspects::default();
+        suspects.record(at(20_000), &evidence);
+        assert_eq!(condemned(&suspects), [1]);
+        assert_eq!(suspects.served_at(PartId(2)), Some(at(19_500)));
+    };
+}
