--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -193,6 +193,8 @@
     replies: BTreeMap<(usize, Ticket), Reply>,
     /// Reports of usage windows: the host, its fencing term and the statement.
     pub(crate) reports: Vec<(usize, u64, Statement)>,
+    /// The events of each host.
+    pub(crate) logged: Vec<(usize, govern::Event)>,
     /// How often each host read the platform's listing.
     pub(crate) listing_reads: Vec<usize>,
     /// The content of the platform's listing.
@@ -239,6 +241,7 @@
             blocked_links: BTreeSet::new(),
             replies: BTreeMap::new(),
             reports: Vec::new(),
+            logged: Vec::new(),
             listing_reads: Vec::new(),
             listing: b"list".to_vec(),
             listing_available: true,
@@ -553,7 +556,8 @@
                     }
                 }
             }
-            Output::DeliverWindow(..) | Output::Event(_) => {}
+            Output::Event(event) => self.logged.push((n, event)),
+            Output::DeliverWindow(..) => {}
         }
     }
 
@@ -764,6 +768,20 @@
 
     /// The number of the current usage window.
     pub(crate) fn window(&self) -> u64 {
-        (1_700_000_000_000 + self.now / 1000) / 5000
+        self.unix_ms() / 5000
+    }
+
+    /// Unix time, in milliseconds.
+    pub(crate) fn unix_ms(&self) -> u64 {
+        1_700_000_000_000 + self.now / 1000
+    }
+
+    /// Log entries in a host's memory.
+    pub(crate) fn log_entries(&mut self, n: usize) -> usize {
+        let request = self.request(n, Request::Status);
+        match self.reply(request) {
+            Some(Reply::Status(status)) => status.log_entries,
+            _ => 0,
+        }
     }
 }
