--- a/crates/govern/tests/quarantine.rs
+++ b/crates/govern/tests/quarantine.rs
@@ -391,6 +391,8 @@
         group.advance(left - 1000);
         assert_eq!(parts(&quarantine(&mut group, mirror)), [DEADLY]);
         group.advance(2000);
+        report(&mut group, leader, served(PartId(1), 0));
+        group.advance(1000);
         for n in [0, 1, 2, mirror] {
             let held = quarantine(&mut group, n);
             assert_eq!((held.is_empty(), held.version()), (true, 2));
