Reject prompts with a part that crashes engines

What callers saw: with one part in a twentieth of one class's prompts, engines crashed one after the other for as long as callers sent the part, and every request in progress there was cut off.

Cause: nothing connected a crash to the prompts that were in progress, so each request with the part was dispatched, and retried, as if it were the first. Class of fault: no bulkhead against a request that kills its server.

Fix: a front that loses the connection of a prompt connects once more; if that is refused, the engine has crashed, and the prompt's shared parts are evidence. A front without a view for two seconds decides by its own observations.

Reports repeat ten seconds instead of a minute, at most 32 crashes: with a clock drift of 5 percent the age of an older crash is off by more than SAME_CRASH, and it would count again.

--- a/crates/enginesim/src/simulation.rs
+++ b/crates/enginesim/src/simulation.rs
@@ -172,6 +172,7 @@
                 fronts: self.fronts.len(),
                 wall_clock: (1_000_000_000, self.now),
                 requested_at: self.now,
+                quarantine: None,
             };
             self.step_front(n, Input::View(Box::new(view)));
         }
--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -82,6 +82,8 @@
     BodyTooLarge, "body_too_large", 413, NotExecuted, 0, "the request body is too large";
     /// The prompt exceeds the memory of every engine of the service.
     PromptTooLarge, "prompt_too_large", 413, NotExecuted, 0, "the prompt is larger than the memory of any endpoint";
+    /// A part of the prompt is in quarantine because it crashes engines.
+    PromptQuarantined, "prompt_quarantined", 503, NotExecuted, 60, "a part of the prompt crashes engines";
     /// The headers exceed the size limit.
     HeadTooLarge, "head_too_large", 431, NotExecuted, 0, "the request headers are too large";
     /// No route serves the model or path.
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -170,6 +170,17 @@
         })
     }
 
+    /// Tells the crash of an endpoint from the loss of one connection: an endpoint that has crashed
+    /// refuses new connections.
+    pub(crate) async fn classify(&self, attempt: &Attempt, failure: Failure) -> Failure {
+        let broken = failure == Failure::Broken && attempt.detect_crash;
+        if broken && self.connections.refused(attempt.address).await {
+            Failure::Crashed
+        } else {
+            failure
+        }
+    }
+
     /// When an attempt times out: at its start deadline, if it has one, and at the latest at the
     /// deadline of the complete response.
     pub(crate) fn deadline(&self, attempt: &Attempt) -> Tick {
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -47,6 +47,9 @@
 const KEEP_ALIVE_DIVISOR: u32 = 2;
 /// Timeout of opening a connection. Endpoints are a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time after which an endpoint that does not respond to a connection attempt does not count as
+/// refusing it.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long a connection may take to be ready for its next request after the end of a response. A
 /// connection that takes longer is closed.
 const REUSE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -183,6 +186,16 @@
         None
     }
 
+    /// Whether an endpoint refuses a new connection.
+    pub(crate) async fn refused(&self, address: SocketAddr) -> bool {
+        let timeout = async {
+            Timer::after(REFUSAL_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let connected = TcpStream::connect(address).or(timeout).await;
+        connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     async fn connect(&self, target: &Target<'_>) -> io::Result<Connection> {
         let timeout = async {
             Timer::after(CONNECT_TIMEOUT).await;
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -14,6 +14,7 @@
     Logger,
     event, //
 };
+use quarantine::Evidence;
 use relay::{
     Decision,
     Event,
@@ -46,18 +47,26 @@
     usage: HashMap<Ticket, Sender<Vec<(u64, Runs)>>>,
     ready: HashMap<Ticket, Sender<bool>>,
     cancelled: Sender<RequestId>,
+    evidence: crossbeam::channel::Sender<Evidence>,
     counters: Counters,
     log: Logger,
 }
 
 impl FrontEffects {
-    /// `cancelled` receives the requests whose caller disconnected before the core decided on them.
-    pub(crate) fn new(cancelled: Sender<RequestId>, counters: Counters, log: Logger) -> Self {
+    /// `cancelled` receives the requests whose caller disconnected before the core decided on them,
+    /// and `evidence` what is to be reported to the control group.
+    pub(crate) fn new(
+        cancelled: Sender<RequestId>,
+        evidence: crossbeam::channel::Sender<Evidence>,
+        counters: Counters,
+        log: Logger,
+    ) -> Self {
         Self {
             decisions: HashMap::new(),
             usage: HashMap::new(),
             ready: HashMap::new(),
             cancelled,
+            evidence,
             counters,
             log,
         }
@@ -105,6 +114,7 @@
                     relay::Failure::Unreached => Counter::RetriedUnreached,
                     relay::Failure::Misdirected => Counter::RetriedMisdirected,
                     relay::Failure::Broken => Counter::RetriedBroken,
+                    relay::Failure::Crashed => Counter::RetriedCrashed,
                     relay::Failure::Garbled => Counter::RetriedGarbled,
                     relay::Failure::Silent => Counter::RetriedSilent,
                     relay::Failure::Errored => Counter::RetriedFailed,
@@ -120,6 +130,17 @@
                 self.counters.count(Counter::RetryBudgetExhausted);
                 event!(self.log, RetryBudgetExhausted, "request" => request);
             }
+            Event::Crashed(request, instance, parts) => {
+                let parts: Vec<_> = parts
+                    .iter()
+                    .map(|part| format!("{:016x}", part.0))
+                    .collect();
+                event!(self.log, EndpointCrashed, "request" => request, "endpoint" => instance,
+                    "parts" => parts.join(","));
+            }
+            Event::QuarantineChanged(version, parts) => {
+                event!(self.log, QuarantineChanged, "version" => version, "parts" => parts);
+            }
             Event::Ejected(instance) => {
                 self.counters.count(Counter::Ejected);
                 event!(self.log, EndpointEjected, "endpoint" => instance);
@@ -177,6 +198,10 @@
                     let _ = reply_to.try_send(ready);
                 }
             }
+            Output::Evidence(evidence) => {
+                // The reporter ends after the core.
+                let _ = self.evidence.send(evidence);
+            }
             Output::Event(event) => self.report(event),
         }
     }
--- a/crates/front/src/deployment.rs
+++ b/crates/front/src/deployment.rs
@@ -82,6 +82,8 @@
     pub(crate) generation: u64,
     /// Version of the directory in use; 0 if there is none.
     pub(crate) directory_version: u64,
+    /// Version of the quarantine last received; 0 if there is none.
+    pub(crate) quarantine_version: u64,
     /// When the control group read the listing that it last supplied, in microseconds of the clock;
     /// 0 if it has supplied none.
     pub(crate) listing_read: Arc<AtomicU64>,
@@ -152,7 +154,7 @@
             generation: self.generation,
             directory_version: self.directory_version,
             max_wait: wait,
-            quarantine_version: 0,
+            quarantine_version: self.quarantine_version,
         };
         self.control
             .call_host(host, paths::DEPLOYMENT, &request, timeout)
@@ -195,6 +197,9 @@
                 return Some(());
             }
         };
+        if let Some(quarantine) = &response.quarantine {
+            self.quarantine_version = quarantine.version();
+        }
         let view = View {
             generation: self.generation,
             deployment,
@@ -204,6 +209,7 @@
             // which the response arrived, not the time of the request.
             wall_clock: (response.unix_ms, self.clock.now()),
             requested_at,
+            quarantine: response.quarantine.map(Arc::new),
         };
         self.inbox.send(Input::View(Box::new(view))).ok()
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 mod control;
 mod deployment;
 mod event_buffer;
+mod evidence_report;
 mod listing;
 mod metrics;
 mod response;
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -43,6 +43,7 @@
     FrontEffects, //
 };
 use crate::deployment::DeploymentPoller;
+use crate::evidence_report::EvidenceReporter;
 use crate::listing::{
     ListingDecoder,
     ListingFetcher, //
@@ -65,6 +66,7 @@
     deployment_poller: Worker,
     listing_fetcher: Worker,
     usage_reporter: Worker,
+    evidence_reporter: Worker,
     /// Sends the last usage report.
     final_reporter: UsageReporter,
     control: step::ControlThread<Input, Attachment>,
@@ -98,7 +100,8 @@
     };
     let clock = Monotonic::start();
     let (cancelled_tx, cancelled_rx) = unbounded();
-    let effects = FrontEffects::new(cancelled_tx, counters.clone(), log.clone());
+    let (evidence_tx, evidence_rx) = crossbeam::channel::unbounded();
+    let effects = FrontEffects::new(cancelled_tx, evidence_tx, counters.clone(), log.clone());
     let core = Relay::new(options, PredictedLatency);
     let control = step::ControlThread::start("front-control", core, effects, clock);
     let control = control.map_err(EdgeError::Thread)?;
@@ -130,6 +133,7 @@
         log: log.clone(),
         generation: 0,
         directory_version: 0,
+        quarantine_version: 0,
         listing_read: Arc::clone(&listing_read),
         body_limit: Arc::clone(&body_limit),
         reachable: true,
@@ -157,6 +161,16 @@
     };
     let (mut regular_reporter, final_reporter) = (reporter(), reporter());
     let usage_reporter = Worker::start("front-usage", move || regular_reporter.step());
+    let mut evidence_reporter = EvidenceReporter {
+        host: common.host.clone(),
+        incarnation,
+        control: usage_peers.clone(),
+        reports: evidence_rx,
+        clock,
+        log: log.clone(),
+        unacknowledged: None,
+    };
+    let evidence_reporter = Worker::start("front-evidence", move || evidence_reporter.step());
     let draining = Arc::new(AtomicBool::new(false));
     let context = Context {
         inbox,
@@ -191,6 +205,7 @@
         deployment_poller: deployment_poller.map_err(EdgeError::Thread)?,
         listing_fetcher: listing_fetcher.map_err(EdgeError::Thread)?,
         usage_reporter: usage_reporter.map_err(EdgeError::Thread)?,
+        evidence_reporter: evidence_reporter.map_err(EdgeError::Thread)?,
         final_reporter,
         control,
         draining,
@@ -222,6 +237,7 @@
         self.deployment_poller.stop();
         self.listing_fetcher.stop();
         self.usage_reporter.stop();
+        self.evidence_reporter.stop();
         let _ = self.control.close();
         event!(self.log, Stopped);
     }
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -166,6 +166,11 @@
         let _ = self.inbox.send(Input::Completed(request));
     }
 
+    fn declined(&self, request: RequestId) {
+        self.active.set(None);
+        let _ = self.inbox.send(Input::Declined(request));
+    }
+
     /// Queries the core for whether the front is ready to serve.
     async fn ready(&self) -> bool {
         let ticket = self.next_ticket();
@@ -320,13 +325,17 @@
                     Failure::Errored
                 }
                 Ok(AttemptResult::Complete(response)) => {
-                    client.completed(request);
+                    if response.status < 300 {
+                        client.completed(request);
+                    } else {
+                        client.declined(request);
+                    }
                     return self.forward_response(&received, Some(response));
                 }
                 Ok(AttemptResult::Stream(response, events, first)) => {
                     return self.start_stream(received, *attempt, client, *response, events, first);
                 }
-                Err(failure) => failure,
+                Err(failure) => self.attempts.classify(&attempt, failure).await,
             };
             next = client.attempt_failed(request, failure).await;
         }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -61,13 +61,16 @@
                     return self.send(attempt.deadline, Chunk::End).await.is_ok();
                 }
                 Err(None) => return false,
-                Err(Some(failure)) => match self.resume(request, failure).await {
-                    Some(next) => (attempt, response) = next,
-                    None => {
-                        self.client.counters.count(Counter::StreamAborted);
-                        return false;
+                Err(Some(failure)) => {
+                    let failure = self.attempts.classify(&attempt, failure).await;
+                    match self.resume(request, failure).await {
+                        Some(next) => (attempt, response) = next,
+                        None => {
+                            self.client.counters.count(Counter::StreamAborted);
+                            return false;
+                        }
                     }
-                },
+                }
             }
         }
     }
@@ -135,7 +138,7 @@
             match self.attempts.send(&attempt, &outgoing).await {
                 Ok(response) if response.status == 200 => return Some((*attempt, response)),
                 Ok(_) => failure = Failure::Errored,
-                Err(error) => failure = error,
+                Err(error) => failure = self.attempts.classify(&attempt, error).await,
             }
         }
     }
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -48,6 +48,7 @@
     RetriedUnreached "retry.unreached" "attempts retried because an agent or endpoint could not be reached";
     RetriedMisdirected "retry.misdirected" "attempts retried because another instance had the address";
     RetriedBroken "retry.broken" "attempts retried because a connection broke";
+    RetriedCrashed "retry.crashed" "attempts retried because an endpoint crashed";
     RetriedGarbled "retry.garbled" "attempts retried because a response was malformed";
     RetriedSilent "retry.silent" "attempts retried because the endpoint did not respond in time";
     RetriedFailed "retry.failed" "attempts retried because an endpoint failed before its response started";
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -57,6 +57,7 @@
     1104 ControlUnreachable Warning "a control host did not respond";
     1105 ControlReached Info "a control host responds again";
     1106 ViewValid Info "the process's view of the deployment is valid";
+    1107 QuarantineChanged Info "the process applied a newer quarantine of prompt parts";
     1201 ListingUnavailable Warning "the endpoint listing could not be read";
     1202 ListingAvailable Info "the endpoint listing can be read again";
     1203 ListingEntriesSkipped Warning "the process skipped invalid entries in the endpoint listing";
@@ -73,6 +74,8 @@
     2010 StreamEnded Info "a streamed response was completed";
     2011 RequestRejected Info "the decision core rejected a request";
     2012 RequestQueued Info "a request was queued because the endpoints' backlog exceeded a limit";
+    2013 EndpointCrashed Warning "an endpoint crashed while a request was in progress there";
+    2014 EvidenceDeferred Warning "a report of crashes was not acknowledged and will be retried";
     3001 EngineFailed Warning "the agent's engine failed";
     3002 EngineCold Info "the engine became cold";
     3003 UsageDeferred Warning "a usage report was not acknowledged and will be retried";
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -63,7 +63,15 @@
         self
     }
 
-    /// Adds the evidence of another report.
+    /// Merges a newer report of the same front, which repeats the recent crashes.
+    #[must_use]
+    pub fn followed_by(mut self, newer: Self) -> Self {
+        self.crashes = newer.crashes;
+        self.served.extend(newer.served);
+        self
+    }
+
+    /// Adds the evidence of another front.
     pub fn append(&mut self, mut other: Self) {
         self.crashes.append(&mut other.crashes);
         self.served.append(&mut other.served);
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -30,8 +30,11 @@
 const SETTLE: Duration = Duration::from_millis(700);
 /// How long a front collects observations before it reports them.
 pub(crate) const REPORT_DELAY: Duration = Duration::from_millis(100);
-/// How long fronts repeat an observation with later reports.
-const REPEAT_SPAN: Duration = Duration::from_secs(60);
+/// How long fronts repeat an observation with later reports. With clocks that drift by 5 percent, the
+/// age of a repeated crash is off by less than [`SAME_CRASH`].
+const REPEAT_SPAN: Duration = Duration::from_secs(10);
+/// Crashes in a report at most: the latest.
+const MAX_REPORTED: usize = 32;
 /// Age at which crashes no longer count.
 const MAX_AGE: Duration = Duration::from_secs(600);
 /// Crashes above which the oldest is dropped.
@@ -123,6 +126,7 @@
     pub fn evidence(&self, now: Tick) -> Evidence {
         let recent = |crash: &&Observed| now.since(crash.at) < REPEAT_SPAN;
         let recent: Vec<_> = self.crashes.iter().filter(recent).collect();
+        let recent = &recent[recent.len().saturating_sub(MAX_REPORTED)..];
         let parts: BTreeSet<_> = recent.iter().flat_map(|crash| &crash.parts).collect();
         let served = parts.into_iter().filter_map(|part| {
             let age = now.since(self.served_at(*part)?);
@@ -131,7 +135,7 @@
         Evidence {
             served: served.collect(),
             crashes: recent
-                .into_iter()
+                .iter()
                 .map(|crash| Crash {
                     instance: crash.instance.clone(),
                     age: now.since(crash.at),
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -186,6 +186,7 @@
             sent_at: now,
             pending_tokens: 0,
             started: false,
+            answering_since: None,
             queued: false,
         });
         if let Some(service) = plan.service(service) {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -41,6 +41,8 @@
 const RESPONSE_TIMEOUT_FACTOR: u32 = 3;
 /// Timeout of a stream's first event, in halves of the route's latency target.
 const FIRST_EVENT_TIMEOUT_HALF_TARGETS: u32 = 5;
+/// Time from the start of a response in which a crash of the endpoint may be due to the prompt.
+const RESPONSE_START_SPAN: Duration = Duration::from_secs(1);
 /// Multiple of the route's target for the gap between events after which a pause within a stream
 /// counts as a failure.
 const GAP_TIMEOUT_FACTOR: u32 = 3;
@@ -63,6 +65,15 @@
         let Some((route, service)) = resolved else {
             return Some(self.end_unserved(id, Kind::Internal, None, out));
         };
+        if let Some(remaining) = self.quarantined(now, id) {
+            let decision = self.end_unserved(id, Kind::PromptQuarantined, None, out);
+            return Some(match decision {
+                Decision::Reject(Kind::PromptQuarantined, _) => {
+                    Decision::Reject(Kind::PromptQuarantined, remaining)
+                }
+                executed => executed,
+            });
+        }
         let Some((endpoint, backlog_ms)) = self.select(now, id, service) else {
             return Some(self.end_unserved(id, Kind::EndpointMissing, None, out));
         };
@@ -77,6 +88,12 @@
         Some(Decision::Dispatch(Box::new(attempt)))
     }
 
+    /// If a part of a request's prompt is in quarantine, the time until its end.
+    fn quarantined(&mut self, now: Tick, id: RequestId) -> Option<Duration> {
+        let prompt = self.requests.get(id)?.prompt.as_ref()?;
+        self.part_filter.quarantined(now, prompt)
+    }
+
     /// Starts an attempt at an endpoint and adds it to the endpoint's in-flight requests.
     pub(crate) fn start(
         &mut self,
@@ -97,6 +114,7 @@
         request.endpoint = Some(endpoint_id);
         request.due_at = now + route.latency_target;
         request.sent_at = now;
+        request.answering_since = None;
         request.pending_tokens = 0;
         endpoint.inflight += 1;
         if let Some(prompt) = &request.prompt {
@@ -125,6 +143,7 @@
             deadline: request.deadline,
             start_deadline: retry_start.then_some(now + timeout),
             max_gap: retry_allowed.then_some(route.event_gap * GAP_TIMEOUT_FACTOR),
+            detect_crash: request.prompt.is_some(),
         })
     }
 
@@ -175,6 +194,7 @@
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
+        request.answering_since.get_or_insert(now);
         if std::mem::replace(&mut request.started, true) {
             return;
         }
@@ -211,8 +231,14 @@
         out: &mut Outbox<Output>,
     ) {
         if let Some(endpoint) = self.detach(id) {
+            if failure == Failure::Crashed {
+                self.record_crash(now, id, endpoint, out);
+            }
             self.record_failure(now, endpoint, failure, out);
-            if matches!(failure, Failure::Broken | Failure::Garbled) {
+            if matches!(
+                failure,
+                Failure::Broken | Failure::Crashed | Failure::Garbled
+            ) {
                 // The endpoint probably executed the request although its response is unusable, so
                 // the request counts as usage.
                 self.response_started(now, id, None);
@@ -243,6 +269,32 @@
         out.push(Output::Reply(ticket, decision));
     }
 
+    /// Records an endpoint's crash as evidence against the parts of a prompt, if the endpoint had not
+    /// begun its response or only just.
+    fn record_crash(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        endpoint: EndpointId,
+        out: &mut Outbox<Output>,
+    ) {
+        let endpoint = self.endpoints.get_mut(endpoint);
+        let Some((request, endpoint)) = self.requests.get(id).zip(endpoint) else {
+            return;
+        };
+        let began = request
+            .answering_since
+            .is_some_and(|since| now.since(since) > RESPONSE_START_SPAN);
+        let Some(prompt) = request.prompt.as_ref().filter(|_| !began) else {
+            return;
+        };
+        let instance = endpoint.info.instance.clone();
+        self.part_filter.crashed(now, &instance, prompt);
+        let parts = prompt.shared_parts().collect();
+        let event = Event::Crashed(request.name.clone(), instance, parts);
+        out.push(Output::Event(event));
+    }
+
     /// Updates an endpoint's state after a failed attempt. A misdirected attempt removes the
     /// endpoint, a rejection for lack of capacity sets its load, and any other failure counts
     /// towards ejection.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod health;
 mod lanes;
 mod message;
+mod part_filter;
 mod relay;
 mod request;
 mod retry_budget;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -7,6 +7,7 @@
 use fault::Kind;
 use ids::{
     EndpointId,
+    PartId,
     RequestId,
     Tick,
     Ticket, //
@@ -15,6 +16,10 @@
     Plan,
     RetryPolicy, //
 };
+use quarantine::{
+    Evidence,
+    Quarantine, //
+};
 use usage::Runs;
 
 /// Options of a front's decision core.
@@ -52,6 +57,8 @@
     pub wall_clock: (u64, Tick),
     /// When the front requested the view.
     pub requested_at: Tick,
+    /// The prompt parts in quarantine; none if they are unchanged.
+    pub quarantine: Option<Arc<Quarantine>>,
 }
 
 /// The prompt of a request to a model.
@@ -72,6 +79,13 @@
         let last = self.parts.last();
         last.map_or(self.input_tokens, |(_, tokens)| *tokens)
     }
+
+    /// The parts that other prompts may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartId> + '_ {
+        let shared = self.parts.split_last().map(|(_, shared)| shared);
+        let shared = shared.unwrap_or_default().iter();
+        shared.map(|(part, _)| PartId(*part))
+    }
 }
 
 /// The fields of a request's head that decisions depend on.
@@ -137,6 +151,8 @@
     Misdirected,
     /// The connection broke after part of the request was sent.
     Broken,
+    /// As [`Failure::Broken`], and the endpoint refuses new connections.
+    Crashed,
     /// The received bytes are not a response to this request.
     Garbled,
     /// No response within the timeout.
@@ -177,6 +193,8 @@
     /// The longest pause within a stream before its remainder is requested from another
     /// endpoint; none if the attempt has no such limit.
     pub max_gap: Option<Duration>,
+    /// Whether a broken connection is to be told from a crash of the endpoint.
+    pub detect_crash: bool,
 }
 
 /// The core's decision on a new request, or on one whose attempt failed.
@@ -205,6 +223,8 @@
     AttemptFailed(Ticket, RequestId, Failure),
     /// A request received its complete response.
     Completed(RequestId),
+    /// The endpoint rejected a request with a response that was passed through.
+    Declined(RequestId),
     /// A request ended without a complete response: the caller disconnected, or the response was
     /// aborted.
     Cancelled(RequestId),
@@ -264,12 +284,17 @@
     AttemptFailed(String, Failure),
     /// A retry was not made because the retry budget is exhausted.
     BudgetExhausted(String),
+    /// The endpoint with this instance crashed while the request was in progress there; the shared
+    /// parts of the request's prompt.
+    Crashed(String, String, Vec<PartId>),
     /// The endpoint with this instance is ejected after failures.
     Ejected(String),
     /// The front applied a newer generation of the deployment.
     Advanced(u64),
     /// The view expired (false) or is valid again (true).
     ViewFresh(bool),
+    /// The front applied this version of the quarantine with this many parts.
+    QuarantineChanged(u64, usize),
     /// The set of endpoints changed: their number, and how many of them are draining.
     EndpointsChanged(usize, usize),
 }
@@ -283,6 +308,8 @@
     Usage(Ticket, Vec<(u64, Runs)>),
     /// Whether the front is ready to serve.
     Ready(Ticket, bool),
+    /// Report evidence on prompt parts to the control group.
+    Evidence(Evidence),
     /// Log or count an event.
     Event(Event),
 }
--- /dev/null
+++ b/crates/relay/src/part_filter.rs
@@ -0,0 +1,143 @@
+//! Prompt parts that crash engines: the quarantine that the control group decided, and what this
+//! front observes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ids::{
+    PartId,
+    Tick, //
+};
+use quarantine::{
+    Evidence,
+    Quarantine,
+    Served,
+    Suspects, //
+};
+
+use crate::message::Prompt;
+
+/// Time since the last view after which the front has lost touch with the control group and decides
+/// by its own observations.
+const ISOLATED_AFTER: Duration = Duration::from_secs(2);
+/// Time after touch is regained in which the front's own decisions still hold: until then the control
+/// group has received the front's observations and decided.
+const REJOIN_SPAN: Duration = Duration::from_secs(3);
+/// Interval at which the front's own decisions are renewed.
+const LOCAL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a part stays rejected by the front's own decision, as callers are told.
+const LOCAL_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Rejects prompts with parts in quarantine, and collects evidence.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PartFilter {
+    /// The control group's quarantine.
+    listed: Arc<Quarantine>,
+    /// Unix time in milliseconds at a tick of the front's clock.
+    wall_clock: (u64, Tick),
+    /// When the last view arrived.
+    renewed_at: Tick,
+    /// When the front's own decisions cease to hold after touch was regained.
+    rejoined_until: Tick,
+    suspects: Suspects,
+    /// The front's own decisions, and when they were made.
+    local: (Vec<PartId>, Tick),
+    /// When to report evidence; none if there is nothing new.
+    report_at: Option<Tick>,
+}
+
+impl PartFilter {
+    /// Applies a view. Returns evidence on parts that the front served and that are newly in
+    /// quarantine.
+    pub(crate) fn renew(
+        &mut self,
+        now: Tick,
+        wall_clock: (u64, Tick),
+        listed: Option<Arc<Quarantine>>,
+    ) -> Option<Evidence> {
+        if self.isolated(now) {
+            self.rejoined_until = now + REJOIN_SPAN;
+        }
+        self.renewed_at = now;
+        self.wall_clock = wall_clock;
+        // Another control process may hold an older copy.
+        let listed = listed.filter(|listed| listed.version() >= self.listed.version())?;
+        let before = std::mem::replace(&mut self.listed, listed);
+        let added = self
+            .listed
+            .parts()
+            .filter(|(part, _)| before.sentence(*part).is_none());
+        let served = added.filter_map(|(part, _)| {
+            let age = now.since(self.suspects.served_at(part)?);
+            Some(Served { part, age })
+        });
+        let served: Vec<_> = served.collect();
+        if served.is_empty() {
+            return None;
+        }
+        let mut evidence = self.suspects.evidence(now);
+        evidence.served.extend(served);
+        Some(evidence)
+    }
+
+    /// If a part of the prompt is in quarantine, the time until its end.
+    pub(crate) fn quarantined(&mut self, now: Tick, prompt: &Prompt) -> Option<Duration> {
+        let (unix_ms, at) = self.wall_clock;
+        let unix = Duration::from_millis(unix_ms) + now.since(at);
+        let listed = prompt
+            .shared_parts()
+            .filter_map(|part| self.listed.sentence(part));
+        let remaining =
+            listed.map(|sentence| Duration::from_millis(sentence.until_ms).saturating_sub(unix));
+        let remaining = remaining.max().filter(|remaining| !remaining.is_zero());
+        if remaining.is_some() {
+            return remaining;
+        }
+        if !self.isolated(now) && now >= self.rejoined_until {
+            return None;
+        }
+        self.decide(now);
+        let (local, _) = &self.local;
+        let rejected = prompt.shared_parts().any(|part| local.contains(&part));
+        rejected.then_some(LOCAL_RETRY_AFTER)
+    }
+
+    /// Records that an endpoint crashed while a prompt was in progress there.
+    pub(crate) fn crashed(&mut self, now: Tick, instance: &str, prompt: &Prompt) {
+        self.suspects.crashed(now, instance, prompt.shared_parts());
+        self.report_at.get_or_insert(now + Suspects::REPORT_DELAY);
+    }
+
+    /// Records that a prompt was served completely.
+    pub(crate) fn served(&mut self, now: Tick, prompt: &Prompt) {
+        for part in prompt.shared_parts() {
+            self.suspects.served(now, part);
+        }
+    }
+
+    /// Returns the evidence to report, if it is due.
+    pub(crate) fn due_evidence(&mut self, now: Tick) -> Option<Evidence> {
+        self.report_at.take_if(|at| *at <= now)?;
+        Some(self.suspects.evidence(now))
+    }
+
+    /// When evidence is due.
+    pub(crate) fn deadline(&self) -> Option<Tick> {
+        self.report_at
+    }
+
+    fn isolated(&self, now: Tick) -> bool {
+        now.since(self.renewed_at) >= ISOLATED_AFTER
+    }
+
+    /// Renews the front's own decisions.
+    fn decide(&mut self, now: Tick) {
+        let (local, decided_at) = &mut self.local;
+        if now.since(*decided_at) < LOCAL_INTERVAL {
+            return;
+        }
+        let verdicts = self.suspects.verdicts(now, |_| false);
+        *local = verdicts.into_iter().map(|verdict| verdict.part).collect();
+        *decided_at = now;
+    }
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -14,6 +14,7 @@
     Tick, //
 };
 use plan::Plan;
+use quarantine::Quarantine;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use slotmap::SlotMap;
@@ -33,6 +34,7 @@
     RelayOptions,
     View, //
 };
+use crate::part_filter::PartFilter;
 use crate::request::Request;
 use crate::retry_budget::RetryBudget;
 use crate::usage_count::UsageCount;
@@ -74,6 +76,7 @@
     pub(crate) usage: UsageCount,
     pub(crate) view_wait: ViewWait,
     pub(crate) backlog_queue: BacklogQueue,
+    pub(crate) part_filter: PartFilter,
     pub(crate) draining: bool,
 }
 
@@ -96,6 +99,7 @@
             usage: UsageCount::new(options.usage_window),
             view_wait: ViewWait::default(),
             backlog_queue: BacklogQueue::default(),
+            part_filter: PartFilter::default(),
             draining: false,
             options,
         }
@@ -111,6 +115,7 @@
     }
 
     fn apply_view(&mut self, now: Tick, view: View, out: &mut Outbox<Output>) {
+        self.apply_quarantine(now, view.wall_clock, view.quarantine, out);
         if view.generation < self.generation {
             return;
         }
@@ -164,6 +169,31 @@
         self.closed = closed;
     }
 
+    fn apply_quarantine(
+        &mut self,
+        now: Tick,
+        wall_clock: (u64, Tick),
+        quarantine: Option<Arc<Quarantine>>,
+        out: &mut Outbox<Output>,
+    ) {
+        if let Some(quarantine) = &quarantine {
+            let (version, parts) = (quarantine.version(), quarantine.parts().count());
+            out.push(Output::Event(Event::QuarantineChanged(version, parts)));
+        }
+        if let Some(evidence) = self.part_filter.renew(now, wall_clock, quarantine) {
+            out.push(Output::Evidence(evidence));
+        }
+    }
+
+    /// Ends a request to which an endpoint responded.
+    fn responded(&mut self, now: Tick, id: RequestId) {
+        let endpoint = self.requests.get(id).and_then(|request| request.endpoint);
+        if let Some(endpoint) = endpoint.and_then(|id| self.endpoints.get_mut(id)) {
+            endpoint.health.record_success(now);
+        }
+        self.end(id);
+    }
+
     fn update_endpoints(&mut self, now: Tick, list: Vec<EndpointInfo>, out: &mut Outbox<Output>) {
         if self.endpoints.update(now, list, &mut self.rng) {
             let (total, draining) = self.endpoints.counts();
@@ -186,12 +216,13 @@
                 self.attempt_failed(now, ticket, id, failure, out);
             }
             Input::Completed(id) => {
-                let endpoint = self.requests.get(id).and_then(|request| request.endpoint);
-                if let Some(endpoint) = endpoint.and_then(|id| self.endpoints.get_mut(id)) {
-                    endpoint.health.record_success(now);
+                let request = self.requests.get(id);
+                if let Some(prompt) = request.and_then(|request| request.prompt.as_ref()) {
+                    self.part_filter.served(now, prompt);
                 }
-                self.end(id);
+                self.responded(now, id);
             }
+            Input::Declined(id) => self.responded(now, id),
             Input::Cancelled(id) => self.end(id),
             Input::Usage(ticket, sealed) => {
                 let windows = self.usage.unsealed(now, sealed);
@@ -212,6 +243,9 @@
             self.reject(now, ticket, &name, VIEW_EXPIRED, out);
         }
         self.poll_queue(now, out);
+        if let Some(evidence) = self.part_filter.due_evidence(now) {
+            out.push(Output::Evidence(evidence));
+        }
     }
 
     fn deadline(&self) -> Option<Tick> {
@@ -220,6 +254,7 @@
             view_expiry,
             self.view_wait.deadline(),
             self.backlog_queue.deadline(),
+            self.part_filter.deadline(),
         ];
         waits.into_iter().flatten().min()
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -69,6 +69,8 @@
     pub(crate) pending_tokens: u64,
     /// Whether a response to the request has started.
     pub(crate) started: bool,
+    /// When the response to the current attempt started; none if it has not.
+    pub(crate) answering_since: Option<Tick>,
     /// Whether the request has been queued because of the engines' backlog.
     pub(crate) queued: bool,
 }
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -252,6 +252,7 @@
             fronts: 8,
             wall_clock: (1_000_000_000, self.now),
             requested_at: self.now,
+            quarantine: None,
         };
         self.step(Input::View(Box::new(view)))
     }
@@ -686,6 +687,7 @@
             fronts: 8,
             wall_clock: (1_000_004_500, front.now),
             requested_at,
+            quarantine: None,
         };
         front.step(Input::View(Box::new(view)));
         let attempt = front.dispatched("/once/x", None);
