Treat a stream that ends inside an event as broken off

Callers saw: an engine's stream with neither a length nor chunks, cut inside an event by the end of its connection, arrived with a part of an event and with a regular end, so as complete; also on routes that allow resumption. A stream cut before its first complete event, or ended with no event at all, was a 200 with a regular end. The same for a chunked stream that ends regularly inside an event.

Cause: for HTTP, the end of the connection is the end of such a body, also if the engine has failed. `StreamForwarder::forward_from` forwarded the incomplete event that was left in the buffer and reported the stream as complete, and `FrontService::send_attempt` did the same before the first event.

Fix: `edge::Framing` says what marks the end of a body, `Content` whether it is a stream of events, and `EventBuffer::end` decides with both. Events in chunks must not end inside an event; events that end with their connection must besides contain an event. Else the attempt has failed as `Broken`: before the first event the core decides on another attempt, later the stream is resumed after the last complete event or aborted, as after any broken connection. A body with a stated length, or one of another type, is complete as HTTP frames it and is delivered unchanged, as before.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod client;
 mod exchange;
+mod framing;
 mod pool;
 mod reader;
 mod reserve;
@@ -29,6 +30,7 @@
     Exchange,
     Head, //
 };
+pub use framing::Framing;
 pub use pool::Pool;
 pub use reader::{
     HOP_BY_HOP_HEADERS,
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -44,6 +44,7 @@
     Connections,
     Target, //
 };
+use crate::content::Content;
 
 /// Maximum size of a response that is read completely. Responses of engines take a few kilobytes.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -54,6 +55,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) load: Option<Load>,
     pub(crate) body: Incoming,
+    pub(crate) content: Content,
     pub(crate) connection: Connection,
     pub(crate) keep_alive: Option<Duration>,
     /// Whether the connection was opened for this attempt.
@@ -119,6 +121,7 @@
         }
         let response = OpenResponse {
             status: parts.status.as_u16(),
+            content: Content::of(&parts.headers, body.size_hint().exact()),
             headers: parts.headers,
             load: head.load,
             body,
--- a/crates/front/src/event_buffer.rs
+++ b/crates/front/src/event_buffer.rs
@@ -1,5 +1,7 @@
 //! Buffers a stream of server-sent events, so that the front forwards only complete events.
 
+use crate::content::Content;
+
 /// Maximum size of an incomplete event, in bytes. Events of engines take about a hundred bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -7,10 +9,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EventTooLarge;
 
+/// The response ended before its end: inside an event, or without any event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BrokenOff;
+
 /// Buffers the bytes of an incomplete event at the end of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct EventBuffer {
     buffer: Vec<u8>,
+    /// Whether the response contained a complete event.
+    started: bool,
     last_id: Option<String>,
 }
 
@@ -34,6 +42,7 @@
                 Ok(Vec::new())
             };
         };
+        self.started = true;
         let rest = self.buffer.split_off(end);
         let events = std::mem::replace(&mut self.buffer, rest);
         if let Some(id) = find_last_id(&events) {
@@ -42,9 +51,27 @@
         Ok(events)
     }
 
-    /// Returns the remaining bytes at the end of a stream.
-    pub fn take_rest(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.buffer)
+    /// Ends the response. Returns the bytes after its last complete event; in a stream of events,
+    /// these are empty lines.
+    ///
+    /// # Errors
+    ///
+    /// [`BrokenOff`] if the response is not complete.
+    pub fn end(&mut self, content: Content) -> Result<Vec<u8>, BrokenOff> {
+        let rest = std::mem::take(&mut self.buffer);
+        let inside_event = !rest.iter().all(|byte| b"\r\n".contains(byte));
+        let complete = match content {
+            Content::Events(framing) => framing.ends_stream(self.started, inside_event),
+            Content::Other => true,
+        };
+        if complete { Ok(rest) } else { Err(BrokenOff) }
+    }
+
+    /// Prepares for another response, which resumes the stream after the last complete event and
+    /// sends the incomplete one again from its start.
+    pub fn restart(&mut self) {
+        self.buffer.clear();
+        self.started = false;
     }
 }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod body;
 mod connection;
+mod content;
 mod control;
 mod deployment;
 mod event_buffer;
@@ -27,7 +28,9 @@
     ProtocolAdapter,
     ResponseHead, //
 };
+pub use content::Content;
 pub use event_buffer::{
+    BrokenOff,
     EventBuffer,
     EventTooLarge, //
 };
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -71,6 +71,7 @@
     FrontInbox, //
 };
 use crate::event_buffer::{
+    BrokenOff,
     EventBuffer,
     EventTooLarge, //
 };
@@ -368,8 +369,8 @@
                     first = complete.map_err(|EventTooLarge| Failure::Garbled)?;
                 }
                 None => {
-                    // A stream that ends without a complete event is forwarded unchanged.
-                    first = events.take_rest();
+                    let rest = events.end(response.content);
+                    first = rest.map_err(|BrokenOff| Failure::Broken)?;
                     break;
                 }
             }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -28,6 +28,7 @@
     next_chunk, //
 };
 use crate::event_buffer::{
+    BrokenOff,
     EventBuffer,
     EventTooLarge, //
 };
@@ -94,7 +95,8 @@
                 deadline = self.gap_deadline(attempt);
             }
         }
-        let rest = self.events.take_rest();
+        let rest = self.events.end(response.content);
+        let rest = rest.map_err(|BrokenOff| Failure::Broken)?;
         if !rest.is_empty() {
             self.send(attempt.deadline, Chunk::Data(rest.into()))
                 .await?;
@@ -120,8 +122,7 @@
         failure: Failure,
     ) -> Option<(Attempt, OpenResponse)> {
         let mut failure = failure;
-        // The next endpoint sends the incomplete event again from its start.
-        drop(self.events.take_rest());
+        self.events.restart();
         loop {
             let attempt = match self.client.attempt_failed(request, failure).await {
                 NextStep::Attempt(attempt) => attempt,
