Treat a service's event stream that ends inside an event as broken off

Callers of the entry saw: a plain service's stream of events with neither a length nor chunks, cut by the end of its connection, arrived as a complete response with a length, with a part of an event or with no event at all.

`Forwarding::forward_unchanged` of the agent takes the end of the body as the end of the response, and for such a body that is the end of the connection, also if the service has failed. Streams of model engines don't have the fault: they need `[DONE]`.

Fix: the agent follows the events that it forwards unchanged (`Progress`), and `edge::Framing::ends_stream` decides as at the front. An incomplete stream ends with the frame of a failed response, so the entry reports a failure or makes another attempt. Streams with a stated length and other content are forwarded as before. `Options::backend` of the local system lets tests bring their own back end.

--- a/crates/agent/src/events.rs
+++ b/crates/agent/src/events.rs
@@ -80,6 +80,34 @@
     }
 }
 
+/// Follows a stream of events that is forwarded unchanged.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Whether the stream contained a complete event.
+    pub(crate) started: bool,
+    /// Whether the stream is inside an event.
+    pub(crate) inside_event: bool,
+    /// Whether the current line has content.
+    inside_line: bool,
+}
+
+impl Progress {
+    /// Follows further bytes of the stream.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                b'\n' if self.inside_line => self.inside_line = false,
+                b'\n' => {
+                    self.started |= self.inside_event;
+                    self.inside_event = false;
+                }
+                b'\r' => {}
+                _ => (self.inside_line, self.inside_event) = (true, true),
+            }
+        }
+    }
+}
+
 /// Classifies an event.
 pub(crate) fn classify(event: &[u8]) -> EventKind {
     let Some(data) = event.strip_prefix(b"data:") else {
@@ -113,7 +141,29 @@
         events
     }
 
+    /// Whether the stream has started, and whether it is inside an event.
+    fn progress(chunks: &[&[u8]]) -> (bool, bool) {
+        let mut progress = Progress::default();
+        chunks.iter().for_each(|chunk| progress.push(chunk));
+        (progress.started, progress.inside_event)
+    }
+
     case::cases! {
+        progress_before_an_event: {
+            assert_eq!(progress(&[]), (false, false));
+            assert_eq!(progress(&[b"\r\n", b"\n"]), (false, false));
+        };
+        progress_inside_the_first_event: {
+            for event in [&b"da"[..], b"data: a\n", b"data: a\r\n\r", b"data: a\ndata: b"] {
+                assert_eq!(progress(&[event]), (false, true));
+            }
+        };
+        progress_after_an_event: {
+            assert_eq!(progress(&[b"data: a\n", b"\n"]), (true, false));
+            assert_eq!(progress(&[b"data: a\r\n\r", b"\n"]), (true, false));
+            assert_eq!(progress(&[b"data: a\n\n\n"]), (true, false));
+        };
+        progress_inside_a_later_event: assert_eq!(progress(&[b"data: a\n\n", b"d"]), (true, true));
         event_split_across_pushes: assert_eq!(split(&[b"data: a", b"\n", b"\ndata"]), [b"data: a\n\n"]);
         two_events_in_one_push: assert_eq!(split(&[b"data: a\n\ndata: b\n\n"]).len(), 2);
         end_of_stream: assert_eq!(classify(b"data: [DONE]\n\n"), EventKind::Done);
--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -58,6 +58,7 @@
 use crate::events::{
     EngineUsage,
     EventKind,
+    Progress,
     Splitter,
     classify, //
 };
@@ -217,7 +218,8 @@
         match (is_engine, is_stream) {
             (true, true) => self.forward_events(reader, prepared.hide_usage),
             (true, false) => self.forward_completion(reader),
-            (false, _) => self.forward_unchanged(reader),
+            (false, true) => self.forward_service_events(reader),
+            (false, false) => self.forward_unchanged(reader),
         }
     }
 
@@ -278,6 +280,25 @@
         Ok(())
     }
 
+    /// Forwards a service's event stream unchanged. The end of the connection may also be the end of
+    /// the service.
+    fn forward_service_events(&mut self, mut reader: ResponseReader) -> Result<(), ForwardError> {
+        self.report_first_token();
+        let mut progress = Progress::default();
+        while let Some(chunk) = reader.chunk()? {
+            progress.push(&chunk);
+            self.send_data(chunk.to_vec())?;
+        }
+        if reader
+            .framing
+            .ends_stream(progress.started, progress.inside_event)
+        {
+            Ok(())
+        } else {
+            Err(ForwardError::Backend(Kind::StreamBroken))
+        }
+    }
+
     /// Counts an output token, and reports its time to the core.
     fn record_token(&mut self) {
         let now = Instant::now();
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -16,6 +16,7 @@
     Full, //
 };
 use hyper::body::{
+    Body as _,
     Bytes,
     Incoming, //
 };
@@ -38,6 +39,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::client::CallError;
+use crate::framing::Framing;
 
 type HttpConnection = http1::Connection<FuturesIo<TcpStream>, Full<Bytes>>;
 
@@ -58,6 +60,8 @@
     pub status: u16,
     /// The header fields.
     pub headers: HeaderMap,
+    /// What marks the end of the body.
+    pub framing: Framing,
     driver: Driver,
     body: Incoming,
     /// The part of the last chunk that [`io::Read`] has not returned yet.
@@ -137,6 +141,7 @@
         let (parts, body) = response.into_parts();
         Self {
             status: parts.status.as_u16(),
+            framing: Framing::of(&parts.headers, body.size_hint().exact()),
             headers: parts.headers,
             driver,
             body,
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -69,6 +69,9 @@
     pub profile: Profile,
     /// Length of a usage window.
     pub usage_window: Duration,
+    /// A back end to which all agents send requests, instead of the simulated engines and the plain
+    /// service.
+    pub backend: Option<SocketAddr>,
 }
 
 impl Default for Options {
@@ -85,6 +88,7 @@
                 ..Profile::default()
             },
             usage_window: Duration::from_secs(60),
+            backend: None,
         }
     }
 }
@@ -221,7 +225,10 @@
         for n in 0..options.engines {
             let engine = EngineHost::start(any_loopback_port(), options.profile, true)
                 .map_err(component_error("engine"))?;
-            let backend = (agent::BackendKind::Engine, engine.address());
+            let backend = (
+                agent::BackendKind::Engine,
+                options.backend.unwrap_or(engine.address()),
+            );
             let name = format!("engine-{n}");
             agents.push(start_agent(
                 &name, backend, &shared, &addresses, log, &counters,
@@ -230,7 +237,10 @@
         }
         let service = ServiceHost::start(any_loopback_port(), SERVICE_LATENCY)
             .map_err(component_error("service"))?;
-        let backend = (agent::BackendKind::Service, service.address());
+        let backend = (
+            agent::BackendKind::Service,
+            options.backend.unwrap_or(service.address()),
+        );
         agents.push(start_agent(
             "service-0",
             backend,
