Treat an engine's JSON response that ends inside its document as a failure

Callers of the entry saw: a model call without streaming, whose engine sent neither a length nor chunks and ended the connection inside the JSON document or before it, got a 200 with a length and a part of the document. It counted as served, with no tokens.

Cause: `Forwarding::forward_completion` of the agent takes the end of the body as the end of the response, which is the end of the connection here, also if the engine has failed; and it dropped the error of the JSON parser.

Evidence: completion_cut_short_is_a_failure (crates/local/tests/unframed.rs) on the code before, for each of the two bodies: left: (200, true), right: (502, true)

Fix: a body of type JSON that ends with its connection and is no JSON is a failed attempt, which the entry may retry. Bodies with a length or chunks, and of other types, are forwarded as before (completion_that_is_not_json_is_forwarded passes before and after).

--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -16,6 +16,7 @@
 };
 use edge::{
     CallError,
+    Framing,
     ResponseReader,
     ResponseWriter,
     Target, //
@@ -264,7 +265,12 @@
         while let Some(chunk) = reader.chunk()? {
             body.extend_from_slice(&chunk);
         }
-        let response: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let response = serde_json::from_slice::<Value>(&body);
+        // Such a body also ends if the engine fails.
+        if response.is_err() && reader.framing == Framing::Connection && is_json(&reader.headers) {
+            return Err(ForwardError::Backend(Kind::EndpointFailed));
+        }
+        let response = response.unwrap_or_default();
         if let Ok(usage) = serde_json::from_value::<EngineUsage>(response["usage"].clone()) {
             self.served = token_counts(usage);
         }
@@ -404,8 +410,16 @@
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
+    has_content_type(headers, "text/event-stream")
+}
+
+fn is_json(headers: &HeaderMap) -> bool {
+    has_content_type(headers, "application/json")
+}
+
+fn has_content_type(headers: &HeaderMap, name: &str) -> bool {
     let content_type = headers
         .get("content-type")
         .and_then(|value| value.to_str().ok());
-    content_type.is_some_and(|value| value.starts_with("text/event-stream"))
+    content_type.is_some_and(|value| value.starts_with(name))
 }
--- a/crates/local/tests/unframed.rs
+++ b/crates/local/tests/unframed.rs
@@ -172,6 +172,13 @@
     complete_completion: chat(JSON, COMPLETION, End::Closed, whole(COMPLETION));
     // Guards against a response that was reset and looks complete.
     completion_that_is_reset_is_a_failure: chat(JSON, COMPLETION, End::Reset, failed);
+    // Guards against a part of a JSON document that looks like a complete response.
+    completion_cut_short_is_a_failure: {
+        for body in ["", &COMPLETION[..20]] {
+            chat(JSON, body, End::Closed, failed);
+        }
+    };
+    completion_that_is_not_json_is_forwarded: chat("text/plain", "{a", End::Closed, whole("{a"));
     complete_service_response: service("text/plain", "to the end", End::Closed, whole("to the end"));
     service_response_that_is_reset_is_a_failure: service("text/plain", "to", End::Reset, failed);
     service_stream_that_ends_after_an_event: {
