--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -16,6 +16,7 @@
 };
 use edge::{
     CallError,
+    Framing,
     ResponseReader,
     ResponseWriter,
     Target, //
@@ -58,6 +59,7 @@
 use crate::events::{
     EngineUsage,
     EventKind,
+    Progress,
     Splitter,
     classify, //
 };
@@ -217,7 +219,8 @@
         match (is_engine, is_stream) {
             (true, true) => self.forward_events(reader, prepared.hide_usage),
             (true, false) => self.forward_completion(reader),
-            (false, _) => self.forward_unchanged(reader),
+            (false, true) => self.forward_service_events(reader),
+            (false, false) => self.forward_unchanged(reader),
         }
     }
 
@@ -262,7 +265,12 @@
         while let Some(chunk) = reader.chunk()? {
             body.extend_from_slice(&chunk);
         }
-        let response: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let response = serde_json::from_slice::<Value>(&body);
+        // Such a body also ends if the engine fails.
+        if response.is_err() && reader.framing == Framing::Connection && is_json(&reader.headers) {
+            return Err(ForwardError::Backend(Kind::EndpointFailed));
+        }
+        let response = response.unwrap_or_default();
         if let Ok(usage) = serde_json::from_value::<EngineUsage>(response["usage"].clone()) {
             self.served = token_counts(usage);
         }
@@ -278,6 +286,25 @@
         Ok(())
     }
 
+    /// Forwards a service's event stream unchanged. The end of the connection may also be the end of
+    /// the service.
+    fn forward_service_events(&mut self, mut reader: ResponseReader) -> Result<(), ForwardError> {
+        self.report_first_token();
+        let mut progress = Progress::default();
+        while let Some(chunk) = reader.chunk()? {
+            progress.push(&chunk);
+            self.send_data(chunk.to_vec())?;
+        }
+        if reader
+            .framing
+            .ends_stream(progress.started, progress.inside_event)
+        {
+            Ok(())
+        } else {
+            Err(ForwardError::Backend(Kind::StreamBroken))
+        }
+    }
+
     /// Counts an output token, and reports its time to the core.
     fn record_token(&mut self) {
         let now = Instant::now();
@@ -383,8 +410,16 @@
 }
 
 fn is_event_stream(headers: &HeaderMap) -> bool {
+    has_content_type(headers, "text/event-stream")
+}
+
+fn is_json(headers: &HeaderMap) -> bool {
+    has_content_type(headers, "application/json")
+}
+
+fn has_content_type(headers: &HeaderMap, name: &str) -> bool {
     let content_type = headers
         .get("content-type")
         .and_then(|value| value.to_str().ok());
-    content_type.is_some_and(|value| value.starts_with("text/event-stream"))
+    content_type.is_some_and(|value| value.starts_with(name))
 }
