Put a part into quarantine only after fronts had time to object

Cause: some 40 parts begin the prompts of one class. Three fronts saw engines crash with a prompt of the same part, seconds apart, and had not served the part in between themselves; other fronts had, but report a service only once the list names the part.

Fix: fronts that were running enforce an addition to the list 800 ms after they received it. Objections take less: they pass through one distributor, which requests the feed every 400 ms. A front that has just started enforces its first list at once.

--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -87,7 +87,7 @@
     4006 Compacted Info "the log was compacted into a snapshot";
     4007 MembersChanged Info "the members of the control group changed";
     4008 JoinRequested Info "the host requested to join the control group";
-    4009 PartQuarantined Warning "a prompt part that crashes engines was put into quarantine";
+    4009 PartQuarantined Warning "a prompt part that crashes engines enters quarantine unless a front has served it";
     4010 PartReleased Info "a prompt part was released from quarantine";
     4101 ProposalAccepted Info "a change of the configuration was accepted";
     4102 ProposalRejected Info "a change of the configuration was rejected";
--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -1,6 +1,7 @@
 //! Prompt parts that crash engines: the quarantine that the control group decided, and what this
 //! front observes.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +18,9 @@
 
 use crate::message::Prompt;
 
+/// Time from the announcement of a part's quarantine until it is in force, in which the fronts that
+/// served the part report so.
+const OBJECTION_SPAN: Duration = Duration::from_millis(800);
 /// Time since the last view after which the front has lost touch with the control group and decides
 /// by its own observations.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
@@ -33,10 +37,12 @@
 pub(crate) struct PartFilter {
     /// The control group's quarantine.
     listed: Arc<Quarantine>,
+    /// When the quarantine of each part in the list is in force.
+    in_force: BTreeMap<PartId, Tick>,
     /// Unix time in milliseconds at a tick of the front's clock.
     wall_clock: (u64, Tick),
-    /// When the last view arrived.
-    renewed_at: Tick,
+    /// When the last view arrived; none before the first.
+    renewed_at: Option<Tick>,
     /// When the front's own decisions cease to hold after touch was regained.
     rejoined_until: Tick,
     suspects: Suspects,
@@ -58,20 +64,26 @@
         if self.isolated(now) {
             self.rejoined_until = now + REJOIN_SPAN;
         }
-        self.renewed_at = now;
+        let first = self.renewed_at.replace(now).is_none();
         self.wall_clock = wall_clock;
         // Another control process may hold an older copy.
-        let listed = listed.filter(|listed| listed.version() >= self.listed.version())?;
-        let before = std::mem::replace(&mut self.listed, listed);
-        let added = self
-            .listed
-            .parts()
-            .filter(|(part, _)| before.sentence(*part).is_none());
-        let served = added.filter_map(|(part, _)| {
-            let age = now.since(self.suspects.served_at(part)?);
-            Some(Served { part, age })
-        });
-        let served: Vec<_> = served.collect();
+        self.listed = listed.filter(|listed| listed.version() >= self.listed.version())?;
+        let objections = if first {
+            Duration::ZERO
+        } else {
+            OBJECTION_SPAN
+        };
+        let before = std::mem::take(&mut self.in_force);
+        let mut served = Vec::new();
+        for (part, _) in self.listed.parts() {
+            let known = before.get(&part).copied();
+            self.in_force
+                .insert(part, known.unwrap_or(now + objections));
+            if let Some(served_at) = self.suspects.served_at(part).filter(|_| known.is_none()) {
+                let age = now.since(served_at);
+                served.push(Served { part, age });
+            }
+        }
         if served.is_empty() {
             return None;
         }
@@ -84,8 +96,10 @@
     pub(crate) fn quarantined(&mut self, now: Tick, prompt: &Prompt) -> Option<Duration> {
         let (unix_ms, at) = self.wall_clock;
         let unix = Duration::from_millis(unix_ms) + now.since(at);
+        let in_force = |part: &PartId| self.in_force.get(part).is_some_and(|from| *from <= now);
         let listed = prompt
             .shared_parts()
+            .filter(in_force)
             .filter_map(|part| self.listed.sentence(part));
         let remaining =
             listed.map(|sentence| Duration::from_millis(sentence.until_ms).saturating_sub(unix));
@@ -127,7 +141,8 @@
     }
 
     fn isolated(&self, now: Tick) -> bool {
-        now.since(self.renewed_at) >= ISOLATED_AFTER
+        let renewed_at = self.renewed_at.unwrap_or_default();
+        now.since(renewed_at) >= ISOLATED_AFTER
     }
 
     /// Renews the front's own decisions.
