Condemn no part that only comes with the cause

Cause: of parts that were present in equally many crashes all were condemned.

Fix: of these the one served longest ago is the cause, and a part that was never served precedes all. The fronts that served a part report it when the list names the part, also if that was before the crashes, and the leader then releases a part that another one explains, in the first two seconds.

The new unit cases fail on the code before; the govern case fails without the revision in judge.rs.

--- a/crates/govern/src/judge.rs
+++ b/crates/govern/src/judge.rs
@@ -22,6 +22,10 @@
 /// Time after the last evidence in which it leads to a verdict. Fronts repeat their evidence.
 const DELIBERATION: Duration = Duration::from_secs(5);
 
+/// Time after a part's quarantine began in which it is revised if, by what fronts report then, another
+/// part explains the crashes.
+const REVISION_SPAN: Duration = Duration::from_secs(2);
+
 /// What a judgement changes about the quarantine.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub(crate) struct Judgement {
@@ -91,7 +95,10 @@
                 let since_ms = sentence.since_ms.max(started_ms);
                 let served_at = self.suspects.served_at(*part);
                 let served = served_at.is_some_and(|at| unix_ms(at) > since_ms);
-                served || sentence.until_ms <= unix_ms(now)
+                let left_ms = sentence.until_ms.saturating_sub(unix_ms(now));
+                let recent = left_ms > millis(QUARANTINE_SPAN - REVISION_SPAN);
+                let explained = recent && self.suspects.explained(now, *part);
+                served || explained || left_ms == 0
             };
             let ended = quarantine.parts().filter(ended);
             judgement.released = ended.map(|(part, _)| part).collect();
--- a/crates/govern/tests/quarantine.rs
+++ b/crates/govern/tests/quarantine.rs
@@ -381,6 +381,23 @@
         let held = quarantine(&mut group, leader);
         assert_eq!((parts(&held), held.version()), (vec![DEADLY], 1));
     };
+    // Guards against the rejection of sound prompts of the session from which all deadly ones came.
+    part_that_always_came_with_the_cause_is_released_once_a_front_has_served_it_before: {
+        let Hosts { mut group, leader, mirror, .. } = hosts();
+        let session = PartId(1);
+        let evidence = crashes(&[
+            (3000, &[session, DEADLY]),
+            (2000, &[session, DEADLY]),
+            (1000, &[session, DEADLY]),
+        ]);
+        report(&mut group, leader, evidence);
+        group.advance(200);
+        assert_eq!(quarantine(&mut group, leader).parts().count(), 2);
+        send(&mut group, mirror, "f2", served(session, 10_000));
+        group.advance(700);
+        let held = quarantine(&mut group, leader);
+        assert_eq!((parts(&held), held.version()), (vec![DEADLY], 2));
+    };
     // The old crashes condemned the part again as soon as its quarantine was over.
     quarantine_ends_after_its_span_and_does_not_begin_again: {
         let Hosts { mut group, leader, mirror, .. } = hosts();
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -50,6 +50,14 @@
     parts: BTreeSet<PartId>,
 }
 
+/// A part that causes crashes, with the first crash that counts and the one that decides.
+#[derive(Clone, Copy, Debug)]
+struct Cause {
+    part: PartId,
+    since: Tick,
+    decisive: Tick,
+}
+
 /// A part that causes crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verdict {
@@ -146,35 +154,57 @@
     }
 
     /// The parts outside of quarantine that cause crashes.
-    ///
-    /// A part that was present in fewer crashes than another one is no cause if the other explains
-    /// its crashes: prompts without the cause break off with the engine too.
     pub fn verdicts(&self, now: Tick, quarantined: impl Fn(PartId) -> bool) -> Vec<Verdict> {
-        let mut open: Vec<_> = self
-            .crashes
-            .iter()
-            .filter(|crash| now.since(crash.at) < MAX_AGE)
-            .filter(|crash| !crash.parts.iter().any(|part| quarantined(*part)))
-            .collect();
-        let mut verdicts = Vec::new();
+        let open = |crash: &&Observed| !crash.parts.iter().any(|part| quarantined(*part));
+        let causes = self.causes(self.current(now).filter(open).collect());
+        let settled = |cause: &&Cause| now.since(cause.decisive) >= SETTLE;
+        let verdict = |cause: &Cause| Verdict {
+            part: cause.part,
+            since: cause.since,
+        };
+        causes.iter().filter(settled).map(verdict).collect()
+    }
+
+    /// Whether other parts explain the crashes that count against a part.
+    pub fn explained(&self, now: Tick, part: PartId) -> bool {
+        let crashes: Vec<_> = self.current(now).collect();
+        let counts = self.counts(&crashes);
+        let suspected = counts
+            .get(&part)
+            .is_some_and(|moments| moments.len() >= MIN_CRASHES);
+        suspected && !self.causes(crashes).iter().any(|cause| cause.part == part)
+    }
+
+    fn current(&self, now: Tick) -> impl Iterator<Item = &Observed> {
+        let current = move |crash: &&Observed| now.since(crash.at) < MAX_AGE;
+        self.crashes.iter().filter(current)
+    }
+
+    /// The causes of crashes.
+    ///
+    /// Prompts without the cause break off with the engine too, and some part may come with the cause
+    /// each time. So the part present in the most crashes is the cause, of several the one served
+    /// longest ago, and it explains all crashes in which it was present.
+    fn causes(&self, mut open: Vec<&Observed>) -> Vec<Cause> {
+        let mut causes = Vec::new();
         loop {
             let counts = self.counts(&open);
             let most = counts.values().map(Vec::len).max().unwrap_or_default();
             if most < MIN_CRASHES {
-                return verdicts;
+                return causes;
             }
-            let causes = counts.iter().filter(|(_, moments)| moments.len() == most);
-            let causes: Vec<_> = causes
-                .map(|(part, moments)| (*part, moments[0], moments[MIN_CRASHES - 1]))
+            let counts = counts.iter().filter(|(_, moments)| moments.len() == most);
+            let served_at = counts.clone().map(|(part, _)| self.served_at(*part)).min();
+            let chosen = counts.filter(|(part, _)| Some(self.served_at(**part)) == served_at);
+            let chosen: Vec<_> = chosen
+                .map(|(part, moments)| Cause {
+                    part: *part,
+                    since: moments[0],
+                    decisive: moments[MIN_CRASHES - 1],
+                })
                 .collect();
-            open.retain(|crash| !causes.iter().any(|(part, ..)| crash.parts.contains(part)));
-            let settled = causes
-                .iter()
-                .filter(|(.., decisive)| now.since(*decisive) >= SETTLE);
-            verdicts.extend(settled.map(|(part, since, _)| Verdict {
-                part: *part,
-                since: *since,
-            }));
+            open.retain(|crash| !chosen.iter().any(|cause| crash.parts.contains(&cause.part)));
+            causes.extend(chosen);
         }
     }
 
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -94,6 +94,21 @@
         ])),
         [1]
     );
+    // Guards against the rejection of sound prompts of the session from which all deadly ones came.
+    part_that_always_comes_with_the_cause_is_explained_if_it_was_served_before: {
+        let mut suspects = three_crashes(&[1, 2]);
+        suspects.served(at(9_000), PartId(2));
+        assert_eq!(condemned(&suspects), [1]);
+        assert!(suspects.explained(at(SETTLED), PartId(2)));
+        assert!(!suspects.explained(at(SETTLED), PartId(1)));
+        assert!(!suspects.explained(at(SETTLED), PartId(3)));
+    };
+    of_parts_that_were_both_served_the_one_served_longest_ago_is_the_cause: {
+        let mut suspects = three_crashes(&[1, 2]);
+        suspects.served(at(9_000), PartId(1));
+        suspects.served(at(9_500), PartId(2));
+        assert_eq!(condemned(&suspects), [1]);
+    };
     two_causes_with_separate_crashes_are_both_condemned: assert_eq!(
         condemned(&crashes(&[
             (10_000, "a", &[1, 3]),
