Of parts that come together, condemn the one that the fewest prompts share

Cause: neither part had been served, so nothing told them apart.

Fix: evidence states how many parts precede a part in its prompt, and of parts that are equal by crashes and service the deepest is the cause. Prompts share a beginning, so fewer prompts share a deeper part. If that is wrong, prompts with the other part go on crashing engines, and three more crashes condemn it (unit case part_before_the_condemned_one_is_condemned_by_further_crashes).

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -23,7 +23,24 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
     /// The shared parts of the prompts to which the engine had begun no response, or only just.
-    pub parts: Vec<PartId>,
+    pub parts: Vec<Suspect>,
+}
+
+/// A part of a prompt that was in progress at a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Suspect {
+    /// The part.
+    pub part: PartId,
+    /// How many parts precede it in the prompt.
+    pub depth: u32,
+}
+
+impl Suspect {
+    /// The suspects of a prompt with these shared parts.
+    pub fn of_prompt(parts: impl IntoIterator<Item = PartId>) -> impl Iterator<Item = Self> {
+        (0..).zip(parts).map(|(depth, part)| Self { part, depth })
+    }
 }
 
 /// The last complete response to a prompt with a part.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -13,7 +13,8 @@
 pub use evidence::{
     Crash,
     Evidence,
-    Served, //
+    Served,
+    Suspect, //
 };
 pub use list::{
     Quarantine,
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -1,5 +1,6 @@
 //! Infers from crashes which part caused them.
 
+use std::cmp::Reverse;
 use std::collections::{
     BTreeMap,
     BTreeSet, //
@@ -14,7 +15,8 @@
 use crate::evidence::{
     Crash,
     Evidence,
-    Served, //
+    Served,
+    Suspect, //
 };
 
 /// Observations of the same instance within this time are of the same crash.
@@ -47,7 +49,25 @@
 struct Observed {
     instance: String,
     at: Tick,
-    parts: BTreeSet<PartId>,
+    /// The parts, with their greatest depth.
+    parts: BTreeMap<PartId, u32>,
+}
+
+impl Observed {
+    fn add(&mut self, suspects: impl IntoIterator<Item = Suspect>) {
+        for Suspect { part, depth } in suspects {
+            let greatest = self.parts.entry(part).or_default();
+            *greatest = depth.max(*greatest);
+        }
+    }
+
+    fn suspects(&self) -> impl Iterator<Item = Suspect> + '_ {
+        let parts = self.parts.iter();
+        parts.map(|(part, depth)| Suspect {
+            part: *part,
+            depth: *depth,
+        })
+    }
 }
 
 /// A part that causes crashes, with the first crash that counts and the one that decides.
@@ -79,20 +99,25 @@
     /// How long a front collects observations before it reports them.
     pub const REPORT_DELAY: Duration = REPORT_DELAY;
 
-    /// Records the crash of an engine and the parts of a prompt that was in progress there.
+    /// Records the crash of an engine and the shared parts of a prompt that was in progress there.
     pub fn crashed(&mut self, at: Tick, instance: &str, parts: impl IntoIterator<Item = PartId>) {
+        self.observe(at, instance, Suspect::of_prompt(parts));
+    }
+
+    fn observe(&mut self, at: Tick, instance: &str, suspects: impl IntoIterator<Item = Suspect>) {
         let same = self.crashes.iter_mut().find(|crash| {
             let apart = crash.at.since(at).max(at.since(crash.at));
             crash.instance == instance && apart < SAME_CRASH
         });
         match same {
-            Some(crash) => crash.parts.extend(parts),
+            Some(crash) => crash.add(suspects),
             None => {
-                let crash = Observed {
+                let mut crash = Observed {
                     instance: instance.to_owned(),
                     at,
-                    parts: parts.into_iter().collect(),
+                    parts: BTreeMap::new(),
                 };
+                crash.add(suspects);
                 let after = self.crashes.partition_point(|earlier| earlier.at <= at);
                 self.crashes.insert(after, crash);
             }
@@ -122,8 +147,8 @@
     /// Merges reported evidence.
     pub fn record(&mut self, now: Tick, evidence: &Evidence) {
         for crash in &evidence.crashes {
-            let parts = crash.parts.iter().copied();
-            self.crashed(now - crash.age, &crash.instance, parts);
+            let suspects = crash.parts.iter().copied();
+            self.observe(now - crash.age, &crash.instance, suspects);
         }
         for served in &evidence.served {
             self.served(now - served.age, served.part);
@@ -135,7 +160,7 @@
         let recent = |crash: &&Observed| now.since(crash.at) < REPEAT_SPAN;
         let recent: Vec<_> = self.crashes.iter().filter(recent).collect();
         let recent = &recent[recent.len().saturating_sub(MAX_REPORTED)..];
-        let parts: BTreeSet<_> = recent.iter().flat_map(|crash| &crash.parts).collect();
+        let parts: BTreeSet<_> = recent.iter().flat_map(|crash| crash.parts.keys()).collect();
         let served = parts.into_iter().filter_map(|part| {
             let age = now.since(self.served_at(*part)?);
             Some(Served { part: *part, age })
@@ -147,7 +172,7 @@
                 .map(|crash| Crash {
                     instance: crash.instance.clone(),
                     age: now.since(crash.at),
-                    parts: crash.parts.iter().copied().collect(),
+                    parts: crash.suspects().collect(),
                 })
                 .collect(),
         }
@@ -155,7 +180,7 @@
 
     /// The parts outside of quarantine that cause crashes.
     pub fn verdicts(&self, now: Tick, quarantined: impl Fn(PartId) -> bool) -> Vec<Verdict> {
-        let open = |crash: &&Observed| !crash.parts.iter().any(|part| quarantined(*part));
+        let open = |crash: &&Observed| !crash.parts.keys().any(|part| quarantined(*part));
         let causes = self.causes(self.current(now).filter(open).collect());
         let settled = |cause: &&Cause| now.since(cause.decisive) >= SETTLE;
         let verdict = |cause: &Cause| Verdict {
@@ -184,18 +209,25 @@
     ///
     /// Prompts without the cause break off with the engine too, and some part may come with the cause
     /// each time. So the part present in the most crashes is the cause, of several the one served
-    /// longest ago, and it explains all crashes in which it was present.
+    /// longest ago, then the one with the most parts before it, which the fewest prompts share. It
+    /// explains all crashes in which it was present.
     fn causes(&self, mut open: Vec<&Observed>) -> Vec<Cause> {
         let mut causes = Vec::new();
         loop {
             let counts = self.counts(&open);
-            let most = counts.values().map(Vec::len).max().unwrap_or_default();
-            if most < MIN_CRASHES {
+            let depth = |part: PartId| {
+                let depths = open.iter().filter_map(|crash| crash.parts.get(&part));
+                depths.max().copied()
+            };
+            let weight = |(part, moments): &(&PartId, &Vec<Tick>)| {
+                let longest_ago = Reverse(self.served_at(**part));
+                (moments.len(), longest_ago, depth(**part))
+            };
+            let most = counts.iter().map(|entry| weight(&entry)).max();
+            if most.is_none_or(|(crashes, ..)| crashes < MIN_CRASHES) {
                 return causes;
             }
-            let counts = counts.iter().filter(|(_, moments)| moments.len() == most);
-            let served_at = counts.clone().map(|(part, _)| self.served_at(*part)).min();
-            let chosen = counts.filter(|(part, _)| Some(self.served_at(**part)) == served_at);
+            let chosen = counts.iter().filter(|entry| Some(weight(entry)) == most);
             let chosen: Vec<_> = chosen
                 .map(|(part, moments)| Cause {
                     part: *part,
@@ -203,7 +235,11 @@
                     decisive: moments[MIN_CRASHES - 1],
                 })
                 .collect();
-            open.retain(|crash| !chosen.iter().any(|cause| crash.parts.contains(&cause.part)));
+            open.retain(|crash| {
+                !chosen
+                    .iter()
+                    .any(|cause| crash.parts.contains_key(&cause.part))
+            });
             causes.extend(chosen);
         }
     }
@@ -213,7 +249,7 @@
     fn counts(&self, crashes: &[&Observed]) -> BTreeMap<PartId, Vec<Tick>> {
         let mut counts: BTreeMap<PartId, Vec<Tick>> = BTreeMap::new();
         for crash in crashes {
-            for part in &crash.parts {
+            for part in crash.parts.keys() {
                 if self.served_at(*part) >= Some(crash.at) {
                     continue;
                 }
