--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -59,6 +59,21 @@
     result
 }
 
+/// Size of a request that a server's receive buffer cannot hold while nothing reads it, whereas the
+/// caller's send buffer holds the rest.
+const HELD: usize = 1 << 20;
+
+/// Reads the next connection of a server that has read nothing so far. Returns whether a complete
+/// request of [`HELD`] bytes arrives.
+fn arrives_late(listener: &TcpListener) -> bool {
+    let (mut stream, _) = listener.accept().unwrap();
+    let patience = Some(Duration::from_secs(2));
+    stream.set_read_timeout(patience).unwrap();
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    bytes.len() >= HELD
+}
+
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 case::cases! {
@@ -77,6 +92,14 @@
         // The connection was reset; not a byte of the request came.
         assert!(stream.read(&mut [0; 16]).unwrap_or_default() == 0);
     };
+    // ONE, issue 27: a report held up in the network arrived after its sender's successor had acted.
+    request_of_a_timed_out_call_never_arrives: {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let result = Client::new(TIMEOUT).call(address, "POST", "/", &[], vec![b'x'; HELD]);
+        assert_matches!(result, Err(CallError::TimedOut));
+        assert!(!arrives_late(&listener));
+    };
     body_that_trickles_without_end_times_out: {
         let server = server(HEAD, "1\r\nx\r\n".to_owned(), Duration::from_millis(50));
         assert_matches!(call(server), Err(CallError::TimedOut));
