Let the kernel end a call whose process is suspended

The reset of a call that ends early is made by the process.

The call's timeout is also the connection's TCP user timeout, so unacknowledged bytes are dropped when the call would have timed out.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -26,7 +26,10 @@
     Request,
     Uri, //
 };
-use rustix::net::sockopt::set_socket_linger;
+use rustix::net::sockopt::{
+    set_socket_linger,
+    set_tcp_user_timeout, //
+};
 use smol::Timer;
 use smol::future::{
     self,
@@ -87,7 +90,8 @@
 }
 
 /// Makes short calls, each on a new connection. A call that ends early resets its connection, so that
-/// bytes held up in the network do not arrive later.
+/// bytes held up in the network do not arrive later. While the process is suspended, the kernel ends
+/// the connection instead.
 #[derive(Clone, Copy, Debug)]
 pub struct Client {
     timeout: Duration,
@@ -148,15 +152,17 @@
             Timer::after(self.timeout).await;
             Err(CallError::TimedOut)
         };
-        smol::block_on(exchange(address, request, permitted).or(timeout))
+        smol::block_on(exchange(address, request, permitted, self.timeout).or(timeout))
     }
 }
 
-/// Opens a connection, sends a request and reads the complete response.
+/// Opens a connection, sends a request and reads the complete response. The kernel gives up the
+/// connection if sent bytes are not acknowledged within `timeout`.
 async fn exchange(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
     permitted: impl Fn() -> bool,
+    timeout: Duration,
 ) -> Result<Response, CallError> {
     let stream = TcpStream::connect(address)
         .await
@@ -167,6 +173,10 @@
     stream.set_nodelay(true).map_err(CallError::Failed)?;
     set_socket_linger(&stream, Some(Duration::ZERO))
         .map_err(|error| CallError::Failed(error.into()))?;
+    // Zero would select the system's default, which is minutes.
+    let unacked_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+    set_tcp_user_timeout(&stream, unacked_ms.max(1))
+        .map_err(|error| CallError::Failed(error.into()))?;
     let handshake = http1::handshake(FuturesIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(failed)?;
     let drive = async {
