Reset the connection of a request that an entry or agent gives up

Evidence: the new test sends a request that the server has not read when the head times out; on the code before, the complete request arrived afterwards.

--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -1,8 +1,8 @@
 //! The client of the request path: reads a response while it arrives.
 //!
 //! Each call has a connection of its own, so that a late response cannot be taken for the response
-//! to another request. Dropping a [`ResponseReader`] closes the connection, which cancels the call
-//! at the server.
+//! to another request. Dropping a [`ResponseReader`] resets the connection, which cancels the call
+//! at the server, also if the request has not arrived there yet.
 
 use std::future::Future;
 use std::io;
@@ -32,6 +32,7 @@
     Response,
     Uri, //
 };
+use rustix::net::sockopt::set_socket_linger;
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::TcpStream;
@@ -119,6 +120,8 @@
                 result => result,
             }?;
             let _ = stream.set_nodelay(true);
+            set_socket_linger(&stream, Some(Duration::ZERO))
+                .map_err(|error| CallError::NotConnected(error.into()))?;
             let handshake = http1::handshake(FuturesIo::new(stream)).await;
             let (mut sender, connection) =
                 handshake.map_err(|error| CallError::NotConnected(io::Error::other(error)))?;
--- a/crates/edge/tests/client.rs
+++ b/crates/edge/tests/client.rs
@@ -19,7 +19,10 @@
 use edge::{
     CallError,
     Client,
-    Response, //
+    Response,
+    ResponseReader,
+    Target,
+    build_request, //
 };
 
 /// Timeout of the calls, far below the time for which the servers send.
@@ -100,6 +103,16 @@
         assert_matches!(result, Err(CallError::TimedOut));
         assert!(!arrives_late(&listener));
     };
+    // An endpoint ran a request that the entry had given up and sent elsewhere.
+    request_of_a_timed_out_reader_never_arrives: {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let target = Target { address, connect_timeout: TIMEOUT, head_timeout: TIMEOUT };
+        let request = build_request(address, "POST", "/", &[], vec![b'x'; HELD]).unwrap();
+        let result = ResponseReader::open(target, request);
+        assert_matches!(result.err(), Some(CallError::TimedOut));
+        assert!(!arrives_late(&listener));
+    };
     body_that_trickles_without_end_times_out: {
         let server = server(HEAD, "1\r\nx\r\n".to_owned(), Duration::from_millis(50));
         assert_matches!(call(server), Err(CallError::TimedOut));
