Check in random histories that no two hosts report usage in turn

The histories of crashes, lost disks, replacements, suspensions and partitions now also bear usage, whose reports are rejected and so repeated as often as the leader may. Consecutive reports of two hosts must be LeaseMs apart (3 s) under a higher term.

--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -68,6 +68,8 @@
 const HOP_US: u64 = 1_000;
 /// Duration of a disk sync, in microseconds.
 const SYNC_US: u64 = 2_000;
+/// Time for which a new leader does not report.
+const REPORT_DELAY: Duration = Duration::from_secs(3);
 /// Timeout of a distributor's request to the leader, in microseconds.
 const FEED_TIMEOUT_US: u64 = 900_000;
 
@@ -193,6 +195,10 @@
     replies: BTreeMap<(usize, Ticket), Reply>,
     /// Reports of usage windows: the host, its fencing term and the statement.
     pub(crate) reports: Vec<(usize, u64, Statement)>,
+    /// When each of the reports was made, in microseconds.
+    reported_at: Vec<u64>,
+    /// Time for which a new leader does not report.
+    report_delay: Duration,
     /// How often each host read the platform's listing.
     pub(crate) listing_reads: Vec<usize>,
     /// The content of the platform's listing.
@@ -225,6 +231,11 @@
 impl Group {
     /// Bootstraps a group of three hosts and waits until one of them leads.
     pub(crate) fn bootstrap() -> Self {
+        Self::bootstrap_with(REPORT_DELAY)
+    }
+
+    /// As [`Group::bootstrap`], with another time for which a new leader does not report.
+    pub(crate) fn bootstrap_with(report_delay: Duration) -> Self {
         let mut group = Self {
             now: 1_000_000,
             serial: 0,
@@ -239,6 +250,8 @@
             blocked_links: BTreeSet::new(),
             replies: BTreeMap::new(),
             reports: Vec::new(),
+            reported_at: Vec::new(),
+            report_delay,
             listing_reads: Vec::new(),
             listing: b"list".to_vec(),
             listing_available: true,
@@ -333,7 +346,7 @@
                 zone: String::new(),
                 incarnation: Incarnation(self.incarnations[n]),
                 usage_window: Duration::from_secs(5),
-                report_delay: Duration::from_secs(3),
+                report_delay: self.report_delay,
             }),
         };
         let core = Govern::new(Tick(self.now), options, MessagePack, saved).unwrap();
@@ -537,6 +550,7 @@
             Output::DeliverStatement(statement, lease) => {
                 let window = statement.window;
                 self.reports.push((n, lease.term.0, statement));
+                self.reported_at.push(self.now);
                 let delivered = Input::StatementDelivered(window, self.accepts_reports);
                 let event = Event::Input(n, incarnation, Box::new(delivered));
                 self.schedule(self.report_time, event);
@@ -761,6 +775,23 @@
         self.request(n, Request::Tally((reporter, windows.collect())));
     }
 
+    /// Two consecutive reports that break the rule of one holder at a time: the later one has a
+    /// lower fencing term, or comes from another host too soon or under the same term. For each, the
+    /// host, its term and the time in microseconds.
+    pub(crate) fn reports_in_turn(&self) -> Option<[(usize, u64, u64); 2]> {
+        let times = self.reported_at.iter();
+        let reports: Vec<_> = self.reports.iter().zip(times).collect();
+        let pairs = reports.windows(2).map(|pair| {
+            let [a, b] = [pair[0], pair[1]].map(|((n, term, _), at)| (*n, *term, *at));
+            [a, b]
+        });
+        let delay = u64::try_from(REPORT_DELAY.as_micros()).unwrap();
+        pairs.into_iter().find(|[a, b]| {
+            let passed_on = a.0 != b.0;
+            b.1 < a.1 || passed_on && (b.1 == a.1 || b.2 - a.2 < delay)
+        })
+    }
+
     /// The number of the current usage window.
     pub(crate) fn window(&self) -> u64 {
         (1_700_000_000_000 + self.now / 1000) / 5000
--- a/crates/govern/tests/histories.rs
+++ b/crates/govern/tests/histories.rs
@@ -1,6 +1,7 @@
 //! Random histories of a control group: crashes, lost disks, replacements, suspensions, network
 //! partitions and losses of power, with plans installed in between. No acknowledged plan is lost, no
-//! read returns an older plan than the last acknowledged one, and the group recovers within a limit.
+//! read returns an older plan than the last acknowledged one, no two hosts report usage in turn, and
+//! the group recovers within a limit.
 //!
 //! `BERG_GROUPS` sets the number of histories. With `--nocapture` the longest recovery time is
 //! printed for each kind of failure.
@@ -8,6 +9,7 @@
 mod group;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use agree::MAX_VOTERS;
 use group::Group;
@@ -40,6 +42,8 @@
     ReuseIdentity,
     /// Hosts report writes as synced before the disk has synced them.
     SkipSync,
+    /// A new leader reports usage at once.
+    ReportAtOnce,
 }
 
 /// A kind of failure, after which the group must recover.
@@ -83,7 +87,12 @@
 impl History {
     fn new(size: usize, seed: u64, sabotage: Sabotage) -> Self {
         // Three hosts bootstrap the group, whatever its size; the others join it.
-        let mut group = Group::bootstrap();
+        let mut group = match sabotage {
+            Sabotage::ReportAtOnce => Group::bootstrap_with(Duration::ZERO),
+            _ => Group::bootstrap(),
+        };
+        // Rejected reports are repeated, so a leader reports as often as it may.
+        group.accepts_reports = false;
         (3..size).for_each(|_| {
             group.add();
         });
@@ -177,7 +186,7 @@
     fn wipe(&mut self, n: usize) {
         match self.sabotage {
             Sabotage::ReuseIdentity => self.group.wipe_keeping_identity(n),
-            Sabotage::None | Sabotage::SkipSync => self.group.wipe(n),
+            _ => self.group.wipe(n),
         }
     }
 
@@ -320,6 +329,7 @@
 
     /// Takes one random step, then lets the group settle.
     fn step(&mut self) {
+        self.group.tally("f1", &[(self.group.window(), 1)]);
         match self.rng.random_range(0..13) {
             0 | 1 => self.install(),
             2 => self.lose_leader(),
@@ -351,6 +361,9 @@
                 self.live
             ));
         }
+        if let Some([a, b]) = self.group.reports_in_turn() {
+            return Some(format!("hosts reported usage in turn: {a:?}, then {b:?}"));
+        }
         let Some(leader) = self.group.leader() else {
             return Some("no host leads".to_owned());
         };
@@ -437,4 +450,6 @@
     eight_hosts_uphold_invariants: upholds_invariants(8);
     reused_identity_is_detected: is_detected(Sabotage::ReuseIdentity);
     skipped_sync_is_detected: is_detected(Sabotage::SkipSync);
+    // ONE, issue 27: two hosts reported usage in turn.
+    report_right_after_the_election_is_detected: is_detected(Sabotage::ReportAtOnce);
 }
