Suspend the caller only once its request is on the way

The test of a suspended caller slept before it stopped the process; on a busy machine the process might not have connected and sent by then, and the test would have shown nothing. It waits for the first byte now.

--- a/crates/edge/tests/suspended.rs
+++ b/crates/edge/tests/suspended.rs
@@ -59,6 +59,7 @@
         let server = TcpListener::bind("127.0.0.1:0").unwrap();
         let caller = Caller::start("request_of_a_suspended_process_never_arrives", &server);
         let (mut stream, _) = server.accept().unwrap();
+        stream.peek(&mut [0]).unwrap();
         thread::sleep(TIMEOUT / 4);
         caller.suspend();
         thread::sleep(TIMEOUT * 4);
