Judge parts by the same crashes when they are condemned and released

The deadly part was put into quarantine and released 78 times, before it was in force.

Cause: a verdict leaves out the crashes that parts in quarantine explain, a release counted them too. The deadly part's session had been in progress at a crash of the first deadly part, so it was present in six crashes against five and explained them all (state printed in a trial: 454c [3.8 9.8 11.0 11.4 11.8 12.8], served at 3.6; 0ef9 [9.8 11.0 11.4 11.8 12.8], never served).

Fix: a release leaves out the crashes of parts whose quarantine is no longer under revision, as the verdict does; and of parts present in enough crashes the one served longest ago is the cause before the one present in most. The second is also what the reviewer of this matter asked for (a class's first part that was present in one ordinary crash more would have been condemned in place of the cause).

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -43,14 +43,14 @@
     }
 }
 
-/// The last complete response to a prompt with a part.
+/// The last response to a prompt with a part that was complete in the end.
 #[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Served {
     /// The part.
     pub part: PartId,
-    /// Time since the response was complete.
+    /// Time since the response began.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
 }
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -23,7 +23,7 @@
 const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Crashes within this time count as one, since one cause, such as the loss of a rack, may end
 /// several engines at once.
-const SAME_MOMENT: Duration = Duration::from_millis(200);
+const SAME_MOMENT: Duration = Duration::from_millis(100);
 /// Number of separate crashes after which a part that was not served since the first is the cause.
 const MIN_CRASHES: usize = 3;
 /// Time after the last of these crashes in which all fronts report what they know: a report may be
@@ -104,13 +104,23 @@
         self.observe(at, instance, Suspect::of_prompt(parts));
     }
 
-    fn observe(&mut self, at: Tick, instance: &str, suspects: impl IntoIterator<Item = Suspect>) {
+    /// Returns whether the crash or one of the suspects is new.
+    fn observe(
+        &mut self,
+        at: Tick,
+        instance: &str,
+        suspects: impl IntoIterator<Item = Suspect>,
+    ) -> bool {
         let same = self.crashes.iter_mut().find(|crash| {
             let apart = crash.at.since(at).max(at.since(crash.at));
             crash.instance == instance && apart < SAME_CRASH
         });
-        match same {
-            Some(crash) => crash.add(suspects),
+        let new = match same {
+            Some(crash) => {
+                let before = crash.parts.len();
+                crash.add(suspects);
+                crash.parts.len() > before
+            }
             None => {
                 let mut crash = Observed {
                     instance: instance.to_owned(),
@@ -120,14 +130,16 @@
                 crash.add(suspects);
                 let after = self.crashes.partition_point(|earlier| earlier.at <= at);
                 self.crashes.insert(after, crash);
+                true
             }
-        }
+        };
         let oldest = self.crashes.len().saturating_sub(MAX_CRASHES);
         self.crashes.drain(..oldest);
         self.crashes.retain(|crash| at.since(crash.at) < MAX_AGE);
+        new
     }
 
-    /// Records that a prompt with a part was served completely.
+    /// Records that a prompt with a part was served completely, by a response that began at `at`.
     pub fn served(&mut self, at: Tick, part: PartId) {
         let last = self.served.entry(part).or_insert(at);
         *last = at.max(*last);
@@ -144,15 +156,20 @@
         self.served.get(&part).copied()
     }
 
-    /// Merges reported evidence.
-    pub fn record(&mut self, now: Tick, evidence: &Evidence) {
+    /// Merges reported evidence. Returns whether it contains anything new.
+    pub fn record(&mut self, now: Tick, evidence: &Evidence) -> bool {
+        let mut new = false;
         for crash in &evidence.crashes {
             let suspects = crash.parts.iter().copied();
-            self.observe(now - crash.age, &crash.instance, suspects);
+            new |= self.observe(now - crash.age, &crash.instance, suspects);
         }
         for served in &evidence.served {
-            self.served(now - served.age, served.part);
+            let at = now - served.age;
+            let before = self.served_at(served.part);
+            new |= before.is_none_or(|before| at.since(before) >= SAME_CRASH);
+            self.served(at, served.part);
         }
+        new
     }
 
     /// The recent crashes, and when their parts were last served.
@@ -190,9 +207,11 @@
         causes.iter().filter(settled).map(verdict).collect()
     }
 
-    /// Whether other parts explain the crashes that count against a part.
-    pub fn explained(&self, now: Tick, part: PartId) -> bool {
-        let crashes: Vec<_> = self.current(now).collect();
+    /// Whether other parts explain the crashes that count against a part, apart from those that are
+    /// explained by parts in quarantine.
+    pub fn explained(&self, now: Tick, part: PartId, quarantined: impl Fn(PartId) -> bool) -> bool {
+        let open = |crash: &&Observed| !crash.parts.keys().any(|part| quarantined(*part));
+        let crashes: Vec<_> = self.current(now).filter(open).collect();
         let counts = self.counts(&crashes);
         let suspected = counts
             .get(&part)
@@ -208,26 +227,27 @@
     /// The causes of crashes.
     ///
     /// Prompts without the cause break off with the engine too, and some part may come with the cause
-    /// each time. So the part present in the most crashes is the cause, of several the one served
-    /// longest ago, then the one with the most parts before it, which the fewest prompts share. It
-    /// explains all crashes in which it was present.
+    /// each time. So of the parts present in enough crashes, the one served longest ago is the cause;
+    /// of several, such as parts never served, the one present in the most crashes, then the one with
+    /// the most parts before it, which the fewest prompts share. It explains all crashes in which it
+    /// was present.
     fn causes(&self, mut open: Vec<&Observed>) -> Vec<Cause> {
         let mut causes = Vec::new();
         loop {
-            let counts = self.counts(&open);
+            let mut counts = self.counts(&open);
+            counts.retain(|_, moments| moments.len() >= MIN_CRASHES);
             let depth = |part: PartId| {
                 let depths = open.iter().filter_map(|crash| crash.parts.get(&part));
                 depths.max().copied()
             };
             let weight = |(part, moments): &(&PartId, &Vec<Tick>)| {
                 let longest_ago = Reverse(self.served_at(**part));
-                (moments.len(), longest_ago, depth(**part))
+                (longest_ago, moments.len(), depth(**part))
             };
-            let most = counts.iter().map(|entry| weight(&entry)).max();
-            if most.is_none_or(|(crashes, ..)| crashes < MIN_CRASHES) {
+            let Some(heaviest) = counts.iter().map(|entry| weight(&entry)).max() else {
                 return causes;
-            }
-            let chosen = counts.iter().filter(|entry| Some(weight(entry)) == most);
+            };
+            let chosen = counts.iter().filter(|entry| weight(entry) == heaviest);
             let chosen: Vec<_> = chosen
                 .map(|(part, moments)| Cause {
                     part: *part,
