Report services by their start, evidence by its age, and both until they cannot be lost

A service now counts from the start of its response. - The evidence channel carried ages without their time, so evidence that waited for the reporter was reported as too young; beyond a second a crash counted twice. - A service was reported once, and a control process that failed after its acknowledgement took it along: the part stayed in quarantine for 15 minutes. Fronts repeat it for ten seconds, and evidence each two seconds while it is recent, so that a new leader gets it without another crash. - A resumed stream was a suspect however long it had been in progress.

Tried and dropped: services without a stated engine do not clear a part.

The new relay cases fail on the code before, except that of the resumed stream, which guards the core; its fault was in the front's forwarder.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -4,7 +4,10 @@
 use std::collections::HashMap;
 
 use ids::{
+    Clock,
+    Monotonic,
     RequestId,
+    Tick,
     Ticket,
     millis, //
 };
@@ -47,7 +50,8 @@
     usage: HashMap<Ticket, Sender<Vec<(u64, Runs)>>>,
     ready: HashMap<Ticket, Sender<bool>>,
     cancelled: Sender<RequestId>,
-    evidence: crossbeam::channel::Sender<Evidence>,
+    evidence: crossbeam::channel::Sender<(Evidence, Tick)>,
+    clock: Monotonic,
     counters: Counters,
     log: Logger,
 }
@@ -57,7 +61,8 @@
     /// and `evidence` what is to be reported to the control group.
     pub(crate) fn new(
         cancelled: Sender<RequestId>,
-        evidence: crossbeam::channel::Sender<Evidence>,
+        evidence: crossbeam::channel::Sender<(Evidence, Tick)>,
+        clock: Monotonic,
         counters: Counters,
         log: Logger,
     ) -> Self {
@@ -67,6 +72,7 @@
             ready: HashMap::new(),
             cancelled,
             evidence,
+            clock,
             counters,
             log,
         }
@@ -200,7 +206,7 @@
             }
             Output::Evidence(evidence) => {
                 // The reporter ends after the core.
-                let _ = self.evidence.send(evidence);
+                let _ = self.evidence.send((evidence, self.clock.now()));
             }
             Output::Event(event) => self.report(event),
         }
--- a/crates/front/src/evidence_report.rs
+++ b/crates/front/src/evidence_report.rs
@@ -35,7 +35,8 @@
     pub(crate) host: HostName,
     pub(crate) incarnation: Incarnation,
     pub(crate) control: ControlClient,
-    pub(crate) reports: Receiver<Evidence>,
+    /// Evidence, and when the core collected it.
+    pub(crate) reports: Receiver<(Evidence, Tick)>,
     pub(crate) clock: Monotonic,
     pub(crate) log: Logger,
     /// Evidence that the control group has not acknowledged, and when it was collected.
@@ -47,8 +48,8 @@
     /// core has ended.
     pub(crate) fn step(&mut self) -> Option<()> {
         let (evidence, collected_at) = match self.unacknowledged.take() {
-            Some(earlier) => self.newer(earlier),
-            None => (self.reports.recv().ok()?, self.clock.now()),
+            Some(earlier) => self.reports.try_iter().fold(earlier, followed_by),
+            None => self.reports.recv().ok()?,
         };
         if let Err(error) = self.report(&evidence, collected_at) {
             event!(self.log, EvidenceDeferred, "fault" => error.to_string());
@@ -58,16 +59,6 @@
         Some(())
     }
 
-    /// Merges the evidence collected meanwhile.
-    fn newer(&self, (evidence, collected_at): (Evidence, Tick)) -> (Evidence, Tick) {
-        let now = self.clock.now();
-        let aged = evidence.aged(now.since(collected_at));
-        (
-            self.reports.try_iter().fold(aged, Evidence::followed_by),
-            now,
-        )
-    }
-
     /// Reports to one control host after the other. Each request states the ages at its time.
     fn report(&self, evidence: &Evidence, collected_at: Tick) -> Result<(), PeerError> {
         let mut result = Err(PeerError::Unavailable);
@@ -88,3 +79,10 @@
         result
     }
 }
+
+/// Merges evidence with what the same core collected later.
+fn followed_by(earlier: (Evidence, Tick), later: (Evidence, Tick)) -> (Evidence, Tick) {
+    let ((earlier, earlier_at), (later, later_at)) = (earlier, later);
+    let aged = earlier.aged(later_at.since(earlier_at));
+    (aged.followed_by(later), later_at)
+}
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -101,7 +101,13 @@
     let clock = Monotonic::start();
     let (cancelled_tx, cancelled_rx) = unbounded();
     let (evidence_tx, evidence_rx) = crossbeam::channel::unbounded();
-    let effects = FrontEffects::new(cancelled_tx, evidence_tx, counters.clone(), log.clone());
+    let effects = FrontEffects::new(
+        cancelled_tx,
+        evidence_tx,
+        clock,
+        counters.clone(),
+        log.clone(),
+    );
     let core = Relay::new(options, PredictedLatency);
     let control = step::ControlThread::start("front-control", core, effects, clock);
     let control = control.map_err(EdgeError::Thread)?;
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    fn response_started(&self, request: RequestId, load: Option<Load>) {
+    pub(crate) fn response_started(&self, request: RequestId, load: Option<Load>) {
         let _ = self.inbox.send(Input::ResponseStarted(request, load));
     }
 
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -137,7 +137,10 @@
                 last_event: self.events.last_id(),
             };
             match self.attempts.send(&attempt, &outgoing).await {
-                Ok(response) if response.status == 200 => return Some((*attempt, response)),
+                Ok(response) if response.status == 200 => {
+                    self.client.response_started(request, response.load);
+                    return Some((*attempt, response));
+                }
                 Ok(_) => failure = Failure::Errored,
                 Err(error) => failure = self.attempts.classify(&attempt, error).await,
             }
--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -21,6 +21,11 @@
 /// Time from the announcement of a part's quarantine until it is in force, in which the fronts that
 /// served the part report so.
 const OBJECTION_SPAN: Duration = Duration::from_millis(800);
+/// How long a front repeats that it served a part, since the control process that received the report may
+/// fail before it passes it on.
+const OBJECTION_REPEAT: Duration = Duration::from_secs(10);
+/// Interval at which a front repeats its evidence, since the leader that received it may fail.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time since the last view after which the front has lost touch with the control group and decides
 /// by its own observations.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
@@ -53,8 +58,8 @@
 }
 
 impl PartFilter {
-    /// Applies a view. Returns evidence on parts that the front served and that are newly in
-    /// quarantine.
+    /// Applies a view. Returns evidence on parts that the front served and whose quarantine was
+    /// announced recently.
     pub(crate) fn renew(
         &mut self,
         now: Tick,
@@ -67,23 +72,34 @@
         let first = self.renewed_at.replace(now).is_none();
         self.wall_clock = wall_clock;
         // Another control process may hold an older copy.
-        self.listed = listed.filter(|listed| listed.version() >= self.listed.version())?;
-        let objections = if first {
-            Duration::ZERO
-        } else {
-            OBJECTION_SPAN
-        };
-        let before = std::mem::take(&mut self.in_force);
-        let mut served = Vec::new();
-        for (part, _) in self.listed.parts() {
-            let known = before.get(&part).copied();
-            self.in_force
-                .insert(part, known.unwrap_or(now + objections));
-            if let Some(served_at) = self.suspects.served_at(part).filter(|_| known.is_none()) {
-                let age = now.since(served_at);
-                served.push(Served { part, age });
-            }
+        if let Some(listed) = listed.filter(|listed| listed.version() >= self.listed.version()) {
+            let objections = if first {
+                Duration::ZERO
+            } else {
+                OBJECTION_SPAN
+            };
+            let before = std::mem::take(&mut self.in_force);
+            let in_force = |(part, _)| {
+                let known = before.get(&part).copied();
+                (part, known.unwrap_or(now + objections))
+            };
+            self.in_force = listed.parts().map(in_force).collect();
+            self.listed = listed;
         }
+        self.objections(now)
+    }
+
+    /// The evidence, if it contains services of parts whose quarantine was announced recently.
+    fn objections(&self, now: Tick) -> Option<Evidence> {
+        let recent = self
+            .in_force
+            .iter()
+            .filter(|(_, from)| now <= **from + OBJECTION_REPEAT);
+        let served = recent.filter_map(|(part, _)| {
+            let age = now.since(self.suspects.served_at(*part)?);
+            Some(Served { part: *part, age })
+        });
+        let served: Vec<_> = served.collect();
         if served.is_empty() {
             return None;
         }
@@ -119,20 +135,26 @@
     /// Records that an endpoint crashed while a prompt was in progress there.
     pub(crate) fn crashed(&mut self, now: Tick, instance: &str, prompt: &Prompt) {
         self.suspects.crashed(now, instance, prompt.shared_parts());
-        self.report_at.get_or_insert(now + Suspects::REPORT_DELAY);
+        let due_at = now + Suspects::REPORT_DELAY;
+        self.report_at = Some(self.report_at.map_or(due_at, |at| at.min(due_at)));
     }
 
-    /// Records that a prompt was served completely.
-    pub(crate) fn served(&mut self, now: Tick, prompt: &Prompt) {
+    /// Records that a prompt was served completely, by a response that began at `began`.
+    pub(crate) fn served(&mut self, began: Tick, prompt: &Prompt) {
         for part in prompt.shared_parts() {
-            self.suspects.served(now, part);
+            self.suspects.served(began, part);
         }
     }
 
     /// Returns the evidence to report, if it is due.
     pub(crate) fn due_evidence(&mut self, now: Tick) -> Option<Evidence> {
         self.report_at.take_if(|at| *at <= now)?;
-        Some(self.suspects.evidence(now))
+        let evidence = self.suspects.evidence(now);
+        if evidence.crashes.is_empty() {
+            return None;
+        }
+        self.report_at = Some(now + REPEAT_INTERVAL);
+        Some(evidence)
     }
 
     /// When evidence is due.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -185,6 +185,18 @@
         }
     }
 
+    /// Records that the parts of a request's prompt were served, as of the start of the response: a
+    /// part may have become the cause of crashes while the response was in progress.
+    fn record_service(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        if let Some(prompt) = &request.prompt {
+            let began = request.answering_since.unwrap_or(request.sent_at);
+            self.part_filter.served(began, prompt);
+        }
+    }
+
     /// Ends a request to which an endpoint responded.
     fn responded(&mut self, now: Tick, id: RequestId) {
         let endpoint = self.requests.get(id).and_then(|request| request.endpoint);
@@ -216,10 +228,7 @@
                 self.attempt_failed(now, ticket, id, failure, out);
             }
             Input::Completed(id) => {
-                let request = self.requests.get(id);
-                if let Some(prompt) = request.and_then(|request| request.prompt.as_ref()) {
-                    self.part_filter.served(now, prompt);
-                }
+                self.record_service(id);
                 self.responded(now, id);
             }
             Input::Declined(id) => self.responded(now, id),
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -342,6 +342,13 @@
         assert_eq!(evidence.crashes, [crash]);
         assert_eq!(front.evidence(), None);
     };
+    // Guards against evidence that is lost with the leader that received it.
+    evidence_is_repeated_for_ten_seconds: {
+        let mut front = Front::new();
+        front.crash(prompt(&[DEADLY], 100));
+        let reports = (0..20).filter(|_| front.evidence().is_some()).count();
+        assert_eq!(reports, 5);
+    };
     lost_connection_is_no_evidence: for failure in [Failure::Broken, Failure::Silent, Failure::Errored] {
         let mut front = Front::new();
         let request = front.dispatched(prompt(&[1, 2], 100)).request;
@@ -378,8 +385,32 @@
         let outputs = front.impose(2);
         let served = evidence(outputs).unwrap().served;
         assert_eq!(served.iter().map(|served| served.part).collect::<Vec<_>>(), [PartId(2)]);
+        // The control process that received the report may fail before it passes it on.
+        assert_eq!(evidence(front.renew()).unwrap().served.len(), 1);
+        front.wait(11 * SECOND);
         assert_eq!(evidence(front.renew()), None);
     };
+    // Guards against a response from before that clears a part of the crashes that it causes since.
+    service_counts_from_the_start_of_its_response: {
+        let mut front = Front::new();
+        let request = front.dispatched(prompt(&[2], 100)).request;
+        front.step(Input::ResponseStarted(request, None));
+        front.wait(2 * SECOND);
+        front.step(Input::Completed(request));
+        front.wait(SECOND);
+        let served = evidence(front.impose(2)).unwrap().served;
+        assert_eq!(served[0].age, 3 * SECOND);
+    };
+    resumed_stream_in_progress_for_longer_is_no_suspect: {
+        let mut front = Front::new();
+        let request = front.dispatched(prompt(&[1, 2], 100)).request;
+        front.step(Input::ResponseStarted(request, None));
+        assert_matches!(front.fail(request, Failure::Broken), Decision::Dispatch(_));
+        front.step(Input::ResponseStarted(request, None));
+        front.wait(Duration::from_millis(1100));
+        front.fail(request, Failure::Crashed);
+        assert_eq!(front.evidence(), None);
+    };
     rejected_prompt_does_not_count_as_served: {
         let mut front = Front::new();
         let request = front.dispatched(prompt(&[2], 100)).request;
