--- a/crates/govern/src/feed.rs
+++ b/crates/govern/src/feed.rs
@@ -1,5 +1,5 @@
-//! Distribution of the deployment, the directory and the quarantine over two levels: the leader feeds the other
-//! control processes, and each control process serves the fronts that poll it.
+//! Distribution of the deployment, the directory and the quarantine over two levels: the leader feeds
+//! the other control processes, and each control process serves the fronts that poll it.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/govern/src/judge.rs
+++ b/crates/govern/src/judge.rs
@@ -1,5 +1,6 @@
 //! The leader's judgement on prompt parts: it puts parts that crash engines into quarantine, and
-//! releases them once their time is over or a response to them was complete.
+//! releases them once their time is over, a later response to them was complete, or another part
+//! explains the crashes.
 
 use std::time::Duration;
 
@@ -21,7 +22,6 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the last evidence in which it leads to a verdict. Fronts repeat their evidence.
 const DELIBERATION: Duration = Duration::from_secs(5);
-
 /// Time after a part's quarantine began in which it is revised if, by what fronts report then, another
 /// part explains the crashes.
 const REVISION_SPAN: Duration = Duration::from_secs(2);
--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -21,8 +21,8 @@
 /// Time from the announcement of a part's quarantine until it is in force, in which the fronts that
 /// served the part report so.
 const OBJECTION_SPAN: Duration = Duration::from_millis(800);
-/// How long a front repeats that it served a part, since the control process that received the report may
-/// fail before it passes it on.
+/// How long a front repeats that it served a part, since the control process that received the report
+/// may fail before it passes it on.
 const OBJECTION_REPEAT: Duration = Duration::from_secs(10);
 /// Interval at which a front repeats its evidence, since the leader that received it may fail.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
@@ -73,7 +73,7 @@
         self.wall_clock = wall_clock;
         // Another control process may hold an older copy.
         if let Some(listed) = listed.filter(|listed| listed.version() >= self.listed.version()) {
-            let objections = if first {
+            let delay = if first {
                 Duration::ZERO
             } else {
                 OBJECTION_SPAN
@@ -81,7 +81,7 @@
             let before = std::mem::take(&mut self.in_force);
             let in_force = |(part, _)| {
                 let known = before.get(&part).copied();
-                (part, known.unwrap_or(now + objections))
+                (part, known.unwrap_or(now + delay))
             };
             self.in_force = listed.parts().map(in_force).collect();
             self.listed = listed;
