Count crashes before the leader's start separately

Trace: four crashes from 7.8 to 8.25 s; the leader is killed at 8.33 s, is back at 8.83 s and leads again at 8.94 s. The fronts repeat their evidence, but the verdict comes only at 13.52 s, after the third crash since the start of the process.

Cause: the process's clock starts at zero and saturates there, so all crashes before the start had the same time and counted as one.

Fix: the leader's record of crashes uses a clock with a lead of an hour. The new govern case fails on the code before.

--- a/crates/govern/src/judge.rs
+++ b/crates/govern/src/judge.rs
@@ -22,6 +22,8 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the last evidence in which it leads to a verdict. Fronts repeat their evidence.
 const DELIBERATION: Duration = Duration::from_secs(5);
+/// Added to the process's clock, which starts at zero: crashes may be older than the process.
+const CLOCK_LEAD: Duration = Duration::from_secs(3600);
 /// Time after a part's quarantine began in which it is revised if, by what fronts report then, another
 /// part explains the crashes.
 const REVISION_SPAN: Duration = Duration::from_secs(2);
@@ -51,7 +53,7 @@
 impl Judge {
     /// Records evidence, whose ages count from `now`.
     pub(crate) fn record(&mut self, now: Tick, evidence: &Evidence) {
-        if self.suspects.record(now, evidence) {
+        if self.suspects.record(now + CLOCK_LEAD, evidence) {
             self.recorded_at = Some(now);
         }
     }
@@ -74,15 +76,16 @@
         quarantine: &Quarantine,
     ) -> Judgement {
         let mut judgement = Judgement::default();
+        let record_now = now + CLOCK_LEAD;
         let deliberates = self
             .recorded_at
             .is_some_and(|at| now.since(at) < DELIBERATION);
         if deliberates && !self.imposing {
             let quarantined = |part| quarantine.sentence(part).is_some();
-            let verdicts = self.suspects.verdicts(now, quarantined).into_iter();
+            let verdicts = self.suspects.verdicts(record_now, quarantined).into_iter();
             let until_ms = unix_ms(now).saturating_add(millis(QUARANTINE_SPAN));
             let sentences = verdicts.map(|verdict| {
-                let since_ms = unix_ms(verdict.since);
+                let since_ms = unix_ms(verdict.since - CLOCK_LEAD);
                 (verdict.part, Sentence { since_ms, until_ms })
             });
             judgement.imposed = sentences.collect();
@@ -101,9 +104,10 @@
             let ended = |(part, sentence): &(PartId, Sentence)| {
                 let since_ms = sentence.since_ms.max(started_ms);
                 let served_at = self.suspects.served_at(*part);
-                let served = served_at.is_some_and(|at| unix_ms(at) > since_ms);
+                let served = served_at.is_some_and(|at| unix_ms(at - CLOCK_LEAD) > since_ms);
                 let left_ms = sentence.until_ms.saturating_sub(unix_ms(now));
-                let explained = recent(sentence) && self.suspects.explained(now, *part, settled);
+                let explained =
+                    recent(sentence) && self.suspects.explained(record_now, *part, settled);
                 served || explained || left_ms == 0
             };
             let ended = quarantine.parts().filter(ended);
--- a/crates/govern/tests/quarantine.rs
+++ b/crates/govern/tests/quarantine.rs
@@ -348,6 +348,14 @@
         group.advance(1000);
         assert_eq!(quarantine(&mut group, leader).is_empty(), released);
     };
+    // Guards against a leader that has just started and takes all earlier crashes for one (BUDGET).
+    crashes_before_the_start_of_the_leader_count_separately: {
+        let Hosts { mut group, leader, .. } = hosts();
+        let evidence = crashes(&[(60_000, &[DEADLY]), (59_000, &[DEADLY]), (58_000, &[DEADLY])]);
+        report(&mut group, leader, evidence);
+        group.advance(500);
+        assert_eq!(parts(&quarantine(&mut group, leader)), [DEADLY]);
+    };
     part_served_before_the_verdict_is_not_condemned: {
         let Hosts { mut group, leader, mirror, .. } = hosts();
         let evidence = crashes(&[(600, &[DEADLY]), (300, &[DEADLY]), (0, &[DEADLY])]);
