Count a moment of several crashes only for parts present in most of them

Trace: three requests of the session were in progress at crashes at 15.0, 19.0 and 23.0 s, and none was served in between. Five, five and two engines crashed at those moments.

Cause: a crash of several engines at once has a cause of its own, and says nothing about a part that was in progress at one of them.

Fix: a moment counts for a part only if the part was present in most crashes of the moment. A part that crashes engines faster than the moments last is present in most. The case part_present_in_few_of_the_crashes_of_each_moment_is_no_cause fails on the code before.

--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -61,6 +61,10 @@
         }
     }
 
+    fn has_any(&self, parts: &BTreeSet<PartId>) -> bool {
+        self.parts.keys().any(|part| parts.contains(part))
+    }
+
     fn suspects(&self) -> impl Iterator<Item = Suspect> + '_ {
         let parts = self.parts.iter();
         parts.map(|(part, depth)| Suspect {
@@ -197,8 +201,8 @@
 
     /// The parts outside of quarantine that cause crashes.
     pub fn verdicts(&self, now: Tick, quarantined: impl Fn(PartId) -> bool) -> Vec<Verdict> {
-        let open = |crash: &&Observed| !crash.parts.keys().any(|part| quarantined(*part));
-        let causes = self.causes(self.current(now).filter(open).collect());
+        let crashes = self.current(now);
+        let causes = self.causes(&crashes, parts_that(&crashes, quarantined));
         let settled = |cause: &&Cause| now.since(cause.decisive) >= SETTLE;
         let verdict = |cause: &Cause| Verdict {
             part: cause.part,
@@ -210,18 +214,19 @@
     /// Whether other parts explain the crashes that count against a part, apart from those that are
     /// explained by parts in quarantine.
     pub fn explained(&self, now: Tick, part: PartId, quarantined: impl Fn(PartId) -> bool) -> bool {
-        let open = |crash: &&Observed| !crash.parts.keys().any(|part| quarantined(*part));
-        let crashes: Vec<_> = self.current(now).filter(open).collect();
-        let counts = self.counts(&crashes);
+        let crashes = self.current(now);
+        let explaining = parts_that(&crashes, quarantined);
+        let counts = self.counts(&crashes, &explaining);
         let suspected = counts
             .get(&part)
             .is_some_and(|moments| moments.len() >= MIN_CRASHES);
-        suspected && !self.causes(crashes).iter().any(|cause| cause.part == part)
+        let causes = self.causes(&crashes, explaining);
+        suspected && !causes.iter().any(|cause| cause.part == part)
     }
 
-    fn current(&self, now: Tick) -> impl Iterator<Item = &Observed> {
-        let current = move |crash: &&Observed| now.since(crash.at) < MAX_AGE;
-        self.crashes.iter().filter(current)
+    fn current(&self, now: Tick) -> Vec<&Observed> {
+        let current = |crash: &&Observed| now.since(crash.at) < MAX_AGE;
+        self.crashes.iter().filter(current).collect()
     }
 
     /// The causes of crashes.
@@ -231,13 +236,14 @@
     /// of several, such as parts never served, the one present in the most crashes, then the one with
     /// the most parts before it, which the fewest prompts share. It explains all crashes in which it
     /// was present.
-    fn causes(&self, mut open: Vec<&Observed>) -> Vec<Cause> {
+    fn causes(&self, crashes: &[&Observed], mut explaining: BTreeSet<PartId>) -> Vec<Cause> {
         let mut causes = Vec::new();
         loop {
-            let mut counts = self.counts(&open);
+            let mut counts = self.counts(crashes, &explaining);
             counts.retain(|_, moments| moments.len() >= MIN_CRASHES);
             let depth = |part: PartId| {
-                let depths = open.iter().filter_map(|crash| crash.parts.get(&part));
+                let open = crashes.iter().filter(|crash| !crash.has_any(&explaining));
+                let depths = open.filter_map(|crash| crash.parts.get(&part));
                 depths.max().copied()
             };
             let weight = |(part, moments): &(&PartId, &Vec<Tick>)| {
@@ -255,33 +261,41 @@
                     decisive: moments[MIN_CRASHES - 1],
                 })
                 .collect();
-            open.retain(|crash| {
-                !chosen
-                    .iter()
-                    .any(|cause| crash.parts.contains_key(&cause.part))
-            });
+            explaining.extend(chosen.iter().map(|cause| cause.part));
             causes.extend(chosen);
         }
     }
 
-    /// For each part, the separate moments of the crashes in which it was present and after which it
-    /// was not served.
-    fn counts(&self, crashes: &[&Observed]) -> BTreeMap<PartId, Vec<Tick>> {
+    /// For each part, the separate moments of the crashes in which it was present, after which it was
+    /// not served, and which no part in `explaining` explains. If several engines crash in one moment,
+    /// the part must be present in most of these crashes: otherwise they have another cause.
+    fn counts(
+        &self,
+        crashes: &[&Observed],
+        explaining: &BTreeSet<PartId>,
+    ) -> BTreeMap<PartId, Vec<Tick>> {
         let mut counts: BTreeMap<PartId, Vec<Tick>> = BTreeMap::new();
-        for crash in crashes {
-            for part in crash.parts.keys() {
-                if self.served_at(*part) >= Some(crash.at) {
-                    continue;
-                }
-                let moments = counts.entry(*part).or_default();
-                let separate = moments
-                    .last()
-                    .is_none_or(|last| crash.at.since(*last) >= SAME_MOMENT);
-                if separate {
-                    moments.push(crash.at);
+        let mut rest = crashes;
+        while let Some(first) = rest.first() {
+            let end = rest.partition_point(|crash| crash.at.since(first.at) < SAME_MOMENT);
+            let (moment, later) = rest.split_at(end.max(1));
+            rest = later;
+            let mut present: BTreeMap<PartId, usize> = BTreeMap::new();
+            let open = moment.iter().filter(|crash| !crash.has_any(explaining));
+            let parts = open.flat_map(|crash| crash.parts.keys());
+            parts.for_each(|part| *present.entry(*part).or_default() += 1);
+            for (part, crashes) in present {
+                if crashes * 2 > moment.len() && self.served_at(part) < Some(first.at) {
+                    counts.entry(part).or_default().push(first.at);
                 }
             }
         }
         counts
     }
 }
+
+/// The parts of crashes for which a condition holds.
+fn parts_that(crashes: &[&Observed], holds: impl Fn(PartId) -> bool) -> BTreeSet<PartId> {
+    let parts = crashes.iter().flat_map(|crash| crash.parts.keys().copied());
+    parts.filter(|part| holds(*part)).collect()
+}
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -149,6 +149,22 @@
         assert!(suspects.record(at(514_100), &report("d", 100, &[1])));
         assert!(suspects.record(at(514_100), &report("d", 100, &[2])));
     };
+    // Guards against the condemnation of a rare part by crashes of several engines at once.
+    part_present_in_few_of_the_crashes_of_each_moment_is_no_cause: {
+        let mut suspects = three_crashes(&[1]);
+        for (ms, instance) in [(10_010, "p"), (11_010, "q"), (12_010, "r")] {
+            suspects.crashed(at(ms), instance, [PartId(2)]);
+        }
+        assert_eq!(condemned(&suspects), []);
+    };
+    part_present_in_most_crashes_of_each_moment_is_the_cause: {
+        let mut suspects = three_crashes(&[1]);
+        for (ms, more) in [(10_010, ["p", "s"]), (11_010, ["q", "t"]), (12_010, ["r", "u"])] {
+            suspects.crashed(at(ms), more[0], [PartId(2)]);
+            suspects.crashed(at(ms), more[1], [PartId(1)]);
+        }
+        assert_eq!(condemned(&suspects), [1]);
+    };
     two_causes_with_separate_crashes_are_both_condemned: assert_eq!(
         condemned(&crashes(&[
             (10_000, "a", &[1, 3]),
