Log the request rate that an endpoint states

An engine in need states in its responses how many requests a second it takes from all fronts together. Nothing reads that, and the logs could not tell when a front had been told.

The platform adapter decodes the field into a checked rate, fronts pass it to the core as a notice, and event 2015 names the endpoint and the rate when it changes. Nothing acts on the rate yet.

--- a/crates/front/src/adapter.rs
+++ b/crates/front/src/adapter.rs
@@ -11,6 +11,7 @@
     Attempt,
     EndpointInfo,
     Load,
+    Notice,
     RequestHead, //
 };
 
@@ -34,6 +35,8 @@
     pub outcome: Outcome,
     /// The load that the endpoint reports, if any.
     pub load: Option<Load>,
+    /// What the endpoint states about itself.
+    pub notice: Notice,
     /// How long the endpoint keeps an idle connection open, if it states this.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -30,14 +30,17 @@
 use relay::{
     Attempt,
     Failure,
-    Load, //
+    Input,
+    Load,
+    Notice, //
 };
 use smol::Timer;
 use smol::future::FutureExt;
 
 use crate::adapter::{
     Outcome,
-    ProtocolAdapter, //
+    ProtocolAdapter,
+    ResponseHead, //
 };
 use crate::connection::{
     Connection,
@@ -45,6 +48,7 @@
     Target, //
 };
 use crate::content::Content;
+use crate::control::FrontInbox;
 
 /// Maximum size of a response that is read completely. Responses of engines take a few kilobytes.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -81,6 +85,7 @@
 #[derive(Clone)]
 pub(crate) struct AttemptClient<A> {
     pub(crate) adapter: A,
+    pub(crate) inbox: FrontInbox,
     pub(crate) connections: Connections,
     pub(crate) clock: Monotonic,
 }
@@ -119,6 +124,7 @@
         if !head.matches_request || parts.headers.contains_key(CONTENT_ENCODING) {
             return Err(Failure::Garbled);
         }
+        self.report_notice(attempt, &head);
         let response = OpenResponse {
             status: parts.status.as_u16(),
             content: Content::of(&parts.headers, body.size_hint().exact()),
@@ -143,6 +149,18 @@
         }
     }
 
+    /// Reports an endpoint's notice to the core. A response without one withdraws an earlier notice
+    /// only if the endpoint executed the request.
+    fn report_notice(&self, attempt: &Attempt, head: &ResponseHead) {
+        let withdrawn = attempt.notice_held && head.outcome == Outcome::Executed;
+        let stated = head.notice != Notice::default() && head.outcome != Outcome::Misdirected;
+        if stated || withdrawn {
+            let _ = self
+                .inbox
+                .send(Input::Noticed(attempt.endpoint, head.notice));
+        }
+    }
+
     /// Reads the body of a response and keeps the connection for reuse.
     pub(crate) async fn read_complete(
         &self,
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -147,6 +147,11 @@
             Event::QuarantineChanged(version, parts) => {
                 event!(self.log, QuarantineChanged, "version" => version, "parts" => parts);
             }
+            Event::RateLimited(instance, rate) => {
+                let rate =
+                    rate.map_or_else(|| "none".to_owned(), |rate| f64::from(rate).to_string());
+                event!(self.log, EndpointLimited, "endpoint" => instance, "rate" => rate);
+            }
             Event::Ejected(instance) => {
                 self.counters.count(Counter::Ejected);
                 event!(self.log, EndpointEjected, "endpoint" => instance);
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -200,6 +200,7 @@
         tasks.spawn(forward_cancelled).detach();
         let attempts = AttemptClient {
             adapter,
+            inbox: context.inbox.clone(),
             connections: Connections::new(tasks.clone(), clock),
             clock,
         };
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -51,6 +51,7 @@
     Index,
     PartId,
     Percent,
+    Rate,
     Revision,
     Term,
     Ticket,
--- a/crates/ids/src/unit.rs
+++ b/crates/ids/src/unit.rs
@@ -15,6 +15,8 @@
     Tier(u8),
     /// The value is not a percentage from 0 to 100.
     Percent(u8),
+    /// The value is not a finite number of requests per second, at least 0.
+    Rate,
 }
 
 impl fmt::Display for UnitError {
@@ -22,6 +24,7 @@
         match self {
             Self::Tier(n) => write!(f, "tier {n} does not exist; use 0 (highest) to 3"),
             Self::Percent(n) => write!(f, "{n} is not a percentage from 0 to 100"),
+            Self::Rate => f.write_str("a rate is a finite number of at least 0"),
         }
     }
 }
@@ -76,6 +79,33 @@
     }
 }
 
+/// A number of requests per second: finite, and at least 0.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+#[derive(Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Rate(f64);
+
+// A finite number equals itself.
+impl Eq for Rate {}
+
+impl TryFrom<f64> for Rate {
+    type Error = UnitError;
+
+    fn try_from(per_second: f64) -> Result<Self, UnitError> {
+        if per_second.is_finite() && per_second >= 0.0 {
+            Ok(Self(per_second))
+        } else {
+            Err(UnitError::Rate)
+        }
+    }
+}
+
+impl From<Rate> for f64 {
+    fn from(rate: Rate) -> Self {
+        rate.0
+    }
+}
+
 /// A percentage from 0 to 100.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -76,6 +76,7 @@
     2012 RequestQueued Info "a request was queued because the endpoints' backlog exceeded a limit";
     2013 EndpointCrashed Warning "an endpoint crashed while a request was in progress there";
     2014 EvidenceDeferred Warning "a report of crashes was not acknowledged and will be retried";
+    2015 EndpointLimited Info "an endpoint stated another limit on its rate of requests, or that it has none";
     3001 EngineFailed Warning "the agent's engine failed";
     3002 EngineCold Info "the engine became cold";
     3003 UsageDeferred Warning "a usage report was not acknowledged and will be retried";
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -25,6 +25,7 @@
     Event,
     Failure,
     Load,
+    Notice,
     Output, //
 };
 use crate::relay::{
@@ -144,6 +145,7 @@
             start_deadline: retry_start.then_some(now + timeout),
             max_gap: retry_allowed.then_some(route.event_gap * GAP_TIMEOUT_FACTOR),
             detect_crash: request.prompt.is_some(),
+            notice_held: endpoint.notice != Notice::default(),
         })
     }
 
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -9,6 +9,7 @@
 use crate::message::{
     EndpointInfo,
     Load,
+    Notice,
     Prompt, //
 };
 
@@ -67,6 +68,8 @@
     delay: Option<(f64, Tick)>,
     /// Last use of each prompt part.
     parts: HashMap<u64, Tick>,
+    /// The endpoint's last notice.
+    pub(crate) notice: Notice,
 }
 
 impl Endpoint {
@@ -86,6 +89,7 @@
             load: None,
             delay: None,
             parts: HashMap::new(),
+            notice: Notice::default(),
         }
     }
 
@@ -97,6 +101,7 @@
             self.load = None;
             self.delay = None;
             self.health = Health::default();
+            self.notice = Notice::default();
         }
         self.cold_until = self.cold_until.max(now + info.cold_remaining);
         self.info = info;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
     Failure,
     Input,
     Load,
+    Notice,
     Output,
     Prompt,
     RelayOptions,
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -8,6 +8,7 @@
 use ids::{
     EndpointId,
     PartId,
+    Rate,
     RequestId,
     Tick,
     Ticket, //
@@ -118,6 +119,14 @@
     pub slots: u32,
 }
 
+/// What an endpoint states about itself in the head of a response, beyond its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// The requests per second that the endpoint accepts from all fronts together; none if it
+    /// states no limit.
+    pub rate_limit: Option<Rate>,
+}
+
 /// One entry of the endpoint listing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointInfo {
@@ -195,6 +204,9 @@
     pub max_gap: Option<Duration>,
     /// Whether a broken connection is to be told from a crash of the endpoint.
     pub detect_crash: bool,
+    /// Whether a response without a notice is to be reported too, since it withdraws an earlier
+    /// notice of the endpoint.
+    pub notice_held: bool,
 }
 
 /// The core's decision on a new request, or on one whose attempt failed.
@@ -219,6 +231,8 @@
     Request(Ticket, Box<RequestHead>),
     /// A response started; its head may report the endpoint's load.
     ResponseStarted(RequestId, Option<Load>),
+    /// A response of an endpoint contained a notice, or withdrew the endpoint's last one.
+    Noticed(EndpointId, Notice),
     /// An attempt failed.
     AttemptFailed(Ticket, RequestId, Failure),
     /// A request received its complete response.
@@ -289,6 +303,8 @@
     Crashed(String, String, Vec<PartId>),
     /// The endpoint with this instance is ejected after failures.
     Ejected(String),
+    /// The endpoint with this instance states another rate limit than before, or none any more.
+    RateLimited(String, Option<Rate>),
     /// The front applied a newer generation of the deployment.
     Advanced(u64),
     /// The view expired (false) or is valid again (true).
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,6 +10,7 @@
 
 use fault::Kind;
 use ids::{
+    EndpointId,
     RequestId,
     Tick, //
 };
@@ -30,6 +31,7 @@
     EndpointInfo,
     Event,
     Input,
+    Notice,
     Output,
     RelayOptions,
     View, //
@@ -206,6 +208,21 @@
         self.end(id);
     }
 
+    /// Records what an endpoint states about itself.
+    fn record_notice(&mut self, id: EndpointId, notice: Notice, out: &mut Outbox<Output>) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let before = std::mem::replace(&mut endpoint.notice, notice);
+        if before.rate_limit != notice.rate_limit {
+            let instance = endpoint.info.instance.clone();
+            out.push(Output::Event(Event::RateLimited(
+                instance,
+                notice.rate_limit,
+            )));
+        }
+    }
+
     fn update_endpoints(&mut self, now: Tick, list: Vec<EndpointInfo>, out: &mut Outbox<Output>) {
         if self.endpoints.update(now, list, &mut self.rng) {
             let (total, draining) = self.endpoints.counts();
@@ -224,6 +241,7 @@
             Input::Endpoints(list) => self.update_endpoints(now, list, out),
             Input::Request(ticket, head) => self.receive(now, ticket, head, out),
             Input::ResponseStarted(id, load) => self.response_started(now, id, load),
+            Input::Noticed(id, notice) => self.record_notice(id, notice, out),
             Input::AttemptFailed(ticket, id, failure) => {
                 self.attempt_failed(now, ticket, id, failure, out);
             }
