Keep to the request rates that endpoints state, as a sum over all fronts

Cause: fronts selected endpoints by latency alone and did not know the limit. Class of fault: an endpoint's own statement about its capacity had no way into the decision. Ruled out: that fronts react too late to the reported load (selection did not change after the first responses with a limit).

Each front now gets permits at an equal share of the limit, the first at a random time, and an endpoint without a permit is no candidate. Requests that only the limits delay wait like those behind a backlog; at the end of the wait they are rejected as not run, with the time of the next permit. A limit survives a listing that lacks its endpoint; a new incarnation starts without one.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -21,7 +21,8 @@
 use crate::backlog::{
     self,
     BacklogQueue,
-    Queued, //
+    Queued,
+    WaitPolicy, //
 };
 use crate::balance::Balancer;
 use crate::lanes::is_long;
@@ -77,7 +78,8 @@
     }
 
     /// Dispatches a request's first attempt, or queues the request until the engines' backlog is
-    /// shorter. If the queue is full, dispatches the attempt regardless of the backlog.
+    /// shorter and their limits allow it. If the queue is full, dispatches the attempt regardless of
+    /// the backlog, or rejects the request.
     pub(crate) fn dispatch(
         &mut self,
         now: Tick,
@@ -85,15 +87,18 @@
         id: RequestId,
         out: &mut Outbox<Output>,
     ) {
-        let limit_ms = self
-            .backlog_limit_ms(id)
-            .filter(|_| self.backlog_queue.has_room());
-        if let Some(decision) = self.assign(now, id, limit_ms, out) {
+        let has_room = self.backlog_queue.has_room();
+        let wait = WaitPolicy {
+            limit_ms: self.backlog_limit_ms(id).filter(|_| has_room),
+            for_permit: has_room,
+        };
+        if let Some(decision) = self.assign(now, id, wait, out) {
             out.push(Output::Reply(ticket, decision));
         } else if let Some(request) = self.requests.get(id) {
             let queued = Queued {
                 ticket,
                 request: id,
+                service: request.service,
                 priority: request.priority,
                 wait_until: BacklogQueue::wait_end(now, request.deadline),
             };
@@ -113,21 +118,25 @@
     /// Reconsiders the queued requests in order of priority. Dispatches those below the limit and
     /// rejects the others at the end of their wait.
     pub(crate) fn poll_queue(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        // A request that stays queued also blocks later ones of the same priority.
+        // A request that stays queued also blocks later ones of the same priority and service.
         let mut blocked = None;
         for queued in self.backlog_queue.poll(now) {
             let wait_ended = now >= queued.wait_until;
-            if blocked == Some(queued.priority) && !wait_ended {
+            let class = Some((queued.priority, queued.service));
+            if blocked == class && !wait_ended {
                 self.backlog_queue.enqueue(now, queued);
                 continue;
             }
             let limit_ms = self.backlog_limit_ms(queued.request);
-            let limit_ms = if wait_ended {
-                limit_ms.map(backlog::final_limit_ms)
-            } else {
-                limit_ms
+            let wait = WaitPolicy {
+                limit_ms: if wait_ended {
+                    limit_ms.map(backlog::final_limit_ms)
+                } else {
+                    limit_ms
+                },
+                for_permit: !wait_ended,
             };
-            match self.assign(now, queued.request, limit_ms, out) {
+            match self.assign(now, queued.request, wait, out) {
                 Some(decision) => out.push(Output::Reply(queued.ticket, decision)),
                 None if wait_ended => {
                     let request = self.requests.get(queued.request);
@@ -136,7 +145,7 @@
                     self.end(queued.request);
                 }
                 None => {
-                    blocked = Some(queued.priority);
+                    blocked = class;
                     self.backlog_queue.enqueue(now, queued);
                 }
             }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,6 +16,7 @@
 };
 use step::Outbox;
 
+use crate::backlog::WaitPolicy;
 use crate::balance::Balancer;
 use crate::endpoint::Endpoint;
 use crate::endpoints::Observed;
@@ -25,11 +26,11 @@
     Event,
     Failure,
     Load,
-    Notice,
     Output, //
 };
 use crate::relay::{
     RETRY_AFTER,
+    Rejection,
     Relay, //
 };
 
@@ -50,12 +51,12 @@
 
 impl<B: Balancer> Relay<B> {
     /// Selects an endpoint for a request's next attempt. Rejects and ends the request if there is
-    /// none. Returns no decision if the backlog of the best endpoint exceeds the limit.
+    /// none. Returns no decision if the request is to wait.
     pub(crate) fn assign(
         &mut self,
         now: Tick,
         id: RequestId,
-        limit_ms: Option<f64>,
+        wait: WaitPolicy,
         out: &mut Outbox<Output>,
     ) -> Option<Decision> {
         let Some(request) = self.requests.get(id) else {
@@ -67,18 +68,16 @@
             return Some(self.end_unserved(id, Kind::Internal, None, out));
         };
         if let Some(remaining) = self.quarantined(now, id) {
-            let decision = self.end_unserved(id, Kind::PromptQuarantined, None, out);
-            return Some(match decision {
-                Decision::Reject(Kind::PromptQuarantined, _) => {
-                    Decision::Reject(Kind::PromptQuarantined, remaining)
-                }
-                executed => executed,
-            });
+            return Some(self.reject_unserved(id, (Kind::PromptQuarantined, remaining), out));
         }
         let Some((endpoint, backlog_ms)) = self.select(now, id, service) else {
-            return Some(self.end_unserved(id, Kind::EndpointMissing, None, out));
+            return match self.next_permit(now, id, service) {
+                Some(_) if wait.for_permit => None,
+                Some(delay) => Some(self.reject_unserved(id, (Kind::Overloaded, delay), out)),
+                None => Some(self.end_unserved(id, Kind::EndpointMissing, None, out)),
+            };
         };
-        if let Some(limit_ms) = limit_ms.filter(|limit_ms| backlog_ms > *limit_ms) {
+        if let Some(limit_ms) = wait.limit_ms.filter(|limit_ms| backlog_ms > *limit_ms) {
             self.report_queued(id, backlog_ms, limit_ms, out);
             return None;
         }
@@ -107,10 +106,14 @@
         let request = self.requests.get_mut(id)?;
         let plan = Arc::clone(&request.plan);
         let endpoint = self.endpoints.get_mut(endpoint_id)?;
+        let fronts = self.fronts.get();
         if let Some(cold) = service.cold_start.filter(|_| endpoint.cold(now)) {
-            let rate = Endpoint::cold_rate(cold.request_rate, self.fronts);
+            let rate = Endpoint::cold_rate(cold.request_rate, fronts);
             endpoint.bucket.take(now, rate);
         }
+        if let Some(limit) = &mut endpoint.limit {
+            limit.take_permit(now, fronts);
+        }
         request.attempts += 1;
         request.endpoint = Some(endpoint_id);
         request.due_at = now + route.latency_target;
@@ -145,7 +148,7 @@
             start_deadline: retry_start.then_some(now + timeout),
             max_gap: retry_allowed.then_some(route.event_gap * GAP_TIMEOUT_FACTOR),
             detect_crash: request.prompt.is_some(),
-            notice_held: endpoint.notice != Notice::default(),
+            notice_held: endpoint.limit.is_some(),
         })
     }
 
@@ -173,6 +176,20 @@
         Decision::Reject(kind, RETRY_AFTER)
     }
 
+    /// Ends a request as [`Self::end_unserved`]. If no endpoint has executed the request, the caller
+    /// is told the delay of the rejection.
+    fn reject_unserved(
+        &mut self,
+        id: RequestId,
+        (kind, retry_after): Rejection,
+        out: &mut Outbox<Output>,
+    ) -> Decision {
+        match self.end_unserved(id, kind, None, out) {
+            Decision::Reject(ended, _) if ended == kind => Decision::Reject(kind, retry_after),
+            executed => executed,
+        }
+    }
+
     /// Removes a request from the accounting of its endpoint, and returns the endpoint.
     pub(crate) fn detach(&mut self, id: RequestId) -> Option<EndpointId> {
         let request = self.requests.get_mut(id)?;
@@ -255,8 +272,8 @@
                 let name = request.name.clone();
                 out.push(Output::Event(Event::Retried(name, failure)));
             }
-            // Without a backlog limit, `assign` always returns a decision.
-            self.assign(now, id, None, out)
+            // Without a wait, `assign` always returns a decision.
+            self.assign(now, id, WaitPolicy::default(), out)
                 .unwrap_or(Decision::Reject(Kind::Internal, RETRY_AFTER))
         } else if failure == Failure::Errored {
             self.end(id);
@@ -311,7 +328,7 @@
             return;
         };
         match failure {
-            Failure::Misdirected => self.endpoints.remove(id),
+            Failure::Misdirected => self.endpoints.remove(now, id),
             Failure::Full => {
                 let slots = endpoint.info.slots;
                 let full = Load {
@@ -364,7 +381,7 @@
         }
         let budget = self.retry_budgets.entry(service.name.clone()).or_default();
         let window = self.options.retry_window;
-        let extra = self.options.retry_extra / self.fronts as f64;
+        let extra = self.options.retry_extra / self.fronts.get() as f64;
         let within_budget = budget.try_take(now, window, self.options.retry_ratio, extra);
         if !within_budget {
             let name = request.name.clone();
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -8,6 +8,7 @@
 
 use ids::{
     RequestId,
+    ServiceId,
     Tick,
     Ticket, //
 };
@@ -46,11 +47,22 @@
     limit_ms * FINAL_FACTOR
 }
 
+/// What a request may wait for in the queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WaitPolicy {
+    /// The backlog of the best endpoint above which the request waits, in milliseconds; none if it
+    /// does not wait because of the backlog.
+    pub(crate) limit_ms: Option<f64>,
+    /// Whether the request waits while all endpoints are at the limits that they state.
+    pub(crate) for_permit: bool,
+}
+
 /// A queued request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Queued {
     pub(crate) ticket: Ticket,
     pub(crate) request: RequestId,
+    pub(crate) service: ServiceId,
     pub(crate) priority: Priority,
     /// When the request's wait ends.
     pub(crate) wait_until: Tick,
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -9,9 +9,9 @@
 use crate::message::{
     EndpointInfo,
     Load,
-    Notice,
     Prompt, //
 };
+use crate::rate_limit::RateLimit;
 
 /// How long an engine is assumed to keep a prompt part in its prefix cache after the last use.
 const CACHE_LIFETIME: Duration = Duration::from_secs(8);
@@ -68,8 +68,8 @@
     delay: Option<(f64, Tick)>,
     /// Last use of each prompt part.
     parts: HashMap<u64, Tick>,
-    /// The endpoint's last notice.
-    pub(crate) notice: Notice,
+    /// The limit that the endpoint states on its rate of requests.
+    pub(crate) limit: Option<RateLimit>,
 }
 
 impl Endpoint {
@@ -89,7 +89,7 @@
             load: None,
             delay: None,
             parts: HashMap::new(),
-            notice: Notice::default(),
+            limit: None,
         }
     }
 
@@ -101,7 +101,7 @@
             self.load = None;
             self.delay = None;
             self.health = Health::default();
-            self.notice = Notice::default();
+            self.limit = None;
         }
         self.cold_until = self.cold_until.max(now + info.cold_remaining);
         self.info = info;
@@ -111,6 +111,11 @@
         now < self.cold_until
     }
 
+    /// Whether this front may send a request now, by the endpoint's own limit on its rate.
+    pub(crate) fn has_permit(&self, now: Tick, fronts: usize) -> bool {
+        self.limit.is_none_or(|limit| limit.has_permit(now, fronts))
+    }
+
     /// Requests per second that this front may send to a cold endpoint.
     pub(crate) fn cold_rate(rate: f64, fronts: usize) -> f64 {
         rate * COLD_RATE_SHARE / fronts.max(1) as f64
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -25,12 +25,16 @@
     Load,
     Prompt, //
 };
+use crate::rate_limit::RateLimit;
 use crate::speed::Speed;
 use crate::typical::{
     Typical,
     TypicalValues, //
 };
 
+/// How long the limit of an endpoint that the listing omits is kept.
+const OMITTED_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
+
 /// What a front observes when a response starts.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Observed<'a> {
@@ -55,18 +59,34 @@
     typical: HashMap<(String, Lane), Typical>,
     /// The learned speed of each service's endpoints.
     speeds: HashMap<String, Speed>,
+    /// The limits of endpoints that the listing omits, by instance: a listing may lack an endpoint
+    /// for a moment.
+    omitted_limits: HashMap<String, OmittedLimit>,
+}
+
+/// The limit of an endpoint that the listing omits.
+#[derive(Clone, Copy, Debug)]
+struct OmittedLimit {
+    limit: RateLimit,
+    started_ms: u64,
+    omitted_at: Tick,
 }
 
 impl Endpoints {
     /// Applies a newer listing and removes the endpoints that it omits. Returns whether an endpoint
     /// was added or removed or changed between serving and draining.
     pub(crate) fn update(&mut self, now: Tick, list: Vec<EndpointInfo>, rng: &mut Pcg32) -> bool {
+        self.omitted_limits
+            .retain(|_, omitted| now.since(omitted.omitted_at) < OMITTED_LIMIT_LIFETIME);
         let listed: HashSet<String> = list.iter().map(|info| info.instance.clone()).collect();
         let before = self.endpoints.len();
         self.instances
             .retain(|instance, _| listed.contains(instance));
-        self.endpoints
-            .retain(|_, endpoint| listed.contains(&endpoint.info.instance));
+        let omitted = |endpoint: &Endpoint| !listed.contains(&endpoint.info.instance);
+        for endpoint in self.endpoints.values().filter(|e| omitted(e)) {
+            self.omitted_limits.extend(omitted_limit(now, endpoint));
+        }
+        self.endpoints.retain(|_, endpoint| !omitted(endpoint));
         let mut changed = self.endpoints.len() != before;
         for info in list {
             match self.instances.get(&info.instance) {
@@ -78,9 +98,15 @@
                 }
                 None => {
                     let instance = info.instance.clone();
+                    let started_ms = info.started_ms;
                     // Random bucket levels keep fronts from sending to a cold endpoint at the
                     // same times.
-                    let endpoint = Endpoint::new(now, info, rng.random_range(0.0..1.0));
+                    let mut endpoint = Endpoint::new(now, info, rng.random_range(0.0..1.0));
+                    endpoint.limit = self
+                        .omitted_limits
+                        .remove(&instance)
+                        .filter(|omitted| omitted.started_ms == started_ms)
+                        .map(|omitted| omitted.limit);
                     let id = self.endpoints.insert(endpoint);
                     self.instances.insert(instance, id);
                     changed = true;
@@ -102,8 +128,9 @@
     }
 
     /// Removes an endpoint until a listing contains it again.
-    pub(crate) fn remove(&mut self, id: EndpointId) {
+    pub(crate) fn remove(&mut self, now: Tick, id: EndpointId) {
         if let Some(endpoint) = self.endpoints.remove(id) {
+            self.omitted_limits.extend(omitted_limit(now, &endpoint));
             self.instances.remove(&endpoint.info.instance);
             self.update_lanes();
         }
@@ -179,3 +206,13 @@
         }
     }
 }
+
+/// The entry of an endpoint in the limits of omitted endpoints, if it states a limit.
+fn omitted_limit(now: Tick, endpoint: &Endpoint) -> Option<(String, OmittedLimit)> {
+    let omitted = OmittedLimit {
+        limit: endpoint.limit?,
+        started_ms: endpoint.info.started_ms,
+        omitted_at: now,
+    };
+    Some((endpoint.info.instance.clone(), omitted))
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,7 +16,10 @@
 };
 use plan::Plan;
 use quarantine::Quarantine;
-use rand::SeedableRng;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use rand_pcg::Pcg32;
 use slotmap::SlotMap;
 use step::{
@@ -27,6 +30,7 @@
 use crate::backlog::BacklogQueue;
 use crate::balance::Balancer;
 use crate::endpoints::Endpoints;
+use crate::front_count::FrontCount;
 use crate::message::{
     EndpointInfo,
     Event,
@@ -37,6 +41,7 @@
     View, //
 };
 use crate::part_filter::PartFilter;
+use crate::rate_limit::RateLimit;
 use crate::request::Request;
 use crate::retry_budget::RetryBudget;
 use crate::usage_count::UsageCount;
@@ -50,8 +55,6 @@
 /// Rejection for lack of a valid view. A control group that was restarted as a whole serves again
 /// within the retry delay of 1 s.
 pub(crate) const VIEW_EXPIRED: Rejection = (Kind::ViewStale, Duration::from_secs(1));
-/// Number of fronts assumed until the first view states it.
-const ASSUMED_FRONTS: usize = 12;
 
 /// The decision core of one front.
 pub struct Relay<B> {
@@ -70,7 +73,7 @@
     /// When the view was requested.
     pub(crate) view_requested: Tick,
     /// Number of fronts that subscribe to the deployment.
-    pub(crate) fronts: usize,
+    pub(crate) fronts: FrontCount,
     pub(crate) endpoints: Endpoints,
     pub(crate) requests: SlotMap<RequestId, Request>,
     /// Retry budgets by service.
@@ -94,7 +97,7 @@
             view_expiry: Tick::default(),
             view_expired: true,
             view_requested: Tick::default(),
-            fronts: ASSUMED_FRONTS,
+            fronts: FrontCount::default(),
             endpoints: Endpoints::default(),
             requests: SlotMap::with_key(),
             retry_budgets: HashMap::new(),
@@ -122,7 +125,7 @@
             return;
         }
         self.usage.set_wall_clock(view.wall_clock);
-        self.fronts = view.fronts.max(1);
+        self.fronts.record(now, view.fronts);
         if let Some((plan, closed)) = view
             .deployment
             .filter(|_| view.generation > self.generation)
@@ -208,18 +211,30 @@
         self.end(id);
     }
 
-    /// Records what an endpoint states about itself.
-    fn record_notice(&mut self, id: EndpointId, notice: Notice, out: &mut Outbox<Output>) {
+    /// Applies what an endpoint states about itself.
+    fn record_notice(
+        &mut self,
+        now: Tick,
+        id: EndpointId,
+        notice: Notice,
+        out: &mut Outbox<Output>,
+    ) {
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
-        let before = std::mem::replace(&mut endpoint.notice, notice);
-        if before.rate_limit != notice.rate_limit {
+        let before = endpoint.limit.map(|limit| limit.rate());
+        match (&mut endpoint.limit, notice.rate_limit) {
+            (Some(limit), Some(rate)) => limit.set_rate(now, rate, self.fronts.get()),
+            (limit, rate) => {
+                // Random levels keep fronts from sending at the same times.
+                let level = self.rng.random_range(0.0..1.0);
+                *limit = rate.map(|rate| RateLimit::new(now, rate, level));
+            }
+        }
+        if before != notice.rate_limit {
             let instance = endpoint.info.instance.clone();
-            out.push(Output::Event(Event::RateLimited(
-                instance,
-                notice.rate_limit,
-            )));
+            let event = Event::RateLimited(instance, notice.rate_limit);
+            out.push(Output::Event(event));
         }
     }
 
@@ -241,7 +256,7 @@
             Input::Endpoints(list) => self.update_endpoints(now, list, out),
             Input::Request(ticket, head) => self.receive(now, ticket, head, out),
             Input::ResponseStarted(id, load) => self.response_started(now, id, load),
-            Input::Noticed(id, notice) => self.record_notice(id, notice, out),
+            Input::Noticed(id, notice) => self.record_notice(now, id, notice, out),
             Input::AttemptFailed(ticket, id, failure) => {
                 self.attempt_failed(now, ticket, id, failure, out);
             }
--- a/crates/relay/src/select.rs
+++ b/crates/relay/src/select.rs
@@ -60,19 +60,10 @@
         service: &Service,
     ) -> Option<(EndpointId, f64)> {
         let request = self.requests.get(id)?;
-        let usable = |endpoint: &Endpoint| {
-            let rate = service.cold_start.map(|cold| cold.request_rate);
-            let within_rate = !endpoint.cold(now)
-                || rate.is_none_or(|rate| {
-                    let rate = Endpoint::cold_rate(rate, self.fronts);
-                    endpoint.bucket.has_token(now, rate)
-                });
-            within_rate && !endpoint.info.draining && !self.closed.contains(&endpoint.info.zone)
-        };
+        let fronts = self.fronts.get();
         let mut candidates: Vec<_> = self
-            .endpoints
-            .of_service(&service.name)
-            .filter(|(id, endpoint)| usable(endpoint) && !request.tried.contains(id))
+            .usable_endpoints(now, request, service)
+            .filter(|(_, endpoint)| endpoint.has_permit(now, fronts))
             .collect();
         // Ejected endpoints remain candidates if there are no others.
         if candidates.iter().any(|(_, e)| !e.health.ejected(now)) {
@@ -119,12 +110,51 @@
             estimate
         };
         let estimates: Vec<_> = candidates.iter().map(estimate).collect();
+        let prefill_ms: Vec<_> = candidates
+            .iter()
+            .map(|(id, endpoint)| (*id, speed.prefill_ms(endpoint.pending_tokens)))
+            .collect();
         let chosen = self.balancer.choose(&estimates, &mut self.rng)?;
-        let (id, endpoint) = candidates[chosen];
-        let prefill_ms = speed.prefill_ms(endpoint.pending_tokens);
+        let (id, prefill_ms) = prefill_ms[chosen];
         Some((id, estimates[chosen].queue_delay + prefill_ms))
     }
 
+    /// Time until an endpoint may get a request that only the endpoints' own limits delay; none if
+    /// other reasons exclude all endpoints.
+    pub(crate) fn next_permit(
+        &self,
+        now: Tick,
+        id: RequestId,
+        service: &Service,
+    ) -> Option<Duration> {
+        let request = self.requests.get(id)?;
+        let fronts = self.fronts.get();
+        let limits = self
+            .usable_endpoints(now, request, service)
+            .filter_map(|(_, endpoint)| endpoint.limit);
+        limits.map(|limit| limit.next_permit(now, fronts)).min()
+    }
+
+    /// The endpoints that may get a request, apart from the endpoints' own limits on their rates.
+    fn usable_endpoints<'a>(
+        &'a self,
+        now: Tick,
+        request: &'a Request,
+        service: &'a Service,
+    ) -> impl Iterator<Item = (EndpointId, &'a Endpoint)> {
+        let cold_rate = service
+            .cold_start
+            .map(|cold| Endpoint::cold_rate(cold.request_rate, self.fronts.get()));
+        let usable = move |endpoint: &Endpoint| {
+            let within_rate = !endpoint.cold(now)
+                || cold_rate.is_none_or(|rate| endpoint.bucket.has_token(now, rate));
+            within_rate && !endpoint.info.draining && !self.closed.contains(&endpoint.info.zone)
+        };
+        self.endpoints
+            .of_service(&service.name)
+            .filter(move |(id, endpoint)| usable(endpoint) && !request.tried.contains(id))
+    }
+
     /// How long a request's current attempt has waited beyond what an idle endpoint needs, in
     /// milliseconds.
     pub(crate) fn request_delay(&self, now: Tick, request: &Request) -> f64 {
