Keep agents to the request rate that their engine states

An agent is the only way to its engine, so it can hold the limit alone: a token bucket at the stated rate, read from the response field berg-rate-limit of the product's own interface. Queued requests start at that rate, expected waits include it, and a new incarnation of the engine starts without a limit. While slots are what delays a request, no timer runs for the limit.

Before, an engine that stated two requests a second got as many as its slots bore; two new cases of admit's agent tests.

--- a/crates/admit/src/agent.rs
+++ b/crates/admit/src/agent.rs
@@ -16,6 +16,7 @@
     ClassId,
     EndpointName,
     GrantName,
+    Rate,
     RouteName,
     Tick,
     Ticket,
@@ -44,6 +45,7 @@
     QueuePolicy,
     QueuedRequest, //
 };
+use crate::rate_limit::RateLimit;
 use crate::window::Window;
 
 /// Maximum number of queued requests, as a multiple of the endpoint's slots.
@@ -60,6 +62,9 @@
 /// late if other requests start from reserves ahead of it.
 const RESERVE_MARGIN_STARTS: u32 = 2;
 
+/// Shortest wait for the engine's own limit on its rate, above the resolution of the clock.
+const MIN_LIMIT_WAIT: Duration = Duration::from_millis(1);
+
 new_key_type! {
     struct RunningKey;
 }
@@ -102,6 +107,10 @@
     /// The running requests by ticket.
     tickets: BTreeMap<Ticket, RunningKey>,
     engine: Option<EngineStatus>,
+    /// The limit that the engine states on its rate of requests.
+    limit: Option<RateLimit>,
+    /// When a queued request may start that only this limit delays.
+    limited_until: Option<Tick>,
     /// Moving average of the tokens that the completed requests of an account in a class used. The
     /// average is added to the input tokens of a request in the estimate of its cost.
     estimates: BTreeMap<(ClassId, AccountId), u64>,
@@ -126,6 +135,8 @@
             running: SlotMap::with_key(),
             tickets: BTreeMap::new(),
             engine: None,
+            limit: None,
+            limited_until: None,
             estimates: BTreeMap::new(),
             turnover: [Duration::ZERO; Tier::COUNT],
             last_start: [Tick::default(); Tier::COUNT],
@@ -166,10 +177,10 @@
             Ok(item) => item,
             Err(kind) => return self.reject(arrival.ticket, kind, out),
         };
-        if self.queue.ahead_of(item.tier) == 0 && self.can_start(item.tier) {
+        if self.queue.ahead_of(item.tier) == 0 && self.can_start(now, item.tier) {
             return self.start(now, item, false, out);
         }
-        if self.expected_wait(&item) > arrival.remaining {
+        if self.expected_wait(now, &item) > arrival.remaining {
             return self.reject(arrival.ticket, Kind::Overloaded, out);
         }
         if !self.make_room(item.tier, out) {
@@ -265,10 +276,15 @@
             })
     }
 
-    /// Whether a request of this tier may start now. At a warm engine a tier may exceed the
+    /// Whether a request of this tier may start now.
+    fn can_start(&self, now: Tick, tier: Tier) -> bool {
+        self.has_slot(tier) && self.limit.is_none_or(|limit| limit.can_start(now))
+    }
+
+    /// Whether the concurrency limit allows a request of this tier to start. At a warm engine a tier may exceed the
     /// concurrency limit while requests of lower tiers run, as the engine schedules by priority
     /// and preempts the lower tiers.
-    fn can_start(&self, tier: Tier) -> bool {
+    fn has_slot(&self, tier: Tier) -> bool {
         let running = count(self.running.len());
         let limit = self.window.limit();
         if running < limit {
@@ -282,9 +298,17 @@
 
     /// The expected queueing time of an arrival, with a margin for starts from reserves. For a
     /// class with a reserve, the time is at most the queueing time at the class's share of all
-    /// starts.
-    fn expected_wait(&self, item: &QueuedRequest) -> Duration {
+    /// starts. The engine's own limit holds for all classes.
+    fn expected_wait(&self, now: Tick, item: &QueuedRequest) -> Duration {
         let ahead = count(self.queue.ahead_of(item.tier));
+        let limited = self
+            .limit
+            .map_or(Duration::ZERO, |limit| limit.wait(now, ahead));
+        self.expected_turnover(item, ahead).max(limited)
+    }
+
+    /// The expected queueing time behind the requests ahead, by the time between starts.
+    fn expected_turnover(&self, item: &QueuedRequest, ahead: u32) -> Duration {
         let strict =
             self.turnover[item.tier.index()].saturating_mul(ahead + 1 + RESERVE_MARGIN_STARTS);
         if item.reserve == 0 {
@@ -319,8 +343,13 @@
 
     /// Starts queued requests while the highest queued tier may start a request.
     fn dispatch(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        self.limited_until = None;
         while let Some(tier) = self.next_tier() {
-            if !self.can_start(tier) {
+            if !self.has_slot(tier) {
+                return;
+            }
+            if let Some(limit) = self.limit.filter(|limit| !limit.can_start(now)) {
+                self.limited_until = Some(now + limit.wait(now, 0).max(MIN_LIMIT_WAIT));
                 return;
             }
             // Above the limit no request starts from a reserve: only the tier that preempts lower
@@ -367,6 +396,9 @@
         if reserved {
             out.push(Output::Event(Event::ReserveUsed));
         }
+        if let Some(limit) = &mut self.limit {
+            limit.take(now);
+        }
         self.record_start(now, item.tier);
         let target = |f: fn(&conf::Class) -> Duration| {
             self.config.class(item.class).map_or(Duration::MAX, f)
@@ -478,12 +510,27 @@
 
     fn engine_status(&mut self, status: EngineStatus, out: &mut Outbox<Output>) {
         let previous = self.engine.replace(status);
+        if previous.is_some_and(|previous| previous.incarnation != status.incarnation) {
+            self.limit = None;
+        }
         if previous.is_some_and(|previous| previous != status) {
             self.window.reset();
             out.push(Output::Event(Event::ColdStart));
         }
     }
 
+    fn rate_limit(&mut self, now: Tick, rate: Option<Rate>, out: &mut Outbox<Output>) {
+        let before = self.limit.map(|limit| limit.rate());
+        match (&mut self.limit, rate) {
+            (Some(limit), Some(rate)) => limit.set_rate(now, rate),
+            (limit, rate) => *limit = rate.map(|rate| RateLimit::new(now, rate)),
+        }
+        if before != rate {
+            out.push(Output::Event(Event::RateLimited(rate)));
+            self.dispatch(now, out);
+        }
+    }
+
     fn drain(&mut self, out: &mut Outbox<Output>) {
         self.draining = true;
         for item in self.queue.clear() {
@@ -524,6 +571,7 @@
                 self.queue.remove(ticket);
             }
             Input::EngineStatus(status) => self.engine_status(status, out),
+            Input::RateLimit(rate) => self.rate_limit(now, rate, out),
             Input::Drain => self.drain(out),
         }
     }
@@ -537,7 +585,8 @@
     }
 
     fn deadline(&self) -> Option<Tick> {
-        self.queue.next_deadline()
+        let deadlines = [self.queue.next_deadline(), self.limited_until];
+        deadlines.into_iter().flatten().min()
     }
 }
 
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -10,6 +10,7 @@
 mod fcfs;
 mod message;
 mod queue;
+mod rate_limit;
 mod window;
 
 pub use agent::Agent;
--- a/crates/admit/src/message.rs
+++ b/crates/admit/src/message.rs
@@ -10,6 +10,7 @@
     EndpointName,
     GrantName,
     Incarnation,
+    Rate,
     Revision,
     RouteName,
     Tick,
@@ -78,6 +79,8 @@
     Cancelled(Ticket),
     /// The engine reported its status.
     EngineStatus(EngineStatus),
+    /// The engine stated the requests per second that it accepts, or that it has no limit.
+    RateLimit(Option<Rate>),
     /// Rejects new and queued requests from now on; the core emits [`Output::Drained`] once no
     /// request runs.
     Drain,
@@ -104,6 +107,8 @@
     Preempted,
     /// The engine's caches are cold, so the concurrency limit was reset.
     ColdStart,
+    /// The engine states another limit on its rate than before, or none any more.
+    RateLimited(Option<Rate>),
 }
 
 /// Outputs of the core.
--- a/crates/admit/tests/agent.rs
+++ b/crates/admit/tests/agent.rs
@@ -58,6 +58,8 @@
     changes: Vec<Change>,
     revision: u64,
     started: Vec<u64>,
+    /// Number of started requests that a test has finished.
+    finished: usize,
     rejected: Vec<(u64, Kind)>,
     drained: bool,
 }
@@ -71,6 +73,7 @@
             changes: configuration(reserve),
             revision: 1,
             started: Vec::new(),
+            finished: 0,
             rejected: Vec::new(),
             drained: false,
         };
@@ -252,6 +255,34 @@
     assert!(!harness.started.contains(&queued));
 }
 
+/// Starts within ten seconds at an engine that states a limit of two requests a second, while ten
+/// requests a second arrive and end at once.
+fn starts_under_rate_limit() -> usize {
+    let mut harness = Harness::warm(0);
+    harness.input(Input::RateLimit(Some(2.0.try_into().unwrap())));
+    for _ in 0..100 {
+        harness.arrive_with("field", "large", ms(1000));
+        harness.advance(ms(100));
+        while let Some(ticket) = harness.started.get(harness.finished).copied() {
+            harness.finished += 1;
+            harness.finish(ticket);
+        }
+    }
+    harness.started.len()
+}
+
+fn limit_of_engine_ends() {
+    let mut harness = Harness::warm(0);
+    harness.input(Input::RateLimit(Some(0.0.try_into().unwrap())));
+    harness.fill(SLOTS, "field", "large");
+    assert_eq!(harness.started.len(), 0);
+    // The end of the limit is noticed by the response to a request that starts nevertheless.
+    harness.advance(ms(5000));
+    assert_eq!(harness.started.len(), 1);
+    harness.input(Input::RateLimit(None));
+    assert_eq!(harness.started.len(), SLOTS as usize);
+}
+
 fn rejection_after(change: &str) -> Option<Kind> {
     let mut harness = Harness::warm(0);
     harness.change(change);
@@ -318,6 +349,12 @@
 }
 
 case::cases! {
+    // Guards against an agent that ignores the limit which its engine states.
+    engine_gets_no_more_than_the_rate_that_it_states: {
+        let starts = starts_under_rate_limit();
+        assert!((19..=21).contains(&starts), "{starts}");
+    };
+    engine_gets_all_queued_requests_once_its_limit_ends: limit_of_engine_ends();
     full_queue_sheds_lowest_tier_for_highest: low_tier_is_shed_for_high_tier();
     queue_full_of_highest_tier_rejects_lowest: high_tier_is_not_shed_for_low_tier();
     highest_tier_preempts_running_lower_tier: {
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -131,6 +131,9 @@
                 self.counters.count(Counter::ColdStarts);
                 event!(self.log, EngineCold);
             }
+            Event::RateLimited(rate) => {
+                event!(self.log, EngineLimited, "rate" => rate.map(f64::from));
+            }
         }
     }
 }
--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -25,6 +25,7 @@
 use ids::{
     AttemptId,
     Incarnation,
+    Rate,
     Ticket,
     Tier,
     Tokens, //
@@ -71,6 +72,9 @@
 /// the targets of the request's class.
 const BACKEND_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// Header field of a response in which a backend states the requests per second that it accepts.
+const RATE_LIMIT_HEADER: &str = "berg-rate-limit";
+
 /// Forwards requests to the backend. Each traffic thread has a clone.
 #[derive(Clone)]
 pub(crate) struct Forwarder {
@@ -207,6 +211,7 @@
             head_timeout: BACKEND_TIMEOUT,
         };
         let reader = ResponseReader::open(target, request)?;
+        self.report_rate_limit(&reader);
         if is_engine && reader.status >= 500 {
             return Err(ForwardError::Backend(Kind::EndpointFailed));
         }
@@ -224,6 +229,18 @@
         }
     }
 
+    /// Reports the limit that the backend states on its rate of requests. A response that may be a
+    /// rejection does not withdraw an earlier limit.
+    fn report_rate_limit(&self, reader: &ResponseReader) {
+        let field = reader.headers.get(RATE_LIMIT_HEADER);
+        let text = field.and_then(|value| value.to_str().ok());
+        let per_second = text.and_then(|text| text.trim().parse::<f64>().ok());
+        let rate = per_second.and_then(|rate| Rate::try_from(rate).ok());
+        if rate.is_some() || reader.status < 500 {
+            let _ = self.forwarder.inbox.send(Input::RateLimit(rate));
+        }
+    }
+
     /// Forwards an engine's event stream. The response is complete only if the engine's `[DONE]` event
     /// was received and no partial event follows.
     fn forward_events(
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -148,9 +148,8 @@
                 event!(self.log, QuarantineChanged, "version" => version, "parts" => parts);
             }
             Event::RateLimited(instance, rate) => {
-                let rate =
-                    rate.map_or_else(|| "none".to_owned(), |rate| f64::from(rate).to_string());
-                event!(self.log, EndpointLimited, "endpoint" => instance, "rate" => rate);
+                event!(self.log, EndpointLimited, "endpoint" => instance,
+                    "rate" => rate.map(f64::from));
             }
             Event::Ejected(instance) => {
                 self.counters.count(Counter::Ejected);
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -80,6 +80,7 @@
     3001 EngineFailed Warning "the agent's engine failed";
     3002 EngineCold Info "the engine became cold";
     3003 UsageDeferred Warning "a usage report was not acknowledged and will be retried";
+    3004 EngineLimited Info "the engine stated another limit on its rate of requests, or that it has none";
     4001 Elected Info "the host became the leader of the control group";
     4002 SteppedDown Info "the host is no longer the leader of the control group";
     4003 JournalTruncated Warning "an incomplete record was truncated from the journal";
