Put repeated requests that crash endpoints into quarantine

Cause: the quarantine knew only shared parts of prompts. A request without a prompt had none, so its crashes were not even classified; one with a prompt hid behind parts that its kin are served with. Ruled out by the logs: that endpoints were back before fronts noticed (they were down for 3 s).

A request as a whole now has an identity, a digest of method, target, body and client account, and counts as the last of its shared parts, so evidence, verdict, list, mirrors, objections and isolated fronts apply to it as they are. A crash counts if the request was sent once more before it. Of a request and an unserved part with equally many crashes the request is condemned; the part follows if another request with it crashes an endpoint.

Attempt::detect_crash is gone, as it is true for all requests now; the assertion on it is replaced by tests that requests without a prompt are classified, reported and rejected. The case of the reported parts now expects the request's identity as well.

--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -111,7 +111,7 @@
     let crash = |n: u64| Crash {
         instance: format!("i{n}"),
         age: Duration::from_secs(n),
-        parts: Suspect::of_prompt([DEADLY]).collect(),
+        parts: Suspect::of_request([DEADLY], Duration::ZERO).collect(),
     };
     let request = EvidenceRequest {
         host: front(),
--- a/crates/enginesim/src/simulation.rs
+++ b/crates/enginesim/src/simulation.rs
@@ -15,6 +15,7 @@
     Ticket, //
 };
 use plan::Plan;
+use quarantine::ContentDigest;
 use rand::{
     RngExt,
     SeedableRng, //
@@ -260,6 +261,7 @@
             key: Some("k".to_owned()),
             timeout: Some(spec.timeout),
             body_bytes: Class::body_bytes(&prompt),
+            content: ContentDigest::new("POST", spec.path, &self.calls.len().to_le_bytes()),
             prompt: Some(prompt.clone()),
         };
         let front = self.rng.random_range(0..self.fronts.len());
--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -84,6 +84,8 @@
     PromptTooLarge, "prompt_too_large", 413, NotExecuted, 0, "the prompt is larger than the memory of any endpoint";
     /// A part of the prompt is in quarantine because it crashes engines.
     PromptQuarantined, "prompt_quarantined", 503, NotExecuted, 60, "a part of the prompt crashes engines";
+    /// The request is in quarantine because its earlier repetitions crashed endpoints.
+    RequestQuarantined, "request_quarantined", 503, NotExecuted, 60, "this request crashes endpoints";
     /// The headers exceed the size limit.
     HeadTooLarge, "head_too_large", 431, NotExecuted, 0, "the request headers are too large";
     /// No route serves the model or path.
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -194,8 +194,7 @@
     /// Tells the crash of an endpoint from the loss of one connection: an endpoint that has crashed
     /// refuses new connections.
     pub(crate) async fn classify(&self, attempt: &Attempt, failure: Failure) -> Failure {
-        let broken = failure == Failure::Broken && attempt.detect_crash;
-        if broken && self.connections.refused(attempt.address).await {
+        if failure == Failure::Broken && self.connections.refused(attempt.address).await {
             Failure::Crashed
         } else {
             failure
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -44,6 +44,7 @@
     Logger,
     event, //
 };
+use quarantine::ContentDigest;
 use relay::{
     Attempt,
     Decision,
@@ -295,6 +296,9 @@
             name: request.name.clone(),
         };
         request.body_bytes = received.body.len();
+        let (method, uri) = (&received.head.method, &received.head.uri);
+        let target = uri.path_and_query().map_or("", |target| target.as_str());
+        request.content = ContentDigest::new(method.as_str(), target, &received.body);
         // The caller's timeout starts with the first byte of the request, so the time spent reading
         // the request is subtracted.
         let read_time = self.attempts.clock.now().since(received_at);
--- a/crates/govern/tests/quarantine.rs
+++ b/crates/govern/tests/quarantine.rs
@@ -74,7 +74,7 @@
     let crash = |(n, (age, parts)): (usize, &(u64, &[PartId]))| Crash {
         instance: format!("i{n}"),
         age: Duration::from_millis(*age),
-        parts: Suspect::of_prompt(parts.iter().copied()).collect(),
+        parts: Suspect::of_request(parts.iter().copied(), Duration::ZERO).collect(),
     };
     Evidence {
         crashes: list.iter().enumerate().map(crash).collect(),
--- a/crates/ids/src/unit.rs
+++ b/crates/ids/src/unit.rs
@@ -169,13 +169,34 @@
     FencingToken;
     /// Identifies one execution of a process; a restarted process has a different incarnation.
     Incarnation;
-    /// Identifies a part of a prompt, in all prompts that share the part.
+    /// Identifies a part of a prompt, in all prompts that share the part, or a request as a whole,
+    /// whenever it is repeated.
     PartId;
     /// Correlation identifier within one process: an output of a decision core carries the ticket of
     /// the input to which it responds.
     Ticket;
 }
 
+impl PartId {
+    /// Set in the identities of requests, and only in these.
+    const REQUEST: u64 = 1 << 63;
+
+    /// The part of a prompt with this identity.
+    pub fn of_prompt(id: u64) -> Self {
+        Self(id & !Self::REQUEST)
+    }
+
+    /// The request with this digest.
+    pub fn of_request(digest: u64) -> Self {
+        Self(digest | Self::REQUEST)
+    }
+
+    /// Returns whether this is a request as a whole.
+    pub fn is_request(self) -> bool {
+        self.0 & Self::REQUEST != 0
+    }
+}
+
 /// Identifies one attempt in all processes by the entry's incarnation and a number that is unique
 /// within that incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -57,7 +57,7 @@
     1104 ControlUnreachable Warning "a control host did not respond";
     1105 ControlReached Info "a control host responds again";
     1106 ViewValid Info "the process's view of the deployment is valid";
-    1107 QuarantineChanged Info "the process applied a newer quarantine of prompt parts";
+    1107 QuarantineChanged Info "the process applied a newer quarantine of prompt parts and requests";
     1201 ListingUnavailable Warning "the endpoint listing could not be read";
     1202 ListingAvailable Info "the endpoint listing can be read again";
     1203 ListingEntriesSkipped Warning "the process skipped invalid entries in the endpoint listing";
@@ -89,8 +89,8 @@
     4006 Compacted Info "the log was compacted into a snapshot";
     4007 MembersChanged Info "the members of the control group changed";
     4008 JoinRequested Info "the host requested to join the control group";
-    4009 PartQuarantined Warning "a prompt part that crashes engines enters quarantine unless a front has served it";
-    4010 PartReleased Info "a prompt part was released from quarantine";
+    4009 PartQuarantined Warning "a prompt part or request that crashes engines enters quarantine unless a front has served it";
+    4010 PartReleased Info "a prompt part or request was released from quarantine";
     4101 ProposalAccepted Info "a change of the configuration was accepted";
     4102 ProposalRejected Info "a change of the configuration was rejected";
     4103 CommandDecided Info "an operator's command was accepted or rejected";
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -26,7 +26,8 @@
     pub parts: Vec<Suspect>,
 }
 
-/// A part of a prompt that was in progress at a crash.
+/// A part of a prompt, or a request as a whole, that was in progress at a crash.
+#[serde_as]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Suspect {
@@ -34,12 +35,23 @@
     pub part: PartId,
     /// How many parts precede it in the prompt.
     pub depth: u32,
+    /// Time from the dispatch of the request to the crash; of several requests, the shortest.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(default)]
+    pub elapsed: Duration,
 }
 
 impl Suspect {
-    /// The suspects of a prompt with these shared parts.
-    pub fn of_prompt(parts: impl IntoIterator<Item = PartId>) -> impl Iterator<Item = Self> {
-        (0..).zip(parts).map(|(depth, part)| Self { part, depth })
+    /// The suspects of a request with these parts, which was dispatched this time before the crash.
+    pub fn of_request(
+        parts: impl IntoIterator<Item = PartId>,
+        elapsed: Duration,
+    ) -> impl Iterator<Item = Self> {
+        (0..).zip(parts).map(move |(depth, part)| Self {
+            part,
+            depth,
+            elapsed,
+        })
     }
 }
 
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -41,7 +41,7 @@
 const MAX_AGE: Duration = Duration::from_secs(600);
 /// Crashes above which the oldest is dropped.
 const MAX_CRASHES: usize = 256;
-/// Served parts above which those served longest ago are dropped.
+/// Served parts above which those served longest ago are dropped, and the same for requests.
 const MAX_SERVED: usize = 8192;
 
 /// A crash and the parts that may have caused it.
@@ -49,28 +49,41 @@
 struct Observed {
     instance: String,
     at: Tick,
-    /// The parts, with their greatest depth.
-    parts: BTreeMap<PartId, u32>,
+    /// The suspects by part, each with its greatest depth and shortest time.
+    suspects: BTreeMap<PartId, Suspect>,
 }
 
 impl Observed {
     fn add(&mut self, suspects: impl IntoIterator<Item = Suspect>) {
-        for Suspect { part, depth } in suspects {
-            let greatest = self.parts.entry(part).or_default();
-            *greatest = depth.max(*greatest);
+        for suspect in suspects {
+            let held = self.suspects.entry(suspect.part).or_insert(suspect);
+            held.depth = held.depth.max(suspect.depth);
+            held.elapsed = held.elapsed.min(suspect.elapsed);
         }
     }
 
     fn has_any(&self, parts: &BTreeSet<PartId>) -> bool {
-        self.parts.keys().any(|part| parts.contains(part))
+        self.suspects.keys().any(|part| parts.contains(part))
     }
+}
+
+/// The crashes that count against a part.
+#[derive(Clone, Debug, Default)]
+struct Count {
+    /// The separate moments of these crashes.
+    moments: Vec<Tick>,
+    /// For a request: crashes of which each came after the request was sent once more.
+    repetitions: Vec<Tick>,
+}
 
-    fn suspects(&self) -> impl Iterator<Item = Suspect> + '_ {
-        let parts = self.parts.iter();
-        parts.map(|(part, depth)| Suspect {
-            part: *part,
-            depth: *depth,
-        })
+impl Count {
+    /// The crashes that decide on the part.
+    fn deciding(&self, part: PartId) -> &[Tick] {
+        if part.is_request() {
+            &self.repetitions
+        } else {
+            &self.moments
+        }
     }
 }
 
@@ -96,16 +109,23 @@
 pub struct Suspects {
     /// The crashes, oldest first.
     crashes: Vec<Observed>,
-    served: BTreeMap<PartId, Tick>,
+    served_parts: BTreeMap<PartId, Tick>,
+    /// Requests are kept apart, since each one is new.
+    served_requests: BTreeMap<PartId, Tick>,
 }
 
 impl Suspects {
     /// How long a front collects observations before it reports them.
     pub const REPORT_DELAY: Duration = REPORT_DELAY;
 
-    /// Records the crash of an engine and the shared parts of a prompt that was in progress there.
-    pub fn crashed(&mut self, at: Tick, instance: &str, parts: impl IntoIterator<Item = PartId>) {
-        self.observe(at, instance, Suspect::of_prompt(parts));
+    /// Records the crash of an engine and the suspects of a request that was in progress there.
+    pub fn crashed(
+        &mut self,
+        at: Tick,
+        instance: &str,
+        suspects: impl IntoIterator<Item = Suspect>,
+    ) {
+        self.observe(at, instance, suspects);
     }
 
     /// Returns whether the crash or one of the suspects is new.
@@ -121,15 +141,15 @@
         });
         let new = match same {
             Some(crash) => {
-                let before = crash.parts.len();
+                let before = crash.suspects.len();
                 crash.add(suspects);
-                crash.parts.len() > before
+                crash.suspects.len() > before
             }
             None => {
                 let mut crash = Observed {
                     instance: instance.to_owned(),
                     at,
-                    parts: BTreeMap::new(),
+                    suspects: BTreeMap::new(),
                 };
                 crash.add(suspects);
                 let after = self.crashes.partition_point(|earlier| earlier.at <= at);
@@ -143,21 +163,31 @@
         new
     }
 
-    /// Records that a prompt with a part was served completely, by a response that began at `at`.
+    /// Records that a request with a part was served completely, by a response that began at `at`.
     pub fn served(&mut self, at: Tick, part: PartId) {
-        let last = self.served.entry(part).or_insert(at);
+        let served = if part.is_request() {
+            &mut self.served_requests
+        } else {
+            &mut self.served_parts
+        };
+        let last = served.entry(part).or_insert(at);
         *last = at.max(*last);
-        if self.served.len() > MAX_SERVED {
-            let mut times: Vec<_> = self.served.values().copied().collect();
+        if served.len() > MAX_SERVED {
+            let mut times: Vec<_> = served.values().copied().collect();
             let (_, median, _) = times.select_nth_unstable(MAX_SERVED / 2);
             let median = *median;
-            self.served.retain(|_, served_at| *served_at > median);
+            served.retain(|_, served_at| *served_at > median);
         }
     }
 
     /// When a part was last served.
     pub fn served_at(&self, part: PartId) -> Option<Tick> {
-        self.served.get(&part).copied()
+        let served = if part.is_request() {
+            &self.served_requests
+        } else {
+            &self.served_parts
+        };
+        served.get(&part).copied()
     }
 
     /// Merges reported evidence. Returns whether it contains anything new.
@@ -181,7 +211,10 @@
         let recent = |crash: &&Observed| now.since(crash.at) < REPEAT_SPAN;
         let recent: Vec<_> = self.crashes.iter().filter(recent).collect();
         let recent = &recent[recent.len().saturating_sub(MAX_REPORTED)..];
-        let parts: BTreeSet<_> = recent.iter().flat_map(|crash| crash.parts.keys()).collect();
+        let parts: BTreeSet<_> = recent
+            .iter()
+            .flat_map(|crash| crash.suspects.keys())
+            .collect();
         let served = parts.into_iter().filter_map(|part| {
             let age = now.since(self.served_at(*part)?);
             Some(Served { part: *part, age })
@@ -193,17 +226,23 @@
                 .map(|crash| Crash {
                     instance: crash.instance.clone(),
                     age: now.since(crash.at),
-                    parts: crash.suspects().collect(),
+                    parts: crash.suspects.values().copied().collect(),
                 })
                 .collect(),
         }
     }
 
     /// The parts outside of quarantine that cause crashes.
+    ///
+    /// A part in quarantine explains the crashes in which it was present. A request does so only
+    /// unless a part of its prompt explains more: repetitions of one request may be the first to
+    /// meet a part that crashes engines.
     pub fn verdicts(&self, now: Tick, quarantined: impl Fn(PartId) -> bool) -> Vec<Verdict> {
         let crashes = self.current(now);
-        let causes = self.causes(&crashes, parts_that(&crashes, quarantined));
-        let settled = |cause: &&Cause| now.since(cause.decisive) >= SETTLE;
+        let explains = |part: PartId| quarantined(part) && !part.is_request();
+        let causes = self.causes(&crashes, parts_that(&crashes, explains));
+        let settled =
+            |cause: &&Cause| now.since(cause.decisive) >= SETTLE && !quarantined(cause.part);
         let verdict = |cause: &Cause| Verdict {
             part: cause.part,
             since: cause.since,
@@ -219,7 +258,7 @@
         let counts = self.counts(&crashes, &explaining);
         let suspected = counts
             .get(&part)
-            .is_some_and(|moments| moments.len() >= MIN_CRASHES);
+            .is_some_and(|count| count.deciding(part).len() >= MIN_CRASHES);
         let causes = self.causes(&crashes, explaining);
         suspected && !causes.iter().any(|cause| cause.part == part)
     }
@@ -240,25 +279,28 @@
         let mut causes = Vec::new();
         loop {
             let mut counts = self.counts(crashes, &explaining);
-            counts.retain(|_, moments| moments.len() >= MIN_CRASHES);
+            counts.retain(|part, count| count.deciding(*part).len() >= MIN_CRASHES);
             let depth = |part: PartId| {
                 let open = crashes.iter().filter(|crash| !crash.has_any(&explaining));
-                let depths = open.filter_map(|crash| crash.parts.get(&part));
-                depths.max().copied()
+                let suspects = open.filter_map(|crash| crash.suspects.get(&part));
+                suspects.map(|suspect| suspect.depth).max()
             };
-            let weight = |(part, moments): &(&PartId, &Vec<Tick>)| {
+            let weight = |(part, count): &(&PartId, &Count)| {
                 let longest_ago = Reverse(self.served_at(**part));
-                (longest_ago, moments.len(), depth(**part))
+                (longest_ago, count.moments.len(), depth(**part))
             };
             let Some(heaviest) = counts.iter().map(|entry| weight(&entry)).max() else {
                 return causes;
             };
             let chosen = counts.iter().filter(|entry| weight(entry) == heaviest);
             let chosen: Vec<_> = chosen
-                .map(|(part, moments)| Cause {
-                    part: *part,
-                    since: moments[0],
-                    decisive: moments[MIN_CRASHES - 1],
+                .map(|(part, count)| {
+                    let crashes = count.deciding(*part);
+                    Cause {
+                        part: *part,
+                        since: crashes[0],
+                        decisive: crashes[MIN_CRASHES - 1],
+                    }
                 })
                 .collect();
             explaining.extend(chosen.iter().map(|cause| cause.part));
@@ -266,15 +308,15 @@
         }
     }
 
-    /// For each part, the separate moments of the crashes in which it was present, after which it was
-    /// not served, and which no part in `explaining` explains. If several engines crash in one moment,
-    /// the part must be present in most of these crashes: otherwise they have another cause.
+    /// For each part, the crashes in which it was present, after which it was not served, and which
+    /// no part in `explaining` explains. If several engines crash in one moment, the part must be
+    /// present in most of these crashes: otherwise they have another cause.
     fn counts(
         &self,
         crashes: &[&Observed],
         explaining: &BTreeSet<PartId>,
-    ) -> BTreeMap<PartId, Vec<Tick>> {
-        let mut counts: BTreeMap<PartId, Vec<Tick>> = BTreeMap::new();
+    ) -> BTreeMap<PartId, Count> {
+        let mut counts: BTreeMap<PartId, Count> = BTreeMap::new();
         let mut rest = crashes;
         while let Some(first) = rest.first() {
             let end = rest.partition_point(|crash| crash.at.since(first.at) < SAME_MOMENT);
@@ -282,11 +324,22 @@
             rest = later;
             let mut present: BTreeMap<PartId, usize> = BTreeMap::new();
             let open = moment.iter().filter(|crash| !crash.has_any(explaining));
-            let parts = open.flat_map(|crash| crash.parts.keys());
-            parts.for_each(|part| *present.entry(*part).or_default() += 1);
+            let suspects = open.flat_map(|crash| crash.suspects.values().map(|s| (s, crash.at)));
+            for (suspect, at) in suspects {
+                *present.entry(suspect.part).or_default() += 1;
+                if suspect.part.is_request() && self.served_at(suspect.part) < Some(first.at) {
+                    let count = counts.entry(suspect.part).or_default();
+                    let sent_at = at - suspect.elapsed;
+                    // A request that was sent before the last crash may have met the same loss of
+                    // several engines.
+                    if count.repetitions.last().is_none_or(|last| sent_at >= *last) {
+                        count.repetitions.push(at);
+                    }
+                }
+            }
             for (part, crashes) in present {
                 if crashes * 2 > moment.len() && self.served_at(part) < Some(first.at) {
-                    counts.entry(part).or_default().push(first.at);
+                    counts.entry(part).or_default().moments.push(first.at);
                 }
             }
         }
@@ -296,6 +349,8 @@
 
 /// The parts of crashes for which a condition holds.
 fn parts_that(crashes: &[&Observed], holds: impl Fn(PartId) -> bool) -> BTreeSet<PartId> {
-    let parts = crashes.iter().flat_map(|crash| crash.parts.keys().copied());
+    let parts = crashes
+        .iter()
+        .flat_map(|crash| crash.suspects.keys().copied());
     parts.filter(|part| holds(*part)).collect()
 }
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -14,6 +14,10 @@
     Suspects, //
 };
 
+/// Time from the dispatch of a request to the crash that it causes.
+const ELAPSED: Duration = Duration::from_millis(30);
+/// A request as a whole.
+const REQUEST: u64 = (1 << 63) | 5;
 /// A time later than all that these tests record, in milliseconds.
 const SETTLED: u64 = 100_000;
 
@@ -21,12 +25,16 @@
     Tick(ms * 1000)
 }
 
+/// The suspects of a request that was sent shortly before a crash.
+fn of(parts: impl IntoIterator<Item = u64>) -> impl Iterator<Item = Suspect> {
+    Suspect::of_request(parts.into_iter().map(PartId), ELAPSED)
+}
+
 /// Suspects that observed crashes: the time in milliseconds, the instance and the parts of each.
 fn crashes(list: &[(u64, &str, &[u64])]) -> Suspects {
     let mut suspects = Suspects::default();
     for (ms, instance, parts) in list {
-        let parts = parts.iter().copied().map(PartId);
-        suspects.crashed(at(*ms), instance, parts);
+        suspects.crashed(at(*ms), instance, of(parts.iter().copied()));
     }
     suspects
 }
@@ -58,7 +66,7 @@
         crashes: vec![Crash {
             instance: instance.to_owned(),
             age: Duration::from_millis(age_ms),
-            parts: Suspect::of_prompt(parts.iter().copied().map(PartId)).collect(),
+            parts: of(parts.iter().copied()).collect(),
         }],
         served: Vec::new(),
     }
@@ -114,14 +122,14 @@
     of_parts_that_come_together_the_deepest_is_the_cause: {
         assert_eq!(condemned(&three_crashes(&[3, 2, 1])), [1]);
         let mut suspects = three_crashes(&[2, 1]);
-        suspects.crashed(at(11_000), "b", [4, 5, 6, 7].map(PartId));
+        suspects.crashed(at(11_000), "b", of([4, 5, 6, 7]));
         assert_eq!(condemned(&suspects), [1]);
     };
     part_before_the_condemned_one_is_condemned_by_further_crashes: {
         let mut suspects = three_crashes(&[1, 2]);
         for (ms, instance) in [(13_000, "d"), (14_000, "e"), (15_000, "f")] {
             assert_eq!(condemned_with(&suspects, SETTLED, &[2]), []);
-            suspects.crashed(at(ms), instance, [PartId(1)]);
+            suspects.crashed(at(ms), instance, of([1]));
         }
         assert_eq!(condemned_with(&suspects, SETTLED, &[2]), [1]);
     };
@@ -129,7 +137,7 @@
     crashes_of_a_part_in_quarantine_explain_no_other: {
         let mut suspects = crashes(&[(5_000, "u", &[7, 3]), (6_000, "v", &[7, 3]), (7_000, "w", &[7, 3])]);
         for (ms, instance) in [(10_000, "a"), (11_000, "b"), (12_000, "c")] {
-            suspects.crashed(at(ms), instance, [3, 1].map(PartId));
+            suspects.crashed(at(ms), instance, of([3, 1]));
         }
         assert_eq!(condemned_with(&suspects, SETTLED, &[7]), [1]);
         assert!(!suspects.explained(at(SETTLED), PartId(1), |part| part == PartId(7)));
@@ -137,7 +145,7 @@
     // Guards against the rejection of a class whose first part was present in a crash more.
     part_served_before_is_no_cause_if_one_that_was_not_explains_its_crashes: {
         let mut suspects = three_crashes(&[1, 2]);
-        suspects.crashed(at(13_000), "d", [PartId(1)]);
+        suspects.crashed(at(13_000), "d", of([1]));
         suspects.served(at(9_000), PartId(1));
         assert_eq!(condemned(&suspects), [2]);
     };
@@ -153,15 +161,15 @@
     part_present_in_few_of_the_crashes_of_each_moment_is_no_cause: {
         let mut suspects = three_crashes(&[1]);
         for (ms, instance) in [(10_010, "p"), (11_010, "q"), (12_010, "r")] {
-            suspects.crashed(at(ms), instance, [PartId(2)]);
+            suspects.crashed(at(ms), instance, of([2]));
         }
         assert_eq!(condemned(&suspects), []);
     };
     part_present_in_most_crashes_of_each_moment_is_the_cause: {
         let mut suspects = three_crashes(&[1]);
         for (ms, more) in [(10_010, ["p", "s"]), (11_010, ["q", "t"]), (12_010, ["r", "u"])] {
-            suspects.crashed(at(ms), more[0], [PartId(2)]);
-            suspects.crashed(at(ms), more[1], [PartId(1)]);
+            suspects.crashed(at(ms), more[0], of([2]));
+            suspects.crashed(at(ms), more[1], of([1]));
         }
         assert_eq!(condemned(&suspects), [1]);
     };
@@ -197,7 +205,7 @@
         let mut suspects = three_crashes(&[1]);
         suspects.served(at(10_500), PartId(1));
         assert_eq!(condemned(&suspects), []);
-        suspects.crashed(at(13_000), "d", [PartId(1)]);
+        suspects.crashed(at(13_000), "d", of([1]));
         assert_eq!(condemned(&suspects), [1]);
         assert_eq!(suspects.verdicts(at(SETTLED), |_| false)[0].since, at(11_000));
     };
@@ -218,9 +226,9 @@
         let rack = rack.each_ref().map(|(ms, instance, parts)| (*ms, *instance, parts.as_slice()));
         let mut suspects = crashes(&rack);
         assert_eq!(condemned(&suspects), []);
-        suspects.crashed(at(11_000), "e", [PartId(1)]);
+        suspects.crashed(at(11_000), "e", of([1]));
         assert_eq!(condemned(&suspects), []);
-        suspects.crashed(at(12_000), "f", [PartId(1)]);
+        suspects.crashed(at(12_000), "f", of([1]));
         assert_eq!(condemned(&suspects), [1]);
     };
     reports_of_the_same_crash_by_several_fronts_are_one_crash: {
@@ -228,7 +236,7 @@
         for ms in [10_000, 10_010, 10_400, 10_900] {
             suspects.record(at(ms), &report("a", ms - 10_000 + 7, &[1]));
         }
-        suspects.crashed(at(11_500), "b", [PartId(1)]);
+        suspects.crashed(at(11_500), "b", of([1]));
         assert_eq!(condemned(&suspects), []);
         assert_eq!(suspects.evidence(at(12_000)).crashes.len(), 2);
     };
@@ -261,14 +269,14 @@
     only_the_latest_256_crashes_are_kept: for (others, expected) in [(253, &[1][..]), (254, &[])] {
         let mut suspects = three_crashes(&[1]);
         for n in 0..others {
-            suspects.crashed(at(13_000 + n), &format!("other{n}"), [PartId(100 + n)]);
+            suspects.crashed(at(13_000 + n), &format!("other{n}"), of([100 + n]));
         }
         assert_eq!(condemned(&suspects), expected);
     };
     report_contains_the_latest_32_crashes: {
         let mut suspects = Suspects::default();
         for n in 0..40 {
-            suspects.crashed(at(10_000 + n * 10), &n.to_string(), [PartId(n)]);
+            suspects.crashed(at(10_000 + n * 10), &n.to_string(), of([n]));
         }
         let crashes = suspects.evidence(at(14_000)).crashes;
         let parts: Vec<_> = crashes.iter().map(|crash| crash.parts[0].part.0).collect();
@@ -321,4 +329,53 @@
         assert_eq!(condemned(&suspects), [1]);
         assert_eq!(suspects.served_at(PartId(2)), Some(at(19_500)));
     };
+    // Guards against the rejection of sound requests of the session whose one request crashes engines.
+    repeated_request_is_condemned_and_its_session_is_not: {
+        assert_eq!(condemned(&three_crashes(&[1, 2, REQUEST])), [REQUEST]);
+        let mut suspects = three_crashes(&[1, 2, REQUEST]);
+        suspects.served(at(9_000), PartId(1));
+        suspects.served(at(12_500), PartId(2));
+        assert_eq!(condemned(&suspects), [REQUEST]);
+    };
+    request_that_was_served_is_not_condemned: {
+        let mut suspects = three_crashes(&[REQUEST]);
+        suspects.served(at(11_500), PartId(REQUEST));
+        assert_eq!(condemned(&suspects), []);
+    };
+    // Guards against a part that crashes more engines because the first prompt with it came again.
+    part_is_condemned_after_a_request_that_was_the_first_with_it: {
+        let mut suspects = three_crashes(&[1, 2, REQUEST]);
+        suspects.served(at(13_000), PartId(1));
+        assert_eq!(condemned_with(&suspects, SETTLED, &[REQUEST]), []);
+        suspects.crashed(at(14_000), "d", of([1, 2, REQUEST + 1]));
+        assert_eq!(condemned_with(&suspects, SETTLED, &[REQUEST]), [2]);
+    };
+    // Guards against the release of a request by crashes of its session's other requests.
+    request_in_quarantine_explains_its_crashes: {
+        let mut suspects = three_crashes(&[1, 2, REQUEST]);
+        suspects.served(at(13_000), PartId(2));
+        suspects.served(at(13_000), PartId(1));
+        suspects.crashed(at(14_000), "d", of([1, 2, REQUEST + 1]));
+        assert_eq!(condemned_with(&suspects, SETTLED, &[REQUEST]), []);
+    };
+    // Guards against a request that crashes three engines within the time that counts as one moment.
+    repetitions_of_a_request_count_separately: assert_eq!(
+        condemned(&crashes(&[(10_000, "a", &[REQUEST]), (10_031, "b", &[REQUEST]),
+            (10_062, "c", &[REQUEST])])),
+        [REQUEST]
+    );
+    // Guards against the condemnation of a request that is often made, by the loss of a rack.
+    request_in_progress_at_several_engines_counts_once: assert_eq!(
+        condemned(&crashes(&[(10_000, "a", &[REQUEST]), (10_010, "b", &[REQUEST]),
+            (10_020, "c", &[REQUEST]), (10_029, "d", &[REQUEST])])),
+        []
+    );
+    // Guards against a part that is found later because the first request with it was repeated.
+    part_is_condemned_after_crashes_within_a_moment: {
+        let mut suspects = crashes(&[(10_000, "a", &[2, REQUEST]), (10_031, "b", &[2, REQUEST]),
+            (11_000, "c", &[2, REQUEST])]);
+        assert_eq!(condemned(&suspects), [REQUEST]);
+        suspects.crashed(at(14_000), "d", of([2, REQUEST + 1]));
+        assert_eq!(condemned_with(&suspects, SETTLED, &[REQUEST]), [2]);
+    };
 }
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -177,6 +177,12 @@
         if exceeds_memory(&plan, service, head.prompt.as_ref()) {
             return Err(Kind::PromptTooLarge);
         }
+        let account_name = account.and_then(|id| plan.account(id));
+        let identity = head
+            .content
+            .identity(account_name.map(|account| account.name.as_str()));
+        let shared = head.prompt.iter().flat_map(Prompt::shared_parts);
+        let parts = shared.chain([identity]).collect();
         let request = self.requests.insert(Request {
             name: head.name,
             plan: Arc::clone(&plan),
@@ -184,6 +190,7 @@
             service,
             account,
             prompt: head.prompt,
+            parts,
             body_bytes: head.body_bytes,
             priority,
             deadline: now + timeout,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -67,8 +67,8 @@
         let Some((route, service)) = resolved else {
             return Some(self.end_unserved(id, Kind::Internal, None, out));
         };
-        if let Some(remaining) = self.quarantined(now, id) {
-            return Some(self.reject_unserved(id, (Kind::PromptQuarantined, remaining), out));
+        if let Some(rejection) = self.quarantined(now, id) {
+            return Some(self.reject_unserved(id, rejection, out));
         }
         let Some((endpoint, backlog_ms)) = self.select(now, id, service) else {
             return match self.next_permit(now, id, service) {
@@ -88,10 +88,17 @@
         Some(Decision::Dispatch(Box::new(attempt)))
     }
 
-    /// If a part of a request's prompt is in quarantine, the time until its end.
-    fn quarantined(&mut self, now: Tick, id: RequestId) -> Option<Duration> {
-        let prompt = self.requests.get(id)?.prompt.as_ref()?;
-        self.part_filter.quarantined(now, prompt)
+    /// The rejection of a request if it or a part of its prompt is in quarantine, with the time until
+    /// the end of the quarantine.
+    fn quarantined(&mut self, now: Tick, id: RequestId) -> Option<Rejection> {
+        let parts = &self.requests.get(id)?.parts;
+        let (part, remaining) = self.part_filter.quarantined(now, parts)?;
+        let kind = if part.is_request() {
+            Kind::RequestQuarantined
+        } else {
+            Kind::PromptQuarantined
+        };
+        Some((kind, remaining))
     }
 
     /// Starts an attempt at an endpoint and adds it to the endpoint's in-flight requests.
@@ -147,7 +154,6 @@
             deadline: request.deadline,
             start_deadline: retry_start.then_some(now + timeout),
             max_gap: retry_allowed.then_some(route.event_gap * GAP_TIMEOUT_FACTOR),
-            detect_crash: request.prompt.is_some(),
             notice_held: endpoint.limit.is_some(),
         })
     }
@@ -288,8 +294,8 @@
         out.push(Output::Reply(ticket, decision));
     }
 
-    /// Records an endpoint's crash as evidence against the parts of a prompt, if the endpoint had not
-    /// begun its response or only just.
+    /// Records an endpoint's crash as evidence against a request and the parts of its prompt, if the
+    /// endpoint had not begun its response or only just.
     fn record_crash(
         &mut self,
         now: Tick,
@@ -304,13 +310,13 @@
         let began = request
             .answering_since
             .is_some_and(|since| now.since(since) > RESPONSE_START_SPAN);
-        let Some(prompt) = request.prompt.as_ref().filter(|_| !began) else {
+        if began {
             return;
-        };
+        }
         let instance = endpoint.info.instance.clone();
-        self.part_filter.crashed(now, &instance, prompt);
-        let parts = prompt.shared_parts().collect();
-        let event = Event::Crashed(request.name.clone(), instance, parts);
+        self.part_filter
+            .crashed(now, &instance, &request.parts, request.sent_at);
+        let event = Event::Crashed(request.name.clone(), instance, request.parts.clone());
         out.push(Output::Event(event));
     }
 
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -18,6 +18,7 @@
     RetryPolicy, //
 };
 use quarantine::{
+    ContentDigest,
     Evidence,
     Quarantine, //
 };
@@ -85,7 +86,7 @@
     pub fn shared_parts(&self) -> impl Iterator<Item = PartId> + '_ {
         let shared = self.parts.split_last().map(|(_, shared)| shared);
         let shared = shared.unwrap_or_default().iter();
-        shared.map(|(part, _)| PartId(*part))
+        shared.map(|(part, _)| PartId::of_prompt(*part))
     }
 }
 
@@ -106,6 +107,8 @@
     pub prompt: Option<Prompt>,
     /// Size of the body, in bytes.
     pub body_bytes: usize,
+    /// The digest by which repetitions of the request are recognized.
+    pub content: ContentDigest,
 }
 
 /// The load that an endpoint reports in a response.
@@ -202,8 +205,6 @@
     /// The longest pause within a stream before its remainder is requested from another
     /// endpoint; none if the attempt has no such limit.
     pub max_gap: Option<Duration>,
-    /// Whether a broken connection is to be told from a crash of the endpoint.
-    pub detect_crash: bool,
     /// Whether a response without a notice is to be reported too, since it withdraws an earlier
     /// notice of the endpoint.
     pub notice_held: bool,
@@ -299,7 +300,7 @@
     /// A retry was not made because the retry budget is exhausted.
     BudgetExhausted(String),
     /// The endpoint with this instance crashed while the request was in progress there; the shared
-    /// parts of the request's prompt.
+    /// parts of the request's prompt and the request's identity.
     Crashed(String, String, Vec<PartId>),
     /// The endpoint with this instance is ejected after failures.
     Ejected(String),
--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -1,4 +1,4 @@
-//! Prompt parts that crash engines: the quarantine that the control group decided, and what this
+//! Requests and prompt parts that crash engines: the quarantine that the control group decided, and what this
 //! front observes.
 
 use std::collections::BTreeMap;
@@ -13,11 +13,10 @@
     Evidence,
     Quarantine,
     Served,
+    Suspect,
     Suspects, //
 };
 
-use crate::message::Prompt;
-
 /// Time from the announcement of a part's quarantine until it is in force, in which the fronts that
 /// served the part report so.
 const OBJECTION_SPAN: Duration = Duration::from_millis(800);
@@ -37,7 +36,7 @@
 /// Time for which a part stays rejected by the front's own decision, as callers are told.
 const LOCAL_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Rejects prompts with parts in quarantine, and collects evidence.
+/// Rejects requests in quarantine and prompts with parts in quarantine, and collects evidence.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PartFilter {
     /// The control group's quarantine.
@@ -108,41 +107,47 @@
         Some(evidence)
     }
 
-    /// If a part of the prompt is in quarantine, the time until its end.
-    pub(crate) fn quarantined(&mut self, now: Tick, prompt: &Prompt) -> Option<Duration> {
+    /// One of the parts that is in quarantine, and the time until the end of its quarantine.
+    pub(crate) fn quarantined(
+        &mut self,
+        now: Tick,
+        parts: &[PartId],
+    ) -> Option<(PartId, Duration)> {
         let (unix_ms, at) = self.wall_clock;
         let unix = Duration::from_millis(unix_ms) + now.since(at);
-        let in_force = |part: &PartId| self.in_force.get(part).is_some_and(|from| *from <= now);
-        let listed = prompt
-            .shared_parts()
-            .filter(in_force)
-            .filter_map(|part| self.listed.sentence(part));
-        let remaining =
-            listed.map(|sentence| Duration::from_millis(sentence.until_ms).saturating_sub(unix));
-        let remaining = remaining.max().filter(|remaining| !remaining.is_zero());
-        if remaining.is_some() {
-            return remaining;
+        let in_force = |part: &&PartId| self.in_force.get(part).is_some_and(|from| *from <= now);
+        let listed = parts.iter().filter(in_force).filter_map(|part| {
+            let until = Duration::from_millis(self.listed.sentence(*part)?.until_ms);
+            Some((*part, until.saturating_sub(unix)))
+        });
+        let longest = listed.max_by_key(|(_, remaining)| *remaining);
+        let longest = longest.filter(|(_, remaining)| !remaining.is_zero());
+        if longest.is_some() {
+            return longest;
         }
         if !self.isolated(now) && now >= self.rejoined_until {
             return None;
         }
         self.decide(now);
         let (local, _) = &self.local;
-        let rejected = prompt.shared_parts().any(|part| local.contains(&part));
-        rejected.then_some(LOCAL_RETRY_AFTER)
+        let rejected = parts.iter().find(|part| local.contains(part))?;
+        Some((*rejected, LOCAL_RETRY_AFTER))
     }
 
-    /// Records that an endpoint crashed while a prompt was in progress there.
-    pub(crate) fn crashed(&mut self, now: Tick, instance: &str, prompt: &Prompt) {
-        self.suspects.crashed(now, instance, prompt.shared_parts());
+    /// Records that an endpoint crashed while a request with these parts was in progress there, sent
+    /// at `sent_at`.
+    pub(crate) fn crashed(&mut self, now: Tick, instance: &str, parts: &[PartId], sent_at: Tick) {
+        let suspects = Suspect::of_request(parts.iter().copied(), now.since(sent_at));
+        self.suspects.crashed(now, instance, suspects);
         let due_at = now + Suspects::REPORT_DELAY;
         self.report_at = Some(self.report_at.map_or(due_at, |at| at.min(due_at)));
     }
 
-    /// Records that a prompt was served completely, by a response that began at `began`.
-    pub(crate) fn served(&mut self, began: Tick, prompt: &Prompt) {
-        for part in prompt.shared_parts() {
-            self.suspects.served(began, part);
+    /// Records that a request with these parts was served completely, by a response that began at
+    /// `began`.
+    pub(crate) fn served(&mut self, began: Tick, parts: &[PartId]) {
+        for part in parts {
+            self.suspects.served(began, *part);
         }
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -190,15 +190,12 @@
         }
     }
 
-    /// Records that the parts of a request's prompt were served, as of the start of the response: a
+    /// Records that a request and the parts of its prompt were served, as of the start of the response: a
     /// part may have become the cause of crashes while the response was in progress.
     fn record_service(&mut self, id: RequestId) {
-        let Some(request) = self.requests.get(id) else {
-            return;
-        };
-        if let Some(prompt) = &request.prompt {
+        if let Some(request) = self.requests.get(id) {
             let began = request.answering_since.unwrap_or(request.sent_at);
-            self.part_filter.served(began, prompt);
+            self.part_filter.served(began, &request.parts);
         }
     }
 
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -5,6 +5,7 @@
 use ids::{
     AccountId,
     EndpointId,
+    PartId,
     RouteId,
     ServiceId,
     Tick, //
@@ -50,6 +51,8 @@
     pub(crate) service: ServiceId,
     pub(crate) account: Option<AccountId>,
     pub(crate) prompt: Option<Prompt>,
+    /// The shared parts of the prompt, and the request as a whole.
+    pub(crate) parts: Vec<PartId>,
     pub(crate) body_bytes: usize,
     pub(crate) priority: Priority,
     pub(crate) deadline: Tick,
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -21,6 +21,7 @@
     Share, //
 };
 use quarantine::{
+    ContentDigest,
     Crash,
     Evidence,
     Quarantine,
@@ -105,6 +106,20 @@
     }
 }
 
+/// The body of a request with a prompt: prompts differ by their last part.
+fn body(prompt: &Prompt) -> Vec<u8> {
+    format!("{:?}", prompt.parts).into_bytes()
+}
+
+fn content(body: &[u8]) -> ContentDigest {
+    ContentDigest::new("POST", "/x", body)
+}
+
+/// The identity of a request with a prompt.
+fn identity(prompt: &Prompt) -> PartId {
+    content(&body(prompt)).identity(None)
+}
+
 impl Front {
     fn new() -> Self {
         Self::with(&[])
@@ -214,12 +229,34 @@
             host: "h".to_owned(),
             path: "/x".to_owned(),
             timeout: Some(2 * SECOND),
+            content: content(&body(&prompt)),
             prompt: Some(prompt),
             ..RequestHead::default()
         };
         self.decision(|ticket| Input::Request(ticket, Box::new(head)))
     }
 
+    /// Receives a request without a prompt.
+    fn arrive_plain(&mut self, body: &[u8]) -> Decision {
+        let head = RequestHead {
+            name: "r".to_owned(),
+            host: "h".to_owned(),
+            path: "/x".to_owned(),
+            timeout: Some(2 * SECOND),
+            content: content(body),
+            ..RequestHead::default()
+        };
+        self.decision(|ticket| Input::Request(ticket, Box::new(head)))
+    }
+
+    /// Sends a request without a prompt that crashes an engine, and ends it.
+    fn crash_plain(&mut self, body: &[u8]) {
+        let attempt =
+            assert_matches!(self.arrive_plain(body), Decision::Dispatch(attempt) => *attempt);
+        self.fail(attempt.request, Failure::Crashed);
+        self.step(Input::Cancelled(attempt.request));
+    }
+
     fn dispatched(&mut self, prompt: Prompt) -> Attempt {
         assert_matches!(self.arrive(prompt), Decision::Dispatch(attempt) => *attempt)
     }
@@ -331,13 +368,14 @@
     crash_is_reported_with_the_shared_parts_in_progress: {
         let mut front = Front::new();
         let attempt = front.dispatched(prompt(&[1, DEADLY], 100));
-        assert!(attempt.detect_crash);
+        front.wait(Duration::from_millis(20));
         front.fail(attempt.request, Failure::Crashed);
         let evidence = front.evidence().unwrap();
+        let parts = [PartId(1), PartId(DEADLY), identity(&prompt(&[1, DEADLY], 100))];
         let crash = Crash {
             instance: attempt.instance,
             age: SECOND,
-            parts: Suspect::of_prompt([PartId(1), PartId(DEADLY)]).collect(),
+            parts: Suspect::of_request(parts, Duration::from_millis(20)).collect(),
         };
         assert_eq!(evidence.crashes, [crash]);
         assert_eq!(front.evidence(), None);
@@ -446,4 +484,47 @@
         front.renew();
         front.dispatched(prompt(&[1, DEADLY], 200));
     };
+    // Guards against a request that crashes engine after engine whenever it is repeated (BUDGET).
+    repeated_request_that_crashes_engines_is_rejected_alone: {
+        let mut front = Front::new();
+        for n in 0..3 {
+            front.wait(SECOND);
+            front.serve(prompt(&[1, 5], 200 + n));
+            front.crash(prompt(&[1, 5], 100));
+        }
+        front.wait(SECOND);
+        assert_matches!(front.arrive(prompt(&[1, 5], 100)),
+            Decision::Reject(Kind::RequestQuarantined, _));
+        front.dispatched(prompt(&[1, 5], 101));
+    };
+    // Guards against the same on routes whose requests have no prompt.
+    repeated_plain_request_that_crashes_endpoints_is_rejected_alone: {
+        let mut front = Front::new();
+        for _ in 0..3 {
+            front.wait(SECOND);
+            front.crash_plain(b"deadly");
+        }
+        front.wait(SECOND);
+        let decision = front.arrive_plain(b"deadly");
+        assert_matches!(decision, Decision::Reject(kind, after)
+            if kind == Kind::RequestQuarantined && kind.not_executed() && after > SECOND);
+        assert_matches!(front.arrive_plain(b"sound"), Decision::Dispatch(_));
+    };
+    // Guards against a verdict that the front which repeats the request does not apply.
+    quarantined_request_is_rejected_by_a_front_that_saw_no_crash: {
+        let mut front = Front::new();
+        front.impose(content(b"deadly").identity(None).0);
+        assert_matches!(front.arrive_plain(b"deadly"), Decision::Reject(Kind::RequestQuarantined, _));
+        assert_matches!(front.arrive_plain(b"sound"), Decision::Dispatch(_));
+    };
+    // Guards against the condemnation of a request that another front serves.
+    newly_quarantined_request_that_was_served_is_reported: {
+        let mut front = Front::new();
+        let attempt = assert_matches!(front.arrive_plain(b"sound"), Decision::Dispatch(attempt) => *attempt);
+        front.step(Input::ResponseStarted(attempt.request, None));
+        front.step(Input::Completed(attempt.request));
+        let part = content(b"sound").identity(None);
+        let served = evidence(front.impose(part.0)).unwrap().served;
+        assert_eq!(served.iter().map(|served| served.part).collect::<Vec<_>>(), [part]);
+    };
 }
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -170,7 +170,7 @@
         crashes: vec![Crash {
             instance: "i1".to_owned(),
             age: Duration::from_millis(30),
-            parts: Suspect::of_prompt([PartId(u64::MAX)]).collect(),
+            parts: Suspect::of_request([PartId(u64::MAX)], Duration::ZERO).collect(),
         }],
         served: Vec::new(),
     }
@@ -245,6 +245,10 @@
         convert(&(old_deployment_response(), Some(7))),
         Some(FeedResponse { deployment: deployment_response(None), last_sealed: Some(7) })
     );
+    suspect_of_the_version_before_is_accepted: assert_eq!(
+        convert(&(PartId(1), 2)),
+        Some(Suspect { part: PartId(1), depth: 2, elapsed: Duration::ZERO })
+    );
     messages_with_quarantine_and_evidence_are_decoded_unchanged: {
         let request = deployment_request(6);
         assert_eq!(convert(&request), Some(request));
