Reject requests that crash endpoints at entries too

An agent tells the crash of its endpoint, which refuses new connections, from other failures (endpoint_crashed, 502, may have run). An entry counts the crashes by the request's identity and rejects the request alone, also between its attempts, once it has crashed three endpoints and was not served since. The decision by own observations moves from the fronts' filter into quarantine::LocalVerdicts, which both use.

Tests: route entry (three new), local unframed crash_of_a_service_is_told_from_other_failures. Without the change the first and the last cannot pass: neither the kind nor the verdict existed.

--- a/crates/agent/src/forward.rs
+++ b/crates/agent/src/forward.rs
@@ -1,6 +1,10 @@
 //! Forwards one started request to the backend and its response to the entry, on a traffic thread.
 
-use std::net::SocketAddr;
+use std::io;
+use std::net::{
+    SocketAddr,
+    TcpStream, //
+};
 use std::time::{
     Duration,
     Instant, //
@@ -68,6 +72,9 @@
 
 /// How long the connection to the backend may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a backend that does not respond to a connection attempt does not count as
+/// refusing it.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long the backend may send nothing. Entries end an attempt earlier, after timeouts derived from
 /// the targets of the request's class.
 const BACKEND_TIMEOUT: Duration = Duration::from_secs(120);
@@ -139,6 +146,7 @@
             last_token: None,
         };
         let result = forwarding.forward(&attempt.request, tier);
+        let result = result.map_err(|error| self.classify(error));
         let served = forwarding.served;
         let executed = !matches!(result, Err(ForwardError::Backend(kind)) if kind.not_executed());
         if executed {
@@ -158,6 +166,21 @@
         forwarding.close(result, load);
     }
 
+    /// Tells the crash of the backend from other failures: a backend that has crashed refuses new
+    /// connections.
+    fn classify(&self, error: ForwardError) -> ForwardError {
+        let refused = || {
+            let connected = TcpStream::connect_timeout(&self.backend, REFUSAL_TIMEOUT);
+            connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+        };
+        match error {
+            ForwardError::Backend(Kind::EndpointFailed | Kind::StreamBroken) if refused() => {
+                ForwardError::Backend(Kind::EndpointCrashed)
+            }
+            other => other,
+        }
+    }
+
     /// Reports the end of a request to the core. Returns the load without the request.
     fn report_end(&self, ticket: Ticket, outcome: Outcome, served: TokenUsage) -> LoadReport {
         let (tx, rx) = bounded(1);
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -186,7 +186,8 @@
                     }
                 }
                 Ok(BodyFrame::Ended(load)) => return AttemptOutcome::Served(load),
-                Ok(BodyFrame::Failed) | Err(_) => return AttemptOutcome::Broken,
+                Ok(BodyFrame::Failed(Kind::EndpointCrashed)) => return AttemptOutcome::Crashed,
+                Ok(BodyFrame::Failed(_)) | Err(_) => return AttemptOutcome::Broken,
             }
         }
     }
@@ -212,8 +213,8 @@
     Data(Vec<u8>),
     /// The body is complete.
     Ended(LoadReport),
-    /// The endpoint failed.
-    Failed,
+    /// The endpoint failed, with this error kind.
+    Failed(Kind),
 }
 
 /// Why the next frame of a response could not be read.
@@ -277,7 +278,7 @@
                 Ok(BodyFrame::Data(bytes))
             }
             Frame::Ended(_, report) => Ok(BodyFrame::Ended(load_report(report))),
-            Frame::Failed(..) => Ok(BodyFrame::Failed),
+            Frame::Failed(kind, _) => Ok(BodyFrame::Failed(kind)),
             _ => Err(ReadError::Invalid),
         }
     }
@@ -307,7 +308,7 @@
                         }),
                     };
                 }
-                Ok(BodyFrame::Failed) => return AttemptOutcome::Lost(Kind::EndpointFailed).into(),
+                Ok(BodyFrame::Failed(kind)) => return AttemptOutcome::Lost(kind).into(),
                 Err(error) => return AttemptOutcome::Lost(error.kind()).into(),
             }
             if body.len() > MAX_BUFFERED_BYTES {
--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -120,6 +120,8 @@
     ClaimConflict, "claim_conflict", 422, NotExecuted, 0, "the request key was used with another request";
     /// The endpoint failed after it may have started to execute the request.
     EndpointFailed, "endpoint_failed", 502, Unknown, 1, "the endpoint failed";
+    /// The endpoint crashed while the request was in progress.
+    EndpointCrashed, "endpoint_crashed", 502, Unknown, 1, "the endpoint crashed";
     /// The endpoint did not respond in time.
     EndpointTimeout, "endpoint_timeout", 504, Unknown, 1, "the endpoint did not answer in time";
     /// The response ended before it was complete.
--- a/crates/local/tests/unframed.rs
+++ b/crates/local/tests/unframed.rs
@@ -1,4 +1,5 @@
-//! Tests responses of back ends that have neither a length nor chunks and end with their connection.
+//! Tests responses of back ends that have neither a length nor chunks and end with their connection,
+//! and back ends that crash.
 
 use std::io::{
     BufRead,
@@ -76,6 +77,28 @@
     }
 }
 
+/// Starts a back end that crashes as soon as it has received a request.
+fn crashing_backend() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut lines = BufReader::new(&stream).lines().map_while(Result::ok);
+            let Some(first) = lines.next() else {
+                continue;
+            };
+            // Agents poll an engine's load.
+            if first.starts_with("POST /permits/") {
+                drop(lines);
+                drop(listener);
+                set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+                return;
+            }
+        }
+    });
+    address
+}
+
 /// What a caller received: the status, the body, and whether the body is complete.
 type Received = (u16, String, bool);
 
@@ -179,6 +202,19 @@
         }
     };
     completion_that_is_not_json_is_forwarded: chat("text/plain", "{a", End::Closed, whole("{a"));
+    // Guards against crashes that nothing tells from other failures, so that the request that causes
+    // them is sent on and on.
+    crash_of_a_service_is_told_from_other_failures: {
+        let options = Options {
+            backend: Some(crashing_backend()),
+            ..Options::default()
+        };
+        let local = LocalSystem::start(&options, &obs::discard()).unwrap();
+        let (_, key) = local.new_key("norte").unwrap();
+        let (status, body, _) = call(local.entry_address(), key.reveal(), "/permits/a", false);
+        assert!(status == 502 && body.contains("endpoint_crashed"), "{status} {body}");
+        local.close();
+    };
     complete_service_response: service("text/plain", "to the end", End::Closed, whole("to the end"));
     service_response_that_is_reset_is_a_failure: service("text/plain", "to", End::Reset, failed);
     service_stream_that_ends_after_an_event: {
--- a/crates/quarantine/src/identity.rs
+++ b/crates/quarantine/src/identity.rs
@@ -18,6 +18,11 @@
         Self(*hasher.finalize().as_bytes())
     }
 
+    /// The digest that a process has made in another way.
+    pub fn of_bytes(digest: [u8; 32]) -> Self {
+        Self(digest)
+    }
+
     /// The identity of the request if it comes from this account; none for routes that are open to
     /// all.
     pub fn identity(&self, account: Option<&str>) -> PartId {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -11,6 +11,7 @@
 mod evidence;
 mod identity;
 mod list;
+mod local;
 mod suspects;
 
 pub use evidence::{
@@ -24,6 +25,7 @@
     Quarantine,
     Sentence, //
 };
+pub use local::LocalVerdicts;
 pub use suspects::{
     Suspects,
     Verdict, //
--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -11,6 +11,7 @@
 };
 use quarantine::{
     Evidence,
+    LocalVerdicts,
     Quarantine,
     Served,
     Suspect,
@@ -31,11 +32,6 @@
 /// Time after touch is regained in which the front's own decisions still hold: until then the control
 /// group has received the front's observations and decided.
 const REJOIN_SPAN: Duration = Duration::from_secs(3);
-/// Interval at which the front's own decisions are renewed.
-const LOCAL_INTERVAL: Duration = Duration::from_millis(100);
-/// Time for which a part stays rejected by the front's own decision, as callers are told.
-const LOCAL_RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// Rejects requests in quarantine and prompts with parts in quarantine, and collects evidence.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PartFilter {
@@ -50,8 +46,8 @@
     /// When the front's own decisions cease to hold after touch was regained.
     rejoined_until: Tick,
     suspects: Suspects,
-    /// The front's own decisions, and when they were made.
-    local: (Vec<PartId>, Tick),
+    /// The front's own decisions.
+    local: LocalVerdicts,
     /// When to report evidence; none if there is nothing new.
     report_at: Option<Tick>,
 }
@@ -128,10 +124,8 @@
         if !self.isolated(now) && now >= self.rejoined_until {
             return None;
         }
-        self.decide(now);
-        let (local, _) = &self.local;
-        let rejected = parts.iter().find(|part| local.contains(part))?;
-        Some((*rejected, LOCAL_RETRY_AFTER))
+        let rejected = self.local.rejected(now, &self.suspects, parts)?;
+        Some((rejected, LocalVerdicts::RETRY_AFTER))
     }
 
     /// Records that an endpoint crashed while a request with these parts was in progress there, sent
@@ -171,15 +165,4 @@
         let renewed_at = self.renewed_at.unwrap_or_default();
         now.since(renewed_at) >= ISOLATED_AFTER
     }
-
-    /// Renews the front's own decisions.
-    fn decide(&mut self, now: Tick) {
-        let (local, decided_at) = &mut self.local;
-        if now.since(*decided_at) < LOCAL_INTERVAL {
-            return;
-        }
-        let verdicts = self.suspects.verdicts(now, |_| false);
-        *local = verdicts.into_iter().map(|verdict| verdict.part).collect();
-        *decided_at = now;
-    }
 }
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -22,6 +22,7 @@
     Digest,
     EndpointId,
     ModelName,
+    PartId,
     RequestId,
     RouteId,
     Tick,
@@ -33,6 +34,12 @@
     Fingerprint,
     RequestKey, //
 };
+use quarantine::{
+    ContentDigest,
+    LocalVerdicts,
+    Suspect,
+    Suspects, //
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
 use slotmap::{
@@ -82,6 +89,8 @@
 const STALL_TIMEOUT_FACTOR: u32 = 50;
 /// Minimum stall timeout; a shorter pause within a response never counts as a failure.
 const MIN_STALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time from the start of a response in which a crash of the endpoint may be due to the request.
+const RESPONSE_START_SPAN: Duration = Duration::from_secs(1);
 /// Output tokens assumed for each response in the computation of fair shares.
 const ASSUMED_OUTPUT_TOKENS: u64 = 128;
 /// Maximum number of attempts at one request, over all endpoints.
@@ -105,6 +114,10 @@
     attempt: AttemptId,
     received_at: Tick,
     sent_at: Tick,
+    /// When the response to the attempt in flight started; none if it has not.
+    started_at: Option<Tick>,
+    /// Recognizes repetitions of the request.
+    identity: PartId,
     /// The endpoint of the attempt in flight.
     endpoint: Option<EndpointId>,
     tried: Vec<EndpointId>,
@@ -127,6 +140,8 @@
     requests: SlotMap<RequestId, Request>,
     budgets: Budgets,
     shares: BTreeMap<ClassId, Shares>,
+    suspects: Suspects,
+    verdicts: LocalVerdicts,
     serial: u64,
     draining: bool,
 }
@@ -145,6 +160,8 @@
             requests: SlotMap::with_key(),
             budgets: Budgets::default(),
             shares: BTreeMap::new(),
+            suspects: Suspects::default(),
+            verdicts: LocalVerdicts::default(),
             serial: 0,
             draining: false,
         }
@@ -172,7 +189,9 @@
                 self.budgets.earn(request.permit.account);
                 let once = request.once;
                 let id = self.requests.insert(request);
-                if once {
+                if self.quarantined(now, id) {
+                    self.fail(id, Kind::RequestQuarantined, out);
+                } else if once {
                     self.request_claim(id, out);
                 } else {
                     self.next_attempt(now, id, out);
@@ -213,6 +232,9 @@
         let class = requested.map_or(permit.class, |requested| {
             self.config.lower_class(permit.class, requested)
         });
+        let account = self.config.account(permit.account);
+        let account = account.map(|account| account.spec.name.as_ref());
+        let identity = ContentDigest::of_bytes(arrival.fingerprint.0).identity(account);
         self.serial += 1;
         let attempt = AttemptId {
             entry: self.options.incarnation,
@@ -234,6 +256,8 @@
             attempt,
             received_at: now,
             sent_at: now,
+            started_at: None,
+            identity,
             endpoint: None,
             tried: Vec::new(),
             rejection: Kind::EndpointMissing,
@@ -241,6 +265,42 @@
         })
     }
 
+    /// Whether earlier repetitions of a request crashed endpoints, as this entry observed.
+    fn quarantined(&mut self, now: Tick, id: RequestId) -> bool {
+        let identity = self.requests.get(id).map(|request| request.identity);
+        let identity = identity.as_slice();
+        let rejected = self.verdicts.rejected(now, &self.suspects, identity);
+        rejected.is_some()
+    }
+
+    /// Records what the end of an attempt says about whether the request crashes endpoints. A
+    /// response that had been in progress for a while did not cause the crash.
+    fn record_evidence(&mut self, now: Tick, id: RequestId, outcome: AttemptOutcome) {
+        let Some(request) = self.requests.get(id) else {
+            return;
+        };
+        let (sent_at, identity) = (request.sent_at, request.identity);
+        let began = request
+            .started_at
+            .is_some_and(|at| now.since(at) > RESPONSE_START_SPAN);
+        let endpoint = request.endpoint.and_then(|id| self.config.endpoint(id));
+        match outcome {
+            AttemptOutcome::Served(_) => {
+                let served_at = request.started_at.unwrap_or(sent_at);
+                self.suspects.served(served_at, identity);
+            }
+            AttemptOutcome::Lost(Kind::EndpointCrashed) | AttemptOutcome::Crashed if !began => {
+                if let Some(endpoint) = endpoint {
+                    let elapsed = now.since(sent_at);
+                    let suspects = Suspect::of_request([identity], elapsed);
+                    let instance = endpoint.spec.name.as_ref();
+                    self.suspects.crashed(now, instance, suspects);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// The models that a key may use.
     fn usable_models(&self, now: Tick, key: Option<Digest>) -> Result<Vec<ModelName>, Kind> {
         if now >= self.valid_until {
@@ -318,6 +378,9 @@
         if now >= self.valid_until {
             return Err(Kind::ViewStale);
         }
+        if self.quarantined(now, id) {
+            return Err(Kind::RequestQuarantined);
+        }
         let request = self.requests.get(id).ok_or(Kind::Internal)?;
         // Authorizes again, as the key may have been revoked since the request arrived.
         let permit = self
@@ -360,6 +423,7 @@
         request.endpoint = Some(chosen);
         request.tried.push(chosen);
         request.sent_at = now;
+        request.started_at = None;
         let request = &self.requests[id];
         let endpoint = self.config.endpoint(chosen).ok_or(missing)?;
         let account = self
@@ -453,9 +517,10 @@
     }
 
     fn first_byte(&mut self, now: Tick, id: RequestId) {
-        let Some(request) = self.requests.get(id) else {
+        let Some(request) = self.requests.get_mut(id) else {
             return;
         };
+        request.started_at.get_or_insert(now);
         let cost = request.input_tokens.0 + ASSUMED_OUTPUT_TOKENS;
         let shares = self.shares.entry(request.class).or_default();
         shares.serve(request.permit.account, cost);
@@ -472,6 +537,7 @@
         outcome: AttemptOutcome,
         out: &mut Outbox<Output>,
     ) {
+        self.record_evidence(now, id, outcome);
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
@@ -487,7 +553,9 @@
         match outcome {
             AttemptOutcome::Served(_) => self.finish(id, Decision::Done, out),
             AttemptOutcome::Cancelled => self.finish(id, Decision::Fail(Kind::CallerGone), out),
-            AttemptOutcome::Broken => self.finish(id, Decision::Fail(Kind::StreamBroken), out),
+            AttemptOutcome::Broken | AttemptOutcome::Crashed => {
+                self.finish(id, Decision::Fail(Kind::StreamBroken), out);
+            }
             AttemptOutcome::Unreached => self.retry(now, id, Event::RetriedUnreached, out),
             AttemptOutcome::Rejected(kind, _) if is_final(kind) => self.fail(id, kind, out),
             AttemptOutcome::Rejected(kind, _) => {
@@ -613,9 +681,10 @@
             health.record_rejection(now, tier);
             false
         }
-        AttemptOutcome::Unreached | AttemptOutcome::Lost(_) | AttemptOutcome::Broken => {
-            health.record_failure(now)
-        }
+        AttemptOutcome::Unreached
+        | AttemptOutcome::Lost(_)
+        | AttemptOutcome::Broken
+        | AttemptOutcome::Crashed => health.record_failure(now),
         AttemptOutcome::Cancelled => false,
     }
 }
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -148,6 +148,8 @@
     Lost(Kind),
     /// The response broke off after a part of it was forwarded to the caller.
     Broken,
+    /// As [`AttemptOutcome::Broken`], because the endpoint crashed.
+    Crashed,
     /// The whole response was received and, if it is streamed, forwarded to the caller.
     Served(LoadReport),
     /// The caller closed its connection.
--- a/crates/route/tests/entry.rs
+++ b/crates/route/tests/entry.rs
@@ -106,6 +106,15 @@
     }
 
     fn arrive(&mut self, key: Option<Digest>, target: RequestTarget) -> Decision {
+        self.arrive_with_body(key, target, 0)
+    }
+
+    fn arrive_with_body(
+        &mut self,
+        key: Option<Digest>,
+        target: RequestTarget,
+        body: u8,
+    ) -> Decision {
         self.serial += 1;
         let arrival = Arrival {
             ticket: Ticket(self.serial),
@@ -115,7 +124,7 @@
             input_tokens: Tokens(10),
             prefix_hash: None,
             request_key: None,
-            fingerprint: Fingerprint([0; 32]),
+            fingerprint: Fingerprint([body; 32]),
         };
         self.input(Input::Arrive(arrival)).remove(0)
     }
@@ -133,6 +142,11 @@
         }
     }
 
+    fn call_model_with_body(&mut self, body: u8) -> Decision {
+        let target = RequestTarget::Model("crew".try_into().unwrap());
+        self.arrive_with_body(Some(digest()), target, body)
+    }
+
     fn ended(&mut self, id: RequestId, outcome: AttemptOutcome) -> Decision {
         self.input(Input::Ended(id, outcome)).remove(0)
     }
@@ -149,6 +163,26 @@
     AttemptOutcome::Rejected(Kind::Overloaded, LoadReport::default())
 }
 
+/// An attempt ends in this way, a second after it was sent.
+fn crash(harness: &mut Harness, id: RequestId, outcome: AttemptOutcome) -> Decision {
+    harness.now = harness.now + Duration::from_secs(1);
+    harness.ended(id, outcome)
+}
+
+/// Three calls of a request end in this way. Returns the decision on a call that follows.
+fn decision_after_three_crashes(body: u8, outcome: AttemptOutcome) -> Decision {
+    let mut harness = Harness::new();
+    for _ in 0..3 {
+        let spec = attempt(harness.call_model_with_body(1));
+        let decision = crash(&mut harness, spec.id, outcome);
+        if let Decision::Attempt(next) = decision {
+            harness.input(Input::Ended(next.id, AttemptOutcome::Cancelled));
+        }
+    }
+    harness.now = harness.now + Duration::from_secs(1);
+    harness.call_model_with_body(body)
+}
+
 /// Rejects a request at every endpoint. Returns how many endpoints were tried, and the final
 /// decision.
 fn reject_everywhere() -> (usize, Decision) {
@@ -305,6 +339,29 @@
 }
 
 case::cases! {
+    // Guards against a request that crashes endpoint after endpoint whenever it is repeated.
+    repeated_request_that_crashes_endpoints_is_rejected_alone:
+        for outcome in [AttemptOutcome::Lost(Kind::EndpointCrashed), AttemptOutcome::Crashed] {
+            let decision = decision_after_three_crashes(1, outcome);
+            assert_eq!(decision, Decision::Fail(Kind::RequestQuarantined));
+            attempt(decision_after_three_crashes(2, outcome));
+        };
+    request_whose_connections_break_without_a_crash_is_served:
+        for outcome in [AttemptOutcome::Lost(Kind::EndpointFailed), AttemptOutcome::Broken] {
+            attempt(decision_after_three_crashes(1, outcome));
+        };
+    crashed_request_is_not_retried_once_it_has_crashed_three_endpoints: {
+        let mut harness = Harness::new();
+        let mut decision = harness.call_model_with_body(1);
+        let mut crashes = 0;
+        while let Decision::Attempt(spec) = decision {
+            crashes += 1;
+            decision = crash(&mut harness, spec.id, AttemptOutcome::Lost(Kind::EndpointCrashed));
+        }
+        // The verdict waits for a moment after the third crash.
+        assert!(crashes <= 4, "{crashes}");
+        assert_eq!(decision, Decision::Fail(Kind::EndpointCrashed));
+    };
     missing_key_is_rejected: assert_eq!(first_decision(None, "crew"), Decision::Fail(Kind::KeyMissing));
     unknown_key_is_rejected: assert_eq!(first_decision(Some(Digest([9; 32])), "crew"), Decision::Fail(Kind::KeyInvalid));
     unknown_model_is_rejected: assert_eq!(first_decision(Some(digest()), "other"), Decision::Fail(Kind::RouteUnknown));
