Send nothing more to endpoints that state that they leave

The notice of a response carries the statement; the endpoint then counts as draining at this front for the rest of its incarnation, also if a listing still shows it as ready or lacks it for a moment. A response without the statement may be older, so none withdraws it. What an endpoint states about itself is one type now, kept like the rate limit.

--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -31,8 +31,7 @@
     Attempt,
     Failure,
     Input,
-    Load,
-    Notice, //
+    Load, //
 };
 use smol::Timer;
 use smol::future::FutureExt;
@@ -152,8 +151,8 @@
     /// Reports an endpoint's notice to the core. A response without one withdraws an earlier notice
     /// only if the endpoint executed the request.
     fn report_notice(&self, attempt: &Attempt, head: &ResponseHead) {
-        let withdrawn = attempt.notice_held && head.outcome == Outcome::Executed;
-        let stated = head.notice != Notice::default() && head.outcome != Outcome::Misdirected;
+        let withdrawn = attempt.notice_held && head.notice.executed;
+        let stated = !head.notice.is_empty() && head.outcome != Outcome::Misdirected;
         if stated || withdrawn {
             let _ = self
                 .inbox
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -151,6 +151,9 @@
                 event!(self.log, EndpointLimited, "endpoint" => instance,
                     "rate" => rate.map(f64::from));
             }
+            Event::Leaving(instance) => {
+                event!(self.log, EndpointLeaving, "endpoint" => instance);
+            }
             Event::Ejected(instance) => {
                 self.counters.count(Counter::Ejected);
                 event!(self.log, EndpointEjected, "endpoint" => instance);
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -77,6 +77,7 @@
     2013 EndpointCrashed Warning "an endpoint crashed while a request was in progress there";
     2014 EvidenceDeferred Warning "a report of crashes was not acknowledged and will be retried";
     2015 EndpointLimited Info "an endpoint stated another limit on its rate of requests, or that it has none";
+    2016 EndpointLeaving Info "an endpoint stated that it is about to leave";
     3001 EngineFailed Warning "the agent's engine failed";
     3002 EngineCold Info "the engine became cold";
     3003 UsageDeferred Warning "a usage report was not acknowledged and will be retried";
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -118,7 +118,7 @@
             let rate = Endpoint::cold_rate(cold.request_rate, fronts);
             endpoint.bucket.take(now, rate);
         }
-        if let Some(limit) = &mut endpoint.limit {
+        if let Some(limit) = &mut endpoint.stated.limit {
             limit.take_permit(now, fronts);
         }
         request.attempts += 1;
@@ -154,7 +154,7 @@
             deadline: request.deadline,
             start_deadline: retry_start.then_some(now + timeout),
             max_gap: retry_allowed.then_some(route.event_gap * GAP_TIMEOUT_FACTOR),
-            notice_held: endpoint.limit.is_some(),
+            notice_held: endpoint.stated.limit.is_some(),
         })
     }
 
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -11,7 +11,7 @@
     Load,
     Prompt, //
 };
-use crate::rate_limit::RateLimit;
+use crate::stated::Stated;
 
 /// How long an engine is assumed to keep a prompt part in its prefix cache after the last use.
 const CACHE_LIFETIME: Duration = Duration::from_secs(8);
@@ -68,8 +68,7 @@
     delay: Option<(f64, Tick)>,
     /// Last use of each prompt part.
     parts: HashMap<u64, Tick>,
-    /// The limit that the endpoint states on its rate of requests.
-    pub(crate) limit: Option<RateLimit>,
+    pub(crate) stated: Stated,
 }
 
 impl Endpoint {
@@ -89,7 +88,7 @@
             load: None,
             delay: None,
             parts: HashMap::new(),
-            limit: None,
+            stated: Stated::default(),
         }
     }
 
@@ -101,7 +100,7 @@
             self.load = None;
             self.delay = None;
             self.health = Health::default();
-            self.limit = None;
+            self.stated = Stated::default();
         }
         self.cold_until = self.cold_until.max(now + info.cold_remaining);
         self.info = info;
@@ -111,9 +110,10 @@
         now < self.cold_until
     }
 
-    /// Whether this front may send a request now, by the endpoint's own limit on its rate.
-    pub(crate) fn has_permit(&self, now: Tick, fronts: usize) -> bool {
-        self.limit.is_none_or(|limit| limit.has_permit(now, fronts))
+    /// Whether the endpoint must get no new requests, because the listing or the endpoint says that
+    /// it leaves.
+    pub(crate) fn leaves(&self) -> bool {
+        self.info.draining || self.stated.leaving
     }
 
     /// Requests per second that this front may send to a cold endpoint.
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -25,15 +25,15 @@
     Load,
     Prompt, //
 };
-use crate::rate_limit::RateLimit;
 use crate::speed::Speed;
+use crate::stated::Stated;
 use crate::typical::{
     Typical,
     TypicalValues, //
 };
 
-/// How long the limit of an endpoint that the listing omits is kept.
-const OMITTED_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
+/// How long the statements of an endpoint that the listing omits are kept.
+const OMITTED_LIFETIME: Duration = Duration::from_secs(60);
 
 /// What a front observes when a response starts.
 #[derive(Clone, Copy, Debug)]
@@ -59,32 +59,43 @@
     typical: HashMap<(String, Lane), Typical>,
     /// The learned speed of each service's endpoints.
     speeds: HashMap<String, Speed>,
-    /// The limits of endpoints that the listing omits, by instance: a listing may lack an endpoint
-    /// for a moment.
-    omitted_limits: HashMap<String, OmittedLimit>,
+    /// What endpoints that the listing omits have stated, by instance: a listing may lack an
+    /// endpoint for a moment.
+    omitted: HashMap<String, Omitted>,
 }
 
-/// The limit of an endpoint that the listing omits.
+/// What an endpoint that the listing omits has stated.
 #[derive(Clone, Copy, Debug)]
-struct OmittedLimit {
-    limit: RateLimit,
+struct Omitted {
+    stated: Stated,
     started_ms: u64,
     omitted_at: Tick,
 }
 
+impl Omitted {
+    fn new(now: Tick, endpoint: &Endpoint) -> Self {
+        Self {
+            stated: endpoint.stated,
+            started_ms: endpoint.info.started_ms,
+            omitted_at: now,
+        }
+    }
+}
+
 impl Endpoints {
     /// Applies a newer listing and removes the endpoints that it omits. Returns whether an endpoint
     /// was added or removed or changed between serving and draining.
     pub(crate) fn update(&mut self, now: Tick, list: Vec<EndpointInfo>, rng: &mut Pcg32) -> bool {
-        self.omitted_limits
-            .retain(|_, omitted| now.since(omitted.omitted_at) < OMITTED_LIMIT_LIFETIME);
+        self.omitted
+            .retain(|_, omitted| now.since(omitted.omitted_at) < OMITTED_LIFETIME);
         let listed: HashSet<String> = list.iter().map(|info| info.instance.clone()).collect();
         let before = self.endpoints.len();
         self.instances
             .retain(|instance, _| listed.contains(instance));
         let omitted = |endpoint: &Endpoint| !listed.contains(&endpoint.info.instance);
         for endpoint in self.endpoints.values().filter(|e| omitted(e)) {
-            self.omitted_limits.extend(omitted_limit(now, endpoint));
+            let instance = endpoint.info.instance.clone();
+            self.omitted.insert(instance, Omitted::new(now, endpoint));
         }
         self.endpoints.retain(|_, endpoint| !omitted(endpoint));
         let mut changed = self.endpoints.len() != before;
@@ -102,11 +113,10 @@
                     // Random bucket levels keep fronts from sending to a cold endpoint at the
                     // same times.
                     let mut endpoint = Endpoint::new(now, info, rng.random_range(0.0..1.0));
-                    endpoint.limit = self
-                        .omitted_limits
-                        .remove(&instance)
-                        .filter(|omitted| omitted.started_ms == started_ms)
-                        .map(|omitted| omitted.limit);
+                    let omitted = self.omitted.remove(&instance);
+                    if let Some(omitted) = omitted.filter(|o| o.started_ms == started_ms) {
+                        endpoint.stated = omitted.stated;
+                    }
                     let id = self.endpoints.insert(endpoint);
                     self.instances.insert(instance, id);
                     changed = true;
@@ -130,8 +140,9 @@
     /// Removes an endpoint until a listing contains it again.
     pub(crate) fn remove(&mut self, now: Tick, id: EndpointId) {
         if let Some(endpoint) = self.endpoints.remove(id) {
-            self.omitted_limits.extend(omitted_limit(now, &endpoint));
-            self.instances.remove(&endpoint.info.instance);
+            let instance = endpoint.info.instance.clone();
+            self.instances.remove(&instance);
+            self.omitted.insert(instance, Omitted::new(now, &endpoint));
             self.update_lanes();
         }
     }
@@ -206,13 +217,3 @@
         }
     }
 }
-
-/// The entry of an endpoint in the limits of omitted endpoints, if it states a limit.
-fn omitted_limit(now: Tick, endpoint: &Endpoint) -> Option<(String, OmittedLimit)> {
-    let omitted = OmittedLimit {
-        limit: endpoint.limit?,
-        started_ms: endpoint.info.started_ms,
-        omitted_at: now,
-    };
-    Some((endpoint.info.instance.clone(), omitted))
-}
--- a/crates/relay/src/lanes.rs
+++ b/crates/relay/src/lanes.rs
@@ -58,7 +58,7 @@
     /// Divides a service's endpoints into lanes.
     pub(crate) fn new<'a>(endpoints: impl Iterator<Item = (EndpointId, &'a Endpoint)>) -> Self {
         let mut zones: BTreeMap<&str, Vec<(&str, EndpointId)>> = BTreeMap::new();
-        for (id, endpoint) in endpoints.filter(|(_, e)| !e.info.draining) {
+        for (id, endpoint) in endpoints.filter(|(_, e)| !e.leaves()) {
             let zone = zones.entry(&endpoint.info.zone).or_default();
             zone.push((&endpoint.info.instance, id));
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod retry_budget;
 mod select;
 mod speed;
+mod stated;
 mod typical;
 mod usage_count;
 mod view_wait;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -128,6 +128,18 @@
     /// The requests per second that the endpoint accepts from all fronts together; none if it
     /// states no limit.
     pub rate_limit: Option<Rate>,
+    /// Whether the endpoint is about to leave and wants no new requests.
+    pub leaving: bool,
+    /// Whether the endpoint executed the request. Otherwise, a missing limit does not withdraw an
+    /// earlier one.
+    pub executed: bool,
+}
+
+impl Notice {
+    /// Whether the endpoint states nothing.
+    pub fn is_empty(&self) -> bool {
+        self.rate_limit.is_none() && !self.leaving
+    }
 }
 
 /// One entry of the endpoint listing.
@@ -306,6 +318,8 @@
     Ejected(String),
     /// The endpoint with this instance states another rate limit than before, or none any more.
     RateLimited(String, Option<Rate>),
+    /// The endpoint with this instance states that it is about to leave.
+    Leaving(String),
     /// The front applied a newer generation of the deployment.
     Advanced(u64),
     /// The view expired (false) or is valid again (true).
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -219,8 +219,16 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
-        let before = endpoint.limit.map(|limit| limit.rate());
-        match (&mut endpoint.limit, notice.rate_limit) {
+        let instance = endpoint.info.instance.clone();
+        let stated = &mut endpoint.stated;
+        if notice.leaving && !std::mem::replace(&mut stated.leaving, true) {
+            out.push(Output::Event(Event::Leaving(instance.clone())));
+        }
+        if notice.rate_limit.is_none() && !notice.executed {
+            return;
+        }
+        let before = stated.limit.map(|limit| limit.rate());
+        match (&mut stated.limit, notice.rate_limit) {
             (Some(limit), Some(rate)) => limit.set_rate(now, rate, self.fronts.get()),
             (limit, rate) => {
                 // Random levels keep fronts from sending at the same times.
@@ -229,7 +237,6 @@
             }
         }
         if before != notice.rate_limit {
-            let instance = endpoint.info.instance.clone();
             let event = Event::RateLimited(instance, notice.rate_limit);
             out.push(Output::Event(event));
         }
--- a/crates/relay/src/select.rs
+++ b/crates/relay/src/select.rs
@@ -63,7 +63,7 @@
         let fronts = self.fronts.get();
         let mut candidates: Vec<_> = self
             .usable_endpoints(now, request, service)
-            .filter(|(_, endpoint)| endpoint.has_permit(now, fronts))
+            .filter(|(_, endpoint)| endpoint.stated.accepts(now, fronts))
             .collect();
         // Ejected endpoints remain candidates if there are no others.
         if candidates.iter().any(|(_, e)| !e.health.ejected(now)) {
@@ -129,10 +129,9 @@
     ) -> Option<Duration> {
         let request = self.requests.get(id)?;
         let fronts = self.fronts.get();
-        let limits = self
-            .usable_endpoints(now, request, service)
-            .filter_map(|(_, endpoint)| endpoint.limit);
-        limits.map(|limit| limit.next_permit(now, fronts)).min()
+        let endpoints = self.usable_endpoints(now, request, service);
+        let waits = endpoints.filter_map(|(_, endpoint)| endpoint.stated.next_accept(now, fronts));
+        waits.min()
     }
 
     /// The endpoints that may get a request, apart from the endpoints' own limits on their rates.
@@ -148,7 +147,7 @@
         let usable = move |endpoint: &Endpoint| {
             let within_rate = !endpoint.cold(now)
                 || cold_rate.is_none_or(|rate| endpoint.bucket.has_token(now, rate));
-            within_rate && !endpoint.info.draining && !self.closed.contains(&endpoint.info.zone)
+            within_rate && !endpoint.leaves() && !self.closed.contains(&endpoint.info.zone)
         };
         self.endpoints
             .of_service(&service.name)
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -333,7 +333,11 @@
             told.entry(response.instance.clone()).or_insert(now);
         }
         if rate.is_some() || response.notice_held {
-            let notice = Notice { rate_limit: rate };
+            let notice = Notice {
+                rate_limit: rate,
+                executed: true,
+                ..Notice::default()
+            };
             self.step(n, Input::Noticed(response.endpoint, notice));
         }
         let load = Load {
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -27,6 +27,7 @@
     Event,
     Failure,
     Input,
+    Notice,
     Output,
     PredictedLatency,
     Prompt,
@@ -309,6 +310,19 @@
         self.step(Input::Completed(attempt.request));
     }
 
+    /// Sends a request whose endpoint states in its response that it leaves. Returns the endpoint.
+    fn leave(&mut self, path: &str) -> String {
+        let attempt = self.dispatched(path, None);
+        let notice = Notice {
+            leaving: true,
+            executed: true,
+            ..Notice::default()
+        };
+        self.step(Input::Noticed(attempt.endpoint, notice));
+        self.finish(&attempt);
+        attempt.instance
+    }
+
     /// The decision on a request whose first attempt failed.
     fn decision_after(path: &str, failure: Failure) -> Decision {
         let mut front = Self::ready();
@@ -559,6 +573,38 @@
             };
         }
     };
+    // Guards against requests to an endpoint that leaves before the listing shows it (DRAIN).
+    endpoint_that_states_that_it_leaves_gets_no_requests: {
+        let mut front = Front::ready();
+        let leaving = front.leave("/once/x");
+        let without = list().into_iter().filter(|info| info.instance != leaving).collect();
+        // The listing lags, and it may lack an endpoint for a moment.
+        for listing in [list(), without, list()] {
+            front.step(Input::Endpoints(listing));
+            for _ in 0..20 {
+                let attempt = front.dispatched("/once/x", None);
+                assert_ne!(attempt.instance, leaving);
+                front.finish(&attempt);
+            }
+        }
+    };
+    endpoint_that_restarts_has_not_left: {
+        let mut front = Front::ready();
+        let left = front.leave("/once/x");
+        let mut restarted = list();
+        restarted.iter_mut().filter(|info| info.instance == left).for_each(|info| info.started_ms = 9);
+        front.step(Input::Endpoints(restarted));
+        let instances: Vec<_> = (0..20).map(|_| front.dispatched("/once/x", None).instance).collect();
+        assert!(instances.contains(&left), "{instances:?}");
+    };
+    front_whose_endpoints_all_leave_rejects_as_not_executed: {
+        let mut front = Front::ready();
+        for _ in 0..3 {
+            front.leave("/once/x");
+        }
+        let kind = front.rejected("/once/x", Some("k"));
+        assert_eq!((kind, kind.not_executed()), (Kind::EndpointMissing, true));
+    };
     draining_endpoint_gets_no_requests: {
         let mut front = Front::ready();
         let mut list = list();
