Leave endpoints alone for the time that they state with a rejection

The notice carries the time, and the endpoint is no candidate until its end. A shorter time does not end a longer one. If all endpoints pause, requests wait as for a permit and are then rejected as not run, with the shortest pause as Retry-After.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -151,6 +151,9 @@
                 event!(self.log, EndpointLimited, "endpoint" => instance,
                     "rate" => rate.map(f64::from));
             }
+            Event::Paused(instance, span) => {
+                event!(self.log, EndpointPaused, "endpoint" => instance, "ms" => millis(span));
+            }
             Event::Leaving(instance) => {
                 event!(self.log, EndpointLeaving, "endpoint" => instance);
             }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -130,6 +130,8 @@
     pub rate_limit: Option<Rate>,
     /// Whether the endpoint is about to leave and wants no new requests.
     pub leaving: bool,
+    /// How long the endpoint wants no requests from this front.
+    pub retry_after: Option<Duration>,
     /// Whether the endpoint executed the request. Otherwise, a missing limit does not withdraw an
     /// earlier one.
     pub executed: bool,
@@ -138,7 +140,7 @@
 impl Notice {
     /// Whether the endpoint states nothing.
     pub fn is_empty(&self) -> bool {
-        self.rate_limit.is_none() && !self.leaving
+        self.rate_limit.is_none() && !self.leaving && self.retry_after.is_none()
     }
 }
 
@@ -318,6 +320,8 @@
     Ejected(String),
     /// The endpoint with this instance states another rate limit than before, or none any more.
     RateLimited(String, Option<Rate>),
+    /// The endpoint with this instance wants no requests from this front for this time.
+    Paused(String, Duration),
     /// The endpoint with this instance states that it is about to leave.
     Leaving(String),
     /// The front applied a newer generation of the deployment.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -224,6 +224,10 @@
         if notice.leaving && !std::mem::replace(&mut stated.leaving, true) {
             out.push(Output::Event(Event::Leaving(instance.clone())));
         }
+        if let Some(span) = notice.retry_after {
+            let span = stated.pause(now, span);
+            out.push(Output::Event(Event::Paused(instance.clone(), span)));
+        }
         if notice.rate_limit.is_none() && !notice.executed {
             return;
         }
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -323,6 +323,25 @@
         attempt.instance
     }
 
+    /// Sends a request that an endpoint rejects, with a time in which it wants no more. Returns the
+    /// endpoint.
+    fn pause(&mut self, path: &str, span: Duration) -> String {
+        let attempt = self.dispatched(path, None);
+        self.reject_for(&attempt, span);
+        attempt.instance
+    }
+
+    /// The endpoint rejects an attempt and wants no more for a time.
+    fn reject_for(&mut self, attempt: &Attempt, span: Duration) {
+        let notice = Notice {
+            retry_after: Some(span),
+            ..Notice::default()
+        };
+        self.step(Input::Noticed(attempt.endpoint, notice));
+        self.fail(attempt, Failure::Full);
+        self.step(Input::Cancelled(attempt.request));
+    }
+
     /// The decision on a request whose first attempt failed.
     fn decision_after(path: &str, failure: Failure) -> Decision {
         let mut front = Self::ready();
@@ -573,6 +592,48 @@
             };
         }
     };
+    // Guards against requests to an endpoint that has just asked for none (BUDGET).
+    endpoint_gets_no_requests_for_the_time_that_it_states_with_a_rejection: {
+        let mut front = Front::ready();
+        // The load that a rejection implies is forgotten sooner.
+        let paused = front.pause("/safe/x", 4 * SECOND);
+        front.view(1, None, 10 * SECOND);
+        for _ in 0..39 {
+            front.advance(Duration::from_millis(100));
+            let attempt = front.dispatched("/once/x", None);
+            assert_ne!(attempt.instance, paused);
+            front.finish(&attempt);
+        }
+        front.advance(Duration::from_millis(100));
+        let instances: Vec<_> = (0..40).map(|_| front.dispatched("/once/x", None).instance).collect();
+        assert!(instances.contains(&paused), "{instances:?}");
+    };
+    shorter_pause_does_not_end_a_longer_one: {
+        let mut front = Front::ready();
+        let attempts: Vec<_> = (0..6).map(|_| front.dispatched("/safe/x", None)).collect();
+        let instance = attempts[0].instance.clone();
+        let same: Vec<_> = attempts.iter().filter(|attempt| attempt.instance == instance).collect();
+        assert!(same.len() > 1, "{attempts:?}");
+        front.reject_for(same[0], 5 * SECOND);
+        front.reject_for(same[1], Duration::from_millis(500));
+        front.advance(2 * SECOND);
+        for _ in 0..20 {
+            let attempt = front.dispatched("/once/x", None);
+            assert_ne!(attempt.instance, instance);
+            front.finish(&attempt);
+        }
+    };
+    // Guards against callers that are told to come back before any endpoint accepts them.
+    rejection_while_all_endpoints_pause_states_the_shortest_pause: {
+        let mut front = Front::ready();
+        for seconds in [5, 4, 3] {
+            front.pause("/safe/x", SECOND * seconds);
+        }
+        assert_matches!(&front.arrive_plain("/once/x", Some("k"))[..], []);
+        let outputs = front.wait(SECOND);
+        assert_matches!(&outputs[..], [.., Output::Reply(_, Decision::Reject(Kind::Overloaded, after))]
+            if *after == 2 * SECOND);
+    };
     // Guards against requests to an endpoint that leaves before the listing shows it (DRAIN).
     endpoint_that_states_that_it_leaves_gets_no_requests: {
         let mut front = Front::ready();
