--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -1,5 +1,5 @@
-//! Requests and prompt parts that crash engines: the quarantine that the control group decided, and what this
-//! front observes.
+//! Requests and prompt parts that crash engines: the quarantine that the control group decided, and
+//! what this front observes.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
