--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -90,7 +90,7 @@
         let has_room = self.backlog_queue.has_room();
         let wait = WaitPolicy {
             limit_ms: self.backlog_limit_ms(id).filter(|_| has_room),
-            for_permit: has_room,
+            for_accept: has_room,
         };
         if let Some(decision) = self.assign(now, id, wait, out) {
             out.push(Output::Reply(ticket, decision));
@@ -134,7 +134,7 @@
                 } else {
                     limit_ms
                 },
-                for_permit: !wait_ended,
+                for_accept: !wait_ended,
             };
             match self.assign(now, queued.request, wait, out) {
                 Some(decision) => out.push(Output::Reply(queued.ticket, decision)),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -71,8 +71,8 @@
             return Some(self.reject_unserved(id, rejection, out));
         }
         let Some((endpoint, backlog_ms)) = self.select(now, id, service) else {
-            return match self.next_permit(now, id, service) {
-                Some(_) if wait.for_permit => None,
+            return match self.next_accept(now, id, service) {
+                Some(_) if wait.for_accept => None,
                 Some(delay) => Some(self.reject_unserved(id, (Kind::Overloaded, delay), out)),
                 None => Some(self.end_unserved(id, Kind::EndpointMissing, None, out)),
             };
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -53,8 +53,8 @@
     /// The backlog of the best endpoint above which the request waits, in milliseconds; none if it
     /// does not wait because of the backlog.
     pub(crate) limit_ms: Option<f64>,
-    /// Whether the request waits while all endpoints are at the limits that they state.
-    pub(crate) for_permit: bool,
+    /// Whether the request waits while the limits or pauses that endpoints state exclude all of them.
+    pub(crate) for_accept: bool,
 }
 
 /// A queued request.
--- a/crates/relay/src/select.rs
+++ b/crates/relay/src/select.rs
@@ -119,9 +119,9 @@
         Some((id, estimates[chosen].queue_delay + prefill_ms))
     }
 
-    /// Time until an endpoint may get a request that only the endpoints' own limits delay; none if
-    /// other reasons exclude all endpoints.
-    pub(crate) fn next_permit(
+    /// Time until an endpoint accepts a request, if only what endpoints state about themselves delays
+    /// it; none if other reasons exclude all endpoints.
+    pub(crate) fn next_accept(
         &self,
         now: Tick,
         id: RequestId,
@@ -134,7 +134,7 @@
         waits.min()
     }
 
-    /// The endpoints that may get a request, apart from the endpoints' own limits on their rates.
+    /// The endpoints that may get a request, apart from the limits and pauses that they state.
     fn usable_endpoints<'a>(
         &'a self,
         now: Tick,
