--- a/crates/agree/src/config.rs
+++ b/crates/agree/src/config.rs
@@ -30,6 +30,62 @@
     }
 }
 
+/// Bounds on what a member keeps in memory and on its disk, in bytes by estimate.
+///
+/// Entries that are not committed cannot be compacted, so a leader rejects commands before they
+/// exceed their bound. A member accepts all entries from its leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Committed entries, in memory or in the journal. A snapshot replaces them at half of this;
+    /// while the leader sends a snapshot to another member, at all of it.
+    pub log: usize,
+    /// Entries that are not committed, and records that are not synced to the disk. Also the largest
+    /// command.
+    pub pending: usize,
+    /// A snapshot that is received from the leader.
+    pub snapshot: usize,
+}
+
+impl Default for Limits {
+    /// The bounds for 128 MiB of memory and 256 MiB of disk space.
+    fn default() -> Self {
+        Self::new(Self::DEFAULT_MEMORY, Self::DEFAULT_DISK)
+    }
+}
+
+impl Limits {
+    /// The memory for which the default bounds are made, in bytes.
+    pub const DEFAULT_MEMORY: usize = 128 << 20;
+    /// The disk space for which the default bounds are made, in bytes.
+    pub const DEFAULT_DISK: usize = 256 << 20;
+
+    /// The bounds for a process that may use this much memory and disk space, in bytes.
+    ///
+    /// While the journal is replaced, the disk holds the old one with what is pending, its
+    /// successor, and two snapshots.
+    pub fn new(memory: usize, disk: usize) -> Self {
+        Self {
+            log: (memory / 8).min(disk / 4),
+            pending: (memory / 16).min(disk / 8),
+            snapshot: memory / 2,
+        }
+    }
+
+    /// Committed entries above which a snapshot replaces them.
+    pub(crate) fn compaction(self, sends_snapshot: bool) -> usize {
+        if sends_snapshot {
+            self.log
+        } else {
+            self.log / 2
+        }
+    }
+
+    /// Entries that a snapshot covers and that stay in memory.
+    pub(crate) fn retained(self) -> usize {
+        self.log / 4
+    }
+}
+
 /// Which caught-up learners the leader promotes to voters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PromotionPolicy {
@@ -49,6 +105,8 @@
     pub timing: Timing,
     /// Which caught-up learners become voters.
     pub promotion: PromotionPolicy,
+    /// Bounds on what the member keeps.
+    pub limits: Limits,
     /// Seeds the randomized election timeout and the read-index tokens; must differ for each start
     /// of the process.
     pub rng_seed: u64,
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -28,6 +28,7 @@
 mod snapshot;
 
 pub use config::{
+    Limits,
     NodeConfig,
     PromotionPolicy,
     Timing, //
@@ -54,7 +55,8 @@
 pub use output::{
     NodeStatus,
     NotLeader,
-    Output, //
+    Output,
+    ProposeError, //
 };
 pub use record::{
     DurableState,
--- a/crates/agree/src/log.rs
+++ b/crates/agree/src/log.rs
@@ -1,5 +1,6 @@
 //! The in-memory part of the replicated log: the entries that were not compacted away.
 
+use bytes::Bytes;
 use ids::{
     Index,
     Term, //
@@ -21,8 +22,8 @@
     /// The members of the group, in effect as soon as a node appends this entry, before it is
     /// committed.
     Members(Vec<Member>),
-    /// An encoded command for the state machine.
-    Data(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// An encoded command for the state machine. Copies of the entry share these bytes.
+    Data(Bytes),
 }
 
 /// One entry of the log.
@@ -39,7 +40,7 @@
 
 impl Entry {
     /// An estimate of the entry's encoded size in bytes.
-    pub(crate) fn size(&self) -> usize {
+    pub fn size(&self) -> usize {
         const HEADER_BYTES: usize = 24;
         const MEMBER_BYTES: usize = 64;
         match &self.body {
@@ -56,6 +57,8 @@
     base: Index,
     base_term: Term,
     entries: std::collections::VecDeque<Entry>,
+    /// The size of all entries held, by estimate.
+    bytes: usize,
 }
 
 impl Log {
@@ -64,6 +67,7 @@
             base,
             base_term,
             entries: Default::default(),
+            bytes: 0,
         }
     }
 
@@ -86,6 +90,35 @@
         self.entries.len()
     }
 
+    /// The size of all entries held in bytes, by estimate.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// The size of the entries after `index` in bytes, by estimate.
+    pub(crate) fn bytes_after(&self, index: Index) -> usize {
+        let newest_first = self.entries.iter().rev();
+        newest_first
+            .take_while(|entry| entry.index > index)
+            .map(Entry::size)
+            .sum()
+    }
+
+    /// The index after which the entries up to `end` are at most `count` and at most `bytes` bytes
+    /// by estimate.
+    pub(crate) fn suffix_start(&self, end: Index, count: u64, bytes: usize) -> Index {
+        let mut start = end;
+        let mut size = 0;
+        while start > self.base && end.0 - start.0 < count {
+            size += self.get(start).map_or(0, Entry::size);
+            if size > bytes {
+                break;
+            }
+            start = Index(start.0 - 1);
+        }
+        start
+    }
+
     /// The term of the entry at `index`, also at the base; none before the base or after the end.
     pub(crate) fn term(&self, index: Index) -> Option<Term> {
         if index == self.base {
@@ -101,6 +134,7 @@
 
     pub(crate) fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last().next());
+        self.bytes += entry.size();
         self.entries.push_back(entry);
     }
 
@@ -125,8 +159,10 @@
     /// Removes the entries from `from` on.
     pub(crate) fn truncate(&mut self, from: Index) {
         let keep = from.0.saturating_sub(self.base.0 + 1);
-        self.entries
-            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        let keep = usize::try_from(keep).unwrap_or(usize::MAX);
+        let removed = self.entries.iter().skip(keep);
+        self.bytes -= removed.map(Entry::size).sum::<usize>();
+        self.entries.truncate(keep);
     }
 
     /// Removes the entries up to and including `to`, which becomes the base. Does nothing if `to`
@@ -136,7 +172,8 @@
             return;
         };
         let drop = usize::try_from(to.0 - self.base.0).unwrap_or(usize::MAX);
-        self.entries.drain(..drop);
+        let removed = self.entries.drain(..drop);
+        self.bytes -= removed.map(|entry| entry.size()).sum::<usize>();
         self.base = to;
         self.base_term = term;
     }
--- a/crates/agree/src/message.rs
+++ b/crates/agree/src/message.rs
@@ -2,6 +2,7 @@
 //!
 //! Variants are encoded by name, so renamed variants keep their names on the wire by attributes.
 
+use bytes::Bytes;
 use ids::{
     Index,
     Term, //
@@ -104,8 +105,7 @@
         /// The snapshot's length in bytes.
         total: u64,
         /// The chunk's content.
-        #[serde(with = "serde_bytes")]
-        bytes: Vec<u8>,
+        bytes: Bytes,
         /// The time on the leader's clock when it sent this message; the response repeats it.
         sent: u64,
     },
@@ -143,3 +143,17 @@
         commit: Index,
     },
 }
+
+impl Message {
+    /// An estimate of the message's encoded size in bytes.
+    pub fn size(&self) -> usize {
+        const HEADER_BYTES: usize = 64;
+        match self {
+            Self::AppendEntries { entries, .. } => {
+                HEADER_BYTES + entries.iter().map(Entry::size).sum::<usize>()
+            }
+            Self::SnapshotChunk { bytes, .. } => HEADER_BYTES + bytes.len(),
+            _ => HEADER_BYTES,
+        }
+    }
+}
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -7,6 +7,7 @@
 };
 use std::time::Duration;
 
+use bytes::Bytes;
 use ids::{
     Index,
     Term,
@@ -20,6 +21,7 @@
 use step::Outbox;
 
 use crate::config::{
+    Limits,
     NodeConfig,
     PromotionPolicy,
     Timing, //
@@ -44,7 +46,8 @@
 use crate::output::{
     NodeStatus,
     NotLeader,
-    Output, //
+    Output,
+    ProposeError, //
 };
 use crate::peer::{
     Ack,
@@ -90,6 +93,7 @@
     pub(crate) id: MemberId,
     pub(crate) timing: Timing,
     promotion: PromotionPolicy,
+    pub(crate) limits: Limits,
     rng: Pcg32,
     pub(crate) term: Term,
     pub(crate) voted_for: Option<MemberId>,
@@ -97,7 +101,11 @@
     /// Which entries the latest snapshot covers.
     pub(crate) meta: SnapshotMeta,
     /// The latest snapshot of the state machine.
-    pub(crate) state: Vec<u8>,
+    pub(crate) state: Bytes,
+    /// The size of the journal in bytes, by estimate.
+    pub(crate) journal: usize,
+    /// The latest record that replaces the journal; zero before the first.
+    pub(crate) rotation_seq: u64,
     /// The members of the latest membership entry, whether committed or not.
     pub(crate) group: Vec<Member>,
     /// The index of that membership entry.
@@ -118,6 +126,10 @@
     /// For each unsynced record with entries: its sequence number, and the last index that is
     /// durable once it is synced.
     pub(crate) pending_ends: VecDeque<(u64, Index)>,
+    /// The records that are not synced: their sequence numbers and sizes.
+    unsynced: VecDeque<(u64, usize)>,
+    /// The size of all records that are not synced, in bytes by estimate.
+    unsynced_bytes: usize,
     /// The last log index known to be synced to the local disk.
     pub(crate) durable: Index,
     /// Messages with their receivers, and for each the sequence number of the record that must be
@@ -139,6 +151,7 @@
             id: config.id,
             timing: config.timing,
             promotion: config.promotion,
+            limits: config.limits,
             rng: Pcg32::seed_from_u64(config.rng_seed),
             term: saved.term,
             voted_for: saved.voted_for,
@@ -146,6 +159,8 @@
             log,
             meta: saved.meta,
             state: saved.state,
+            journal: saved.journal,
+            rotation_seq: 0,
             group: Vec::new(),
             group_index: Index::default(),
             role: Role::Follower,
@@ -156,6 +171,8 @@
             last_seq: 0,
             synced_seq: 0,
             pending_ends: VecDeque::new(),
+            unsynced: VecDeque::new(),
+            unsynced_bytes: 0,
             durable,
             awaiting_sync: VecDeque::new(),
             incoming: None,
@@ -195,6 +212,16 @@
         self.log.len()
     }
 
+    /// The size of the log entries in memory in bytes, by estimate.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
+    /// The size of the journal in bytes, by estimate.
+    pub fn journal_bytes(&self) -> usize {
+        self.journal
+    }
+
     /// Whether the node is the leader of its term, with or without a valid lease.
     pub fn leads(&self) -> bool {
         matches!(self.role, Role::Leader(_))
@@ -243,19 +270,24 @@
     ///
     /// # Errors
     ///
-    /// [`NotLeader`] if this node is not the leader; the command is not in the log then.
+    /// [`ProposeError`] if this node is not the leader or has too many entries under way; the
+    /// command is not in the log then.
     pub fn propose(
         &mut self,
         now: Tick,
         data: Vec<u8>,
         out: &mut Outbox<Output>,
-    ) -> Result<Index, NotLeader> {
+    ) -> Result<Index, ProposeError> {
         if !self.leads() {
-            return Err(NotLeader {
+            return Err(ProposeError::NotLeader(NotLeader {
                 leader: self.leader,
-            });
+            }));
+        }
+        let pending = self.pending_bytes();
+        if pending > 0 && pending + data.len() > self.limits.pending {
+            return Err(ProposeError::Full);
         }
-        Ok(self.append_as_leader(now, Body::Data(data), out))
+        Ok(self.append_as_leader(now, Body::Data(data.into()), out))
     }
 
     /// Appends a membership change to the log and starts to replicate it.
@@ -384,6 +416,9 @@
             self.pending_ends.pop_front();
             self.durable = self.durable.max(index);
         }
+        while let Some((_, bytes)) = self.unsynced.pop_front_if(|(at, _)| *at <= seq) {
+            self.unsynced_bytes -= bytes;
+        }
         while let Some((needed_seq, ..)) = self.awaiting_sync.front() {
             if *needed_seq > self.synced_seq {
                 break;
@@ -443,9 +478,23 @@
         if let Some(last) = record.entries.last() {
             self.pending_ends.push_back((self.last_seq, last.index));
         }
+        self.journal += record.size();
+        self.await_sync(record.size());
         out.push(Output::Persist(self.last_seq, record));
     }
 
+    /// Notes the size of the last record, which is not synced yet.
+    pub(crate) fn await_sync(&mut self, bytes: usize) {
+        self.unsynced.push_back((self.last_seq, bytes));
+        self.unsynced_bytes += bytes;
+    }
+
+    /// The size in bytes, by estimate, of the entries that are not committed or of the records that
+    /// are not synced, whichever is larger.
+    fn pending_bytes(&self) -> usize {
+        self.log.bytes_after(self.commit).max(self.unsynced_bytes)
+    }
+
     /// Outputs a record of the current term and vote.
     pub(crate) fn persist_vote(&mut self, out: &mut Outbox<Output>) {
         let record = Record {
--- a/crates/agree/src/output.rs
+++ b/crates/agree/src/output.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use bytes::Bytes;
 use ids::{
     Index,
     Term, //
@@ -23,16 +24,19 @@
     Persist(u64, Record),
     /// Atomically replace the snapshot, and the journal by one that begins with this record, then
     /// call [`Node::synced`](crate::Node::synced) with this sequence number.
-    Rotate(u64, SnapshotMeta, Vec<u8>, Record),
+    Rotate(u64, SnapshotMeta, Bytes, Record),
     /// Send a message to a member. It may be lost, duplicated or reordered.
     Send(MemberId, Message),
     /// Apply a committed entry to the state machine.
     Apply(Entry),
     /// Replace the state machine's state by a snapshot.
-    Restore(SnapshotMeta, Vec<u8>),
+    Restore(SnapshotMeta, Bytes),
     /// A leader has confirmed the read-index request with this token: a read that is served after
     /// this index is applied is linearizable.
     ReadIndex(u64, Index),
+    /// The leader's snapshot is not received, because its size in bytes is above the bound. The
+    /// member cannot catch up.
+    SnapshotRejected(u64),
 }
 
 /// The node is not the leader, so it cannot append to the log.
@@ -51,6 +55,24 @@
     }
 }
 
+/// Why a command was not appended to the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProposeError {
+    /// The node is not the leader.
+    NotLeader(NotLeader),
+    /// The entries that are not committed, or not synced to the disk, have reached their bound.
+    Full,
+}
+
+impl fmt::Display for ProposeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotLeader(error) => error.fmt(f),
+            Self::Full => f.write_str("too many changes are not committed yet"),
+        }
+    }
+}
+
 /// A node's term, leader and log position.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NodeStatus {
--- a/crates/agree/src/record.rs
+++ b/crates/agree/src/record.rs
@@ -1,5 +1,6 @@
 //! The durable state of a member: snapshots, journal records, and their replay.
 
+use bytes::Bytes;
 use ids::{
     Index,
     Term, //
@@ -39,6 +40,14 @@
     pub entries: Vec<Entry>,
 }
 
+impl Record {
+    /// An estimate of the record's encoded size in bytes.
+    pub fn size(&self) -> usize {
+        const HEADER_BYTES: usize = 32;
+        HEADER_BYTES + self.entries.iter().map(Entry::size).sum::<usize>()
+    }
+}
+
 /// A member's durable state, rebuilt from its snapshot and journal.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DurableState {
@@ -49,23 +58,26 @@
     /// Which entries the snapshot covers.
     pub meta: SnapshotMeta,
     /// The state machine's snapshot, encoded.
-    pub state: Vec<u8>,
+    pub state: Bytes,
     /// The log entries after the snapshot.
     pub entries: Vec<Entry>,
+    /// The size of the journal in bytes, by estimate. It also holds entries that later ones replaced.
+    pub journal: usize,
 }
 
 impl DurableState {
     /// The state before the first journal record is replayed: only a snapshot.
-    pub fn new(meta: SnapshotMeta, state: Vec<u8>) -> Self {
+    pub fn new(meta: SnapshotMeta, state: impl Into<Bytes>) -> Self {
         Self {
             meta,
-            state,
+            state: state.into(),
             ..Self::default()
         }
     }
 
     /// Applies the next record of the journal.
     pub fn replay(&mut self, record: Record) {
+        self.journal += record.size();
         if let Some((term, voted)) = record.vote {
             self.term = term;
             self.voted_for = voted;
--- a/crates/agree/src/snapshot.rs
+++ b/crates/agree/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! Log compaction, and the transfer of snapshots in bounded chunks.
 
+use bytes::Bytes;
 use ids::{
     Index,
     Tick, //
@@ -26,14 +27,39 @@
 /// Most bytes of a snapshot in one message; bounds the size of messages.
 const CHUNK_BYTES: usize = 128 * 1024;
 
-/// Entries kept in memory although the snapshot covers them, so that a slightly lagging member
+/// Committed entries in memory above which a snapshot replaces them.
+const MAX_ENTRIES: u64 = 8192;
+/// Most entries kept in memory although the snapshot covers them, so that a slightly lagging member
 /// needs no snapshot.
 const RETAINED_ENTRIES: u64 = 512;
 
 impl Node {
+    /// Whether the committed entries in memory, or the journal, have reached their bound, so that
+    /// [`Node::compact`] is due. Not while an earlier snapshot is still being written.
+    pub fn compaction_due(&self) -> bool {
+        if self.rotation_seq > self.synced_seq {
+            return false;
+        }
+        if self.commit.0 - self.log.base().0 > MAX_ENTRIES {
+            return true;
+        }
+        let limit = self.limits.compaction(self.sends_snapshot());
+        let held = self.log.bytes().max(self.journal);
+        held > limit && held - self.log.bytes_after(self.commit) > limit
+    }
+
+    /// Whether a peer has received a part of the latest snapshot. A newer one would make it start
+    /// again.
+    fn sends_snapshot(&self) -> bool {
+        match &self.role {
+            Role::Leader(leader) => leader.peers.values().any(|peer| peer.chunk_offset > 0),
+            _ => false,
+        }
+    }
+
     /// Compacts the log: stores a snapshot of the state machine as of the commit index, and removes
-    /// the entries that it covers except the latest `RETAINED_ENTRIES`.
-    pub fn compact(&mut self, state: Vec<u8>, out: &mut Outbox<Output>) {
+    /// the entries that it covers except the latest ones.
+    pub fn compact(&mut self, state: impl Into<Bytes>, out: &mut Outbox<Output>) {
         let index = self.commit;
         let Some(term) = self.log.term(index) else {
             return;
@@ -43,9 +69,10 @@
             term,
             members: self.group_at(index),
         };
-        self.state = state;
-        self.log
-            .compact(Index(index.0.saturating_sub(RETAINED_ENTRIES)).max(self.log.base()));
+        self.state = state.into();
+        let retained = self.limits.retained();
+        let base = self.log.suffix_start(index, RETAINED_ENTRIES, retained);
+        self.log.compact(base);
         self.rotate(out);
     }
 
@@ -66,7 +93,7 @@
             meta: self.meta.clone(),
             offset: start as u64,
             total: self.state.len() as u64,
-            bytes: self.state[start..end].to_vec(),
+            bytes: self.state.slice(start..end),
             sent: now.0,
         };
         out.push(Output::Send(to, message));
@@ -90,6 +117,11 @@
             self.respond_installed(from, self.commit, sent, out);
             return;
         }
+        if total > self.limits.snapshot as u64 {
+            self.incoming = None;
+            out.push(Output::SnapshotRejected(total));
+            return;
+        }
         if offset == 0
             || self
                 .incoming
@@ -104,7 +136,8 @@
         let Some(partial) = &mut self.incoming else {
             return;
         };
-        if partial.bytes.len() as u64 == offset {
+        let fits = offset + bytes.len() as u64 <= total;
+        if partial.bytes.len() as u64 == offset && fits {
             partial.bytes.extend_from_slice(bytes);
         }
         let received = partial.bytes.len() as u64;
@@ -168,7 +201,7 @@
     /// which the snapshot ends.
     fn install(&mut self, snapshot: Incoming, out: &mut Outbox<Output>) {
         self.meta = snapshot.meta;
-        self.state = snapshot.bytes;
+        self.state = snapshot.bytes.into();
         if self.log.term(self.meta.index) == Some(self.meta.term) {
             self.log.compact(self.meta.index);
         } else {
@@ -192,6 +225,9 @@
             entries: self.log.entries().filter(after).cloned().collect(),
         };
         self.last_seq += 1;
+        self.rotation_seq = self.last_seq;
+        self.journal = record.size();
+        self.await_sync(self.state.len() + record.size());
         self.pending_ends
             .push_back((self.last_seq, self.log.last()));
         out.push(Output::Rotate(
--- a/crates/agree/tests/cluster/mod.rs
+++ b/crates/agree/tests/cluster/mod.rs
@@ -1,7 +1,8 @@
 //! A simulated cluster: real nodes on a virtual clock, with simulated disks, links and faults.
 //!
 //! The checker records a violation if two nodes commit different entries at one index, if two nodes
-//! hold a lease at the same true time, or if an acknowledged entry is lost.
+//! hold a lease at the same true time, if an acknowledged entry is lost, or if a node keeps more
+//! bytes in memory or on its disk than its limits allow.
 
 use std::cmp::Reverse;
 use std::collections::{
@@ -15,6 +16,7 @@
     Body,
     DurableState,
     Entry,
+    Limits,
     Member,
     MemberChange,
     MemberId,
@@ -50,6 +52,8 @@
     LongLease,
     /// Restarts a member with a wiped disk under its old identity.
     ReuseIdentity,
+    /// Compacts the log by the number of its entries only.
+    UnboundedLog,
 }
 
 /// One injected fault or one request of a history. Member numbers are taken modulo the group's
@@ -57,6 +61,8 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Action {
     Propose,
+    /// Proposes this many commands of `LARGE_BYTES`, a few milliseconds apart.
+    ProposeLarge(usize),
     Crash(usize),
     Restart(usize),
     /// Restarts all members at once, except the first `n % 3`.
@@ -136,6 +142,17 @@
     pub(crate) violations: Vec<String>,
 }
 
+/// The size of a command that the state machine applies, in bytes.
+const COMMAND_BYTES: usize = 8;
+/// The size of the padding of a large command, in bytes.
+const LARGE_BYTES: usize = 16 * 1024;
+/// Most bytes of entries that a member receives at once.
+const BATCH_BYTES: usize = 256 * 1024;
+
+fn limits() -> Limits {
+    Limits::new(4 << 20, 2 << 20)
+}
+
 /// The range of clock rates; the drift that leases tolerate is 5 %.
 const CLOCK_RATE_PERMILLE: std::ops::RangeInclusive<u64> = 950..=1050;
 
@@ -225,7 +242,7 @@
             .iter()
             .for_each(|record| saved.replay(record.clone()));
         host.commit = saved.meta.index;
-        host.applied = saved.state.clone();
+        host.applied = saved.state.to_vec();
         host.incarnation += 1;
         host.paused = false;
         host.deferred.clear();
@@ -234,6 +251,10 @@
             id,
             timing,
             promotion: PromotionPolicy::All,
+            limits: match self.bug {
+                InjectedBug::UnboundedLog => Limits::new(usize::MAX, usize::MAX),
+                _ => limits(),
+            },
             rng_seed: random,
         };
         host.node = Some(Node::new(now, config, saved));
@@ -264,7 +285,13 @@
 
     pub(crate) fn perform(&mut self, action: &Action) {
         match action {
-            Action::Propose => self.propose(),
+            Action::Propose => self.propose(0),
+            Action::ProposeLarge(count) => {
+                for _ in 0..*count {
+                    self.propose(LARGE_BYTES);
+                    self.run_until(self.now + 8_000);
+                }
+            }
             Action::Crash(n) => self.crash(self.pick(*n)),
             Action::Restart(n) => {
                 let id = self.pick(*n);
@@ -351,10 +378,45 @@
         }
         self.schedule_wake(id);
         self.check_leases();
+        self.compact_if_due(id);
+        self.check_sizes(id);
     }
 
-    fn propose(&mut self) {
-        let data = self.rng.random::<u64>().to_le_bytes().to_vec();
+    fn compact_if_due(&mut self, id: MemberId) {
+        let node = self.hosts[&id].node.as_ref();
+        if node.is_some_and(Node::compaction_due) {
+            self.with_node(id, |node, applied, _, out| {
+                node.compact(applied.to_vec(), out)
+            });
+        }
+    }
+
+    /// Checks what a host keeps in memory and on its disk, including writes that are not synced.
+    fn check_sizes(&mut self, id: MemberId) {
+        let host = &self.hosts[&id];
+        let Some(node) = &host.node else {
+            return;
+        };
+        let limits = limits();
+        let log_bound = limits.log + limits.pending + BATCH_BYTES;
+        let records = host.disk.records.iter().map(Record::size);
+        let journal: usize = records.sum();
+        let waiting: usize = host.disk.pending.iter().map(|(_, out)| written(out)).sum();
+        // A write may wait together with the journal that it replaces.
+        let disk_bound = log_bound + 2 * (limits.pending + BATCH_BYTES) + host.applied.len();
+        if node.log_bytes() > log_bound || journal + waiting > disk_bound {
+            self.violations.push(format!(
+                "{id} keeps {} bytes of log in memory, {journal} in its journal and {waiting} \
+                 that are not synced",
+                node.log_bytes()
+            ));
+        }
+    }
+
+    /// Proposes a random command, followed by `padding` bytes.
+    fn propose(&mut self, padding: usize) {
+        let mut data = self.rng.random::<u64>().to_le_bytes().to_vec();
+        data.resize(COMMAND_BYTES + padding, 0);
         let Some(id) = self.leader() else {
             return;
         };
@@ -458,7 +520,11 @@
             Output::Restore(meta, state) => {
                 let host = self.hosts.get_mut(&id).unwrap();
                 host.commit = meta.index;
-                host.applied = state;
+                host.applied = state.to_vec();
+            }
+            Output::SnapshotRejected(size) => {
+                self.violations
+                    .push(format!("{id} rejected a snapshot of {size} bytes"));
             }
             Output::ReadIndex(token, index) => {
                 let host = self.hosts.get_mut(&id).unwrap();
@@ -500,7 +566,7 @@
         }
         host.commit = entry.index;
         if let Body::Data(data) = &entry.body {
-            host.applied.extend_from_slice(data);
+            host.applied.extend_from_slice(&data[..COMMAND_BYTES]);
         }
         let own = (entry.term, entry.body.clone());
         let first = self
@@ -641,7 +707,7 @@
             }
         }
         self.run_until(self.now + 15_000_000);
-        self.propose();
+        self.propose(0);
         self.run_until(self.now + 3_000_000);
         let Some(leader) = self.leader() else {
             let status = |id| {
@@ -661,8 +727,8 @@
             let kept = matches!(self.committed.get(index), Some((_, Body::Data(d))) if d == data);
             let applied = self.hosts[&leader]
                 .applied
-                .chunks(8)
-                .any(|chunk| chunk == data);
+                .chunks(COMMAND_BYTES)
+                .any(|chunk| chunk == &data[..COMMAND_BYTES]);
             if !kept || *index > commit || !applied {
                 self.violations.push(format!(
                     "acknowledged entry {index} is missing on the leader"
@@ -687,7 +753,7 @@
             Output::Persist(_, record) => self.records.push(record),
             Output::Rotate(_, meta, state, record) => {
                 self.meta = meta;
-                self.state = state;
+                self.state = state.to_vec();
                 self.records = vec![record];
             }
             _ => {}
@@ -695,6 +761,15 @@
     }
 }
 
+/// The size of a write in bytes.
+fn written(output: &Output) -> usize {
+    match output {
+        Output::Persist(_, record) => record.size(),
+        Output::Rotate(_, _, state, record) => state.len() + record.size(),
+        _ => 0,
+    }
+}
+
 fn member(id: u64, stage: Stage) -> Member {
     Member {
         id: MemberId(id),
--- a/crates/agree/tests/histories.rs
+++ b/crates/agree/tests/histories.rs
@@ -1,5 +1,5 @@
 //! Property tests on generated histories with fixed seeds: crashes, lost disks, network partitions,
-//! paused processes, clock drift, message loss and duplication.
+//! paused processes, clock drift, message loss and duplication, with small and large commands.
 //!
 //! `BERG_HISTORIES` sets the number of histories for each test case.
 
@@ -36,6 +36,7 @@
     let n = 0usize..5;
     prop_oneof![
         8 => Just(Action::Propose),
+        2 => (1usize..80).prop_map(Action::ProposeLarge),
         2 => n.clone().prop_map(Action::Crash),
         3 => n.clone().prop_map(Action::Restart),
         1 => n.clone().prop_map(Action::RestartAll),
@@ -108,6 +109,21 @@
     );
 }
 
+/// A group of three commits many large commands while one member is down, and then that one catches
+/// up. Guards against a log that is compacted by the number of its entries only, so that it fills
+/// disk and memory.
+fn large_commands(bug: InjectedBug) -> Vec<String> {
+    let mut cluster = Cluster::new(3, 12, bug);
+    cluster.run_until(FIRST_ACTION_US);
+    cluster.perform(&Action::ProposeLarge(100));
+    cluster.perform(&Action::Crash(2));
+    cluster.run_until(FIRST_ACTION_US + 2_000_000);
+    cluster.perform(&Action::ProposeLarge(300));
+    cluster.heal_and_check();
+    assert!(cluster.acked() > 300, "{} acknowledged", cluster.acked());
+    cluster.violations
+}
+
 /// A group of three replaces a member, then loses another one, and then all members crash and
 /// restart. Guards against a replacement that leaves the group unable to tolerate the second loss.
 fn survives_second_loss() {
@@ -134,5 +150,12 @@
     detects_skipped_sync: is_detected(InjectedBug::SkipSync);
     detects_lease_longer_than_election_timeout: is_detected(InjectedBug::LongLease);
     detects_reused_identity_after_disk_loss: is_detected(InjectedBug::ReuseIdentity);
+    detects_log_without_limit_in_bytes: is_detected(InjectedBug::UnboundedLog);
+    large_commands_stay_within_limits: {
+        assert_eq!(large_commands(InjectedBug::None), Vec::<String>::new());
+    };
+    large_commands_without_limit_are_detected: {
+        assert!(!large_commands(InjectedBug::UnboundedLog).is_empty());
+    };
     survives_second_loss_after_member_replacement: survives_second_loss();
 }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -116,7 +116,7 @@
         (CommandKind::Document, Reply::Document(Some(document))) => {
             let mut headers = HeaderMap::new();
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-            exchange.reply(200, headers, document.bytes);
+            exchange.reply(200, headers, document.bytes.into());
         }
         (CommandKind::Document, Reply::Document(None)) => {
             admin::reject(exchange, 503, "there is no plan yet", None);
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -10,6 +10,7 @@
     Record,
     SnapshotMeta, //
 };
+use bytes::Bytes;
 use crossbeam::channel::{
     Receiver,
     Sender,
@@ -37,7 +38,7 @@
     /// Append a record to the journal.
     Append(u64, Record),
     /// Replace the snapshot, and start a new journal with the record.
-    Rotate(u64, SnapshotMeta, Vec<u8>, Record),
+    Rotate(u64, SnapshotMeta, Bytes, Record),
 }
 
 enum DiskError {
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -91,10 +91,13 @@
                 event!(self.log, ProposalRejected);
             }
             Event::ClaimGranted => self.counters.count(Counter::Claimed),
-            Event::Compacted(index) => {
+            Event::Compacted(index, log_bytes, bytes) => {
                 self.counters.count(Counter::Compacted);
-                event!(self.log, Compacted, "index" => index.0);
+                event!(self.log, Compacted, "index" => index.0, "log_bytes" => log_bytes,
+                    "bytes" => bytes);
             }
+            Event::CommandDeferred => event!(self.log, CommandDeferred),
+            Event::SnapshotRejected(size) => event!(self.log, SnapshotRejected, "bytes" => size),
             Event::MembersChanged(size) => event!(self.log, MembersChanged, "members" => size),
             Event::WindowSealed(number) => {
                 self.counters.count(Counter::UsageSealed);
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -208,7 +208,13 @@
         join: join_sender,
         listing: listing_sender,
         feed: feed_sender,
-        transport: Transport::new(id, address, sealer.clone()),
+        transport: Transport::new(
+            id,
+            address,
+            sealer.clone(),
+            settings.bounds.pending,
+            log.clone(),
+        ),
         responder: Responder {
             sealer: sealer.clone(),
             cluster: common.cluster.clone(),
@@ -281,7 +287,11 @@
                 counters: counters.clone(),
                 log: log.clone(),
             };
-            let server = Server::start("control-orders", plan.listen, common.limits, commands);
+            let limits = edge::Limits {
+                body_bytes: common.limits.body_bytes.min(settings.bounds.pending),
+                ..common.limits
+            };
+            let server = Server::start("control-orders", plan.listen, limits, commands);
             let mut servers = vec![server.map_err(RunError::Edge)?];
             if let Some(listen) = plan.metrics {
                 let handler = MetricsHandler(counters.clone());
@@ -332,6 +342,7 @@
                 Some(_) => PromotionPolicy::KeepOdd,
                 None => PromotionPolicy::All,
             },
+            limits: settings.bounds,
             rng_seed: rand::random(),
         },
         unix_ms: unix_millis(),
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -7,6 +7,7 @@
 };
 use std::time::Duration;
 
+use agree::Limits;
 use serde::Deserialize;
 use setting::{
     Common,
@@ -21,6 +22,8 @@
 const DEFAULT_REVOCATION_MS: u64 = 5000;
 /// Default time that a new leader waits before it reports usage, in milliseconds.
 const DEFAULT_REPORT_DELAY_MS: u64 = 3000;
+/// Largest memory or disk space that the settings may grant, in MiB.
+const MAX_MB: u64 = 1 << 20;
 /// Share of the revocation time for which a front's view is valid, as a fraction. The rest covers a
 /// clock drift of 5 percent, and requests that are authorized in time and sent a moment later.
 const VIEW_TTL_SHARE: (u32, u32) = (4, 5);
@@ -69,6 +72,10 @@
         #[serde(default = "default_window")]
         window_s: u64,
         #[serde(default)]
+        memory_mb: Option<f64>,
+        #[serde(default)]
+        disk_mb: Option<f64>,
+        #[serde(default)]
         plan: Option<RawPlan>,
     }
 }
@@ -93,6 +100,9 @@
     pub platform: Option<SocketAddr>,
     /// Length of a usage window.
     pub usage_window: Duration,
+    /// Bounds on what a member of the group keeps, from the memory and the disk space that the
+    /// settings grant.
+    pub bounds: Limits,
     /// The settings of a host that serves a plan; `None` for a host that serves none.
     pub plan: Option<PlanSettings>,
 }
@@ -144,6 +154,14 @@
         let platform = raw.platform.as_ref();
         let platform = platform.and_then(|text| validator.address("platform", text));
         let window = validator.in_range("window_s", raw.window_s, 1, 86_400);
+        let memory = raw
+            .memory_mb
+            .map(|mb| space(mb, "memory_mb", &mut validator));
+        let disk = raw.disk_mb.map(|mb| space(mb, "disk_mb", &mut validator));
+        let bounds = Limits::new(
+            memory.unwrap_or(Limits::DEFAULT_MEMORY),
+            disk.unwrap_or(Limits::DEFAULT_DISK),
+        );
         let operators: Vec<_> = raw
             .operators
             .iter()
@@ -169,12 +187,20 @@
             operators,
             platform,
             usage_window: Duration::from_secs(window),
+            bounds,
             plan,
         });
         validator.finish(settings)
     }
 }
 
+/// Memory or disk space in bytes, from a number of MiB.
+fn space(mb: f64, name: &'static str, validator: &mut Validator) -> usize {
+    // A negative number or none becomes 0, which is out of range.
+    let count = validator.in_range(name, mb as u64, 1, MAX_MB);
+    usize::try_from(count << 20).unwrap_or(usize::MAX)
+}
+
 /// The data directory, whose path is relative to the settings file. An empty path would name the
 /// settings file's own folder.
 fn data_dir_of(data: &Path, validator: &mut Validator, path: &Path) -> Option<PathBuf> {
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -69,6 +69,7 @@
         operators: Vec::new(),
         platform: None,
         usage_window: Duration::from_secs(60),
+        bounds: Default::default(),
         plan: Some(PlanSettings {
             path: PathBuf::from("none.toml"),
             listen: reserve_address().unwrap(),
--- a/crates/control/tests/restart.rs
+++ b/crates/control/tests/restart.rs
@@ -50,6 +50,7 @@
         }],
         platform: None,
         usage_window: std::time::Duration::from_secs(60),
+        bounds: Default::default(),
         plan: None,
     }
 }
--- a/crates/govern/src/billing.rs
+++ b/crates/govern/src/billing.rs
@@ -51,7 +51,7 @@
     unrecorded: BTreeMap<Reporter, Vec<(u64, Runs)>>,
     recorded_at: Tick,
     /// Whether a seal command is in the log and not committed.
-    sealing: bool,
+    pub(crate) sealing: bool,
     /// Whether a report is in progress or its acceptance not committed.
     reporting: bool,
     retry_at: Tick,
@@ -61,8 +61,9 @@
 
 impl Billing {
     /// Adds a process's tally, which replaces its earlier ones not yet in the log.
-    pub(crate) fn add(&mut self, tally: Tally) {
-        let (reporter, windows) = tally;
+    pub(crate) fn add(&mut self, tally: Tally, last_sealed: Option<u64>) {
+        let (reporter, mut windows) = tally;
+        usage::trim(&mut windows, last_sealed);
         self.unrecorded.insert(reporter, windows);
     }
 
@@ -84,13 +85,16 @@
         self.reporting = false;
     }
 
-    /// Returns the next action that is due. `unix_ms` is Unix time in milliseconds.
+    /// Returns the next action that is due. `unix_ms` is Unix time in milliseconds. No window is
+    /// sealed while the statements that are not accepted take more than `capacity` bytes; the
+    /// processes keep their counts until then.
     pub(crate) fn next_action(
         &mut self,
         now: Tick,
         unix_ms: u64,
         plan: &PlanOptions,
         statements: &Statements,
+        capacity: usize,
     ) -> Option<Action> {
         let led_since = *self.led_since.get_or_insert(now);
         if !self.unrecorded.is_empty() && now.since(self.recorded_at) >= RECORD_INTERVAL {
@@ -99,9 +103,9 @@
                 std::mem::take(&mut self.unrecorded).into_iter().collect(),
             ));
         }
-        if let Some(window) =
-            self.window_to_seal(now.since(led_since), unix_ms, plan.usage_window, statements)
-        {
+        let window =
+            self.window_to_seal(now.since(led_since), unix_ms, plan.usage_window, statements);
+        if let Some(window) = window.filter(|_| statements.pending_bytes() <= capacity) {
             self.sealing = true;
             return Some(Action::Seal(window));
         }
--- a/crates/govern/src/feed.rs
+++ b/crates/govern/src/feed.rs
@@ -145,7 +145,8 @@
     /// Keeps a front's usage for the next request. A later report of the front replaces it, and the
     /// front repeats its report until the window is sealed, so nothing is lost with this process.
     pub(crate) fn add_tally(&mut self, tally: Tally) {
-        let (reporter, windows) = tally;
+        let (reporter, mut windows) = tally;
+        usage::trim(&mut windows, self.last_sealed);
         self.tallies.insert(reporter, windows);
     }
 
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -13,6 +13,7 @@
     MemberError,
     MemberId,
     Node,
+    ProposeError,
     SnapshotMeta, //
 };
 use ids::{
@@ -66,8 +67,6 @@
     Subscribers, //
 };
 
-/// Number of log entries in memory above which a snapshot replaces them.
-const MAX_LOG_ENTRIES: usize = 8192;
 /// Delay before the leader retries to report a window that the billing interface did not accept.
 const DELIVERY_RETRY: Duration = Duration::from_secs(2);
 
@@ -220,6 +219,8 @@
             node: self.node.status(),
             revision: self.machine.registry.config().revision(),
             log_entries: self.node.log_len(),
+            log_bytes: self.node.log_bytes(),
+            journal_bytes: self.node.journal_bytes(),
             claims: self.machine.ledger.len(),
             members: self.node.group().to_vec(),
             subscribers: self.views.list().collect(),
@@ -264,7 +265,13 @@
         }
         let mut node_out = Outbox::default();
         match self.node.propose(now, data, &mut node_out) {
-            Err(error) => reply_with(Reply::NotLeader(self.address(error.leader)), out),
+            Err(ProposeError::NotLeader(error)) => {
+                reply_with(Reply::NotLeader(self.address(error.leader)), out);
+            }
+            Err(ProposeError::Full) => {
+                out.push(Output::Event(Event::CommandDeferred));
+                reply_with(Reply::Unavailable, out);
+            }
             Ok(index) => {
                 if let Some(ticket) = ticket {
                     let term = self.node.status().term;
@@ -336,6 +343,9 @@
             agree::Output::Apply(entry) => self.commit(entry, out),
             agree::Output::Restore(meta, state) => self.restore(&meta, &state, out),
             agree::Output::ReadIndex(token, index) => self.confirmed(token, index),
+            agree::Output::SnapshotRejected(size) => {
+                out.push(Output::Event(Event::SnapshotRejected(size)));
+            }
         }
     }
 
@@ -438,7 +448,7 @@
         self.reply_to_views(now, out);
         self.reply_to_deployments(now, out);
         self.reply_to_feeds(now, out);
-        if self.node.log_len() > MAX_LOG_ENTRIES && !self.halted {
+        if self.node.compaction_due() && !self.halted {
             self.compact(now, out);
         }
     }
@@ -481,7 +491,8 @@
         match self.codec.encode_snapshot(&self.machine.export()) {
             Err(error) => self.fail(error.to_string(), out),
             Ok(state) => {
-                out.push(Output::Event(Event::Compacted(self.applied)));
+                let event = Event::Compacted(self.applied, self.node.log_bytes(), state.len());
+                out.push(Output::Event(event));
                 let mut node_out = Outbox::default();
                 self.node.compact(state, &mut node_out);
                 self.handle_node_outputs(now, node_out, out);
@@ -508,9 +519,8 @@
             .last()
             .map_or(0, |window| window.end);
         if !self.sealing && end > last_end {
-            self.sealing = true;
             let number = self.machine.usage.open_number();
-            self.propose(now, None, &Command::SealWindow { number, end }, out);
+            self.sealing = self.propose_duty(now, &Command::SealWindow { number, end }, out);
         }
         let ready = !self.delivering && now >= self.delivery_retry;
         if let Some(window) = self.machine.usage.pending().filter(|_| ready) {
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -14,6 +14,7 @@
     Record,
     SnapshotMeta, //
 };
+use bytes::Bytes;
 use conf::{
     Proposal,
     Update, //
@@ -269,6 +270,10 @@
     pub revision: Revision,
     /// Log entries in memory.
     pub log_entries: usize,
+    /// The size of these entries in bytes, by estimate.
+    pub log_bytes: usize,
+    /// The size of the journal in bytes, by estimate.
+    pub journal_bytes: usize,
     /// Claims in the ledger.
     pub claims: usize,
     /// The members of the control group.
@@ -292,8 +297,13 @@
     ProposalDecided(Option<Revision>),
     /// A claim was granted.
     ClaimGranted,
-    /// A snapshot up to this index was made.
-    Compacted(Index),
+    /// A snapshot up to this index was made; the size of the log in memory before, and that of the
+    /// snapshot, in bytes.
+    Compacted(Index, usize, usize),
+    /// A command was rejected because too many bytes are not committed, or not synced to the disk.
+    CommandDeferred,
+    /// The leader's snapshot is larger than this host may receive; its size in bytes.
+    SnapshotRejected(u64),
     /// The group changed to this many members.
     MembersChanged(usize),
     /// The usage window with this number was sealed.
@@ -312,7 +322,7 @@
     /// Append the record to the journal and sync it, then send [`Input::Synced`] with the number.
     Persist(u64, Record),
     /// Replace snapshot and journal atomically, then send [`Input::Synced`] with the number.
-    Rotate(u64, SnapshotMeta, Vec<u8>, Record),
+    Rotate(u64, SnapshotMeta, Bytes, Record),
     /// Send a message to a member at an address.
     Send(MemberId, SocketAddr, Message),
     /// Reply to the request with this ticket.
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -41,6 +41,10 @@
 /// A process that requested the deployment within this time counts as a subscriber.
 pub(crate) const SUBSCRIBER_ACTIVE: Duration = Duration::from_secs(3);
 
+/// Share of the bound on a command's size that statements may take before they are accepted, as a
+/// divisor.
+const STATEMENT_SHARE: usize = 4;
+
 impl<K: Codec> Govern<K> {
     /// Records a host's request to join the group. The leader acts on it at its next heartbeat.
     pub(crate) fn join(
@@ -70,7 +74,8 @@
         let leads = self.node.leads();
         let uplink = self.uplink.as_mut();
         if self.node.lease(now).is_some() {
-            self.billing.add(tally);
+            self.billing
+                .add(tally, self.machine.statements.last_sealed());
         } else if let Some(uplink) = uplink.filter(|uplink| !leads && uplink.in_touch(now)) {
             uplink.add_tally(tally);
         } else {
@@ -118,8 +123,9 @@
         if self.node.lease(now).is_none() {
             return self.refer_to_leader(ticket, out);
         }
+        let last_sealed = self.machine.statements.last_sealed();
         for tally in request.tallies {
-            self.billing.add(tally);
+            self.billing.add(tally, last_sealed);
         }
         self.judge.record(now, &request.evidence);
         self.distributors
@@ -195,12 +201,16 @@
         self.judge_parts(now, out);
         let unix_ms = self.unix_ms(now);
         let statements = &self.machine.statements;
-        match self.billing.next_action(now, unix_ms, &plan, statements) {
+        let capacity = self.options.node.limits.pending / STATEMENT_SHARE;
+        let billing = &mut self.billing;
+        match billing.next_action(now, unix_ms, &plan, statements, capacity) {
             Some(Action::Record(tallies)) => {
                 self.propose(now, None, &Command::RecordTallies(tallies), out);
             }
             Some(Action::Seal(window)) => {
-                self.propose(now, None, &Command::SealStatement(window), out)
+                // If the command cannot be proposed, the window is sealed later.
+                let sealing = self.propose_duty(now, &Command::SealStatement(window), out);
+                self.billing.sealing = sealing;
             }
             Some(Action::Report(statement)) => out.push(Output::DeliverStatement(statement, lease)),
             None => {}
--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -16,6 +16,7 @@
     Body,
     DurableState,
     Entry,
+    Limits,
     Member,
     MemberId,
     PromotionPolicy,
@@ -24,6 +25,7 @@
     Stage,
     Timing, //
 };
+use bytes::Bytes;
 use govern::{
     Command,
     DeploymentReply,
@@ -73,11 +75,16 @@
 /// Timeout of a distributor's request to the leader, in microseconds.
 const FEED_TIMEOUT_US: u64 = 900_000;
 
+/// Bounds for 4 MiB of memory and 1 MiB of disk space.
+pub(crate) fn limits() -> Limits {
+    Limits::new(4 << 20, 1 << 20)
+}
+
 #[derive(Default)]
 struct Disk {
     id: u64,
     meta: SnapshotMeta,
-    state: Vec<u8>,
+    state: Bytes,
     records: Vec<Record>,
     /// Writes not yet synced, oldest first. A loss of power may lose them.
     pending: Vec<(u64, Write)>,
@@ -85,7 +92,7 @@
 
 enum Write {
     Append(Record),
-    Rotate(SnapshotMeta, Vec<u8>, Record),
+    Rotate(SnapshotMeta, Bytes, Record),
 }
 
 impl Disk {
@@ -213,6 +220,10 @@
     pub(crate) report_time: u64,
     /// Whether hosts report writes as synced before the disk has synced them. The protocol forbids it.
     pub(crate) skip_sync: bool,
+    /// Bounds on what each host keeps.
+    pub(crate) limits: Limits,
+    /// Bytes that each installed plan has besides its version.
+    pub(crate) padding: usize,
     /// The last identity given to a host with an empty disk.
     last_id: u64,
 }
@@ -261,6 +272,8 @@
             accepts_reports: true,
             report_time: HOP_US,
             skip_sync: false,
+            limits: limits(),
+            padding: 0,
             last_id: 100,
         };
         let members = (0..3).map(|n| member(n, n as u64 + 1, Stage::Voter));
@@ -340,6 +353,7 @@
                 id: MemberId(disk.id),
                 timing: Timing::default(),
                 promotion: PromotionPolicy::KeepOdd,
+                limits: self.limits,
                 rng_seed: disk.id * 31 + self.incarnations[n],
             },
             unix_ms: 1_700_000_000_000 + self.now / 1000,
@@ -659,9 +673,11 @@
     /// Requests the leader, if there is one, to install a plan.
     fn request_install(&mut self, version: u64) -> Option<(usize, Ticket)> {
         let leader = self.leader()?;
+        let mut bytes = version.to_string().into_bytes();
+        bytes.resize(bytes.len() + self.padding, b' ');
         let document = Document {
             version,
-            bytes: version.to_string().into_bytes(),
+            bytes: bytes.into(),
         };
         let install = Request::Command(Command::Install(document));
         Some(self.request(leader, install))
@@ -807,6 +823,22 @@
         1_700_000_000_000 + self.now / 1000
     }
 
+    /// Bytes of log in a host's memory, and bytes on its disk, including writes that are not synced.
+    pub(crate) fn sizes(&mut self, n: usize) -> (usize, usize) {
+        let request = self.request(n, Request::Status);
+        let memory = match self.reply(request) {
+            Some(Reply::Status(status)) => status.log_bytes,
+            _ => 0,
+        };
+        let disk = &self.disks[n];
+        let records = disk.records.iter().map(Record::size).sum::<usize>();
+        let pending = disk.pending.iter().map(|(_, write)| match write {
+            Write::Append(record) => record.size(),
+            Write::Rotate(_, state, record) => state.len() + record.size(),
+        });
+        (memory, disk.state.len() + records + pending.sum::<usize>())
+    }
+
     /// Log entries in a host's memory.
     pub(crate) fn log_entries(&mut self, n: usize) -> usize {
         let request = self.request(n, Request::Status);
--- a/crates/govern/tests/histories.rs
+++ b/crates/govern/tests/histories.rs
@@ -1,7 +1,7 @@
 //! Random histories of a control group: crashes, lost disks, replacements, suspensions, network
 //! partitions and losses of power, with plans installed in between. No acknowledged plan is lost, no
-//! read returns an older plan than the last acknowledged one, no two hosts report usage in turn, and
-//! the group recovers within a limit.
+//! read returns an older plan than the last acknowledged one, no two hosts report usage in turn, no
+//! host keeps more than its limits allow, and the group recovers within a limit.
 //!
 //! `BERG_GROUPS` sets the number of histories. With `--nocapture` the longest recovery time is
 //! printed for each kind of failure.
@@ -11,7 +11,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use agree::MAX_VOTERS;
+use agree::{
+    Limits,
+    MAX_VOTERS, //
+};
 use group::Group;
 use rand::{
     RngExt,
@@ -31,6 +34,8 @@
 /// Longest time until a new leader is elected after the leader fails, in milliseconds: two
 /// elections.
 const FAILOVER_MS: u64 = 2000;
+/// Size of a large plan, in bytes.
+const LARGE_PLAN_BYTES: usize = 32 * 1024;
 /// Resolution of measured recovery times, in milliseconds.
 const POLL_MS: u64 = 20;
 
@@ -44,6 +49,8 @@
     SkipSync,
     /// A new leader reports usage at once.
     ReportAtOnce,
+    /// Hosts compact their logs by the number of entries only.
+    UnboundedLog,
 }
 
 /// A kind of failure, after which the group must recover.
@@ -91,6 +98,13 @@
             Sabotage::ReportAtOnce => Group::bootstrap_with(Duration::ZERO),
             _ => Group::bootstrap(),
         };
+        if sabotage == Sabotage::UnboundedLog {
+            group.limits = Limits::new(usize::MAX, usize::MAX);
+            for n in 0..3 {
+                group.crash(n);
+                group.start(n);
+            }
+        }
         // Rejected reports are repeated, so a leader reports as often as it may.
         group.accepts_reports = false;
         (3..size).for_each(|_| {
@@ -327,10 +341,41 @@
         }
     }
 
+    /// Installs many large plans, possibly while a host is isolated.
+    fn install_many(&mut self) {
+        if self.rng.random_bool(0.5) {
+            let lagging = self.any();
+            self.group.isolate(lagging);
+        }
+        self.group.padding = LARGE_PLAN_BYTES;
+        for _ in 0..self.rng.random_range(1..40) {
+            self.install_until_acknowledged();
+        }
+        self.group.padding = 0;
+        self.group.heal();
+    }
+
+    /// Returns the host that keeps more bytes than its limits allow, if any. A snapshot has one plan.
+    fn oversized(&mut self) -> Option<String> {
+        let limits = group::limits();
+        let batch = 256 * 1024;
+        let memory_bound = limits.log + limits.pending + batch;
+        let disk_bound = memory_bound + limits.pending + 2 * (LARGE_PLAN_BYTES + 16 * 1024);
+        let sizes: Vec<_> = self.live.iter().map(|n| self.group.sizes(*n)).collect();
+        let oversized =
+            |(memory, disk): &(usize, usize)| *memory > memory_bound || *disk > disk_bound;
+        let found = sizes.iter().position(oversized)?;
+        let (memory, disk) = sizes[found];
+        Some(format!(
+            "host {} keeps {memory} bytes of log in memory and {disk} bytes on its disk",
+            self.live[found]
+        ))
+    }
+
     /// Takes one random step, then lets the group settle.
     fn step(&mut self) {
         self.group.tally("f1", &[(self.group.window(), 1)]);
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..14) {
             0 | 1 => self.install(),
             2 => self.lose_leader(),
             3 => self.crash_all(),
@@ -342,6 +387,7 @@
             9 => self.lose_power_and_disk(),
             10 => self.partition(),
             11 => self.block_one_way(),
+            12 => self.install_many(),
             _ => self.depend_on_lagging_hosts(),
         }
         self.group.advance(3000);
@@ -349,6 +395,9 @@
 
     /// Returns the invariant that the group violates now, if any.
     fn violation(&mut self) -> Option<String> {
+        if let Some(oversized) = self.oversized() {
+            return Some(oversized);
+        }
         let late = self
             .recovery_ms
             .iter()
@@ -450,6 +499,7 @@
     eight_hosts_uphold_invariants: upholds_invariants(8);
     reused_identity_is_detected: is_detected(Sabotage::ReuseIdentity);
     skipped_sync_is_detected: is_detected(Sabotage::SkipSync);
+    log_without_limit_in_bytes_is_detected: is_detected(Sabotage::UnboundedLog);
     // ONE, issue 27: two hosts reported usage in turn.
     report_right_after_the_election_is_detected: is_detected(Sabotage::ReportAtOnce);
 }
--- a/crates/govern/tests/quarantine.rs
+++ b/crates/govern/tests/quarantine.rs
@@ -314,7 +314,7 @@
         let expected = quarantine(&mut group, leader);
         assert_eq!(parts(&expected), [DEADLY]);
         for version in 2..8300 {
-            let document = Document { version, bytes: Vec::new() };
+            let document = Document { version, bytes: Default::default() };
             group.request(leader, Request::Command(Command::Install(document)));
             if version % 500 == 0 {
                 group.advance(20);
--- a/crates/loadtest/src/group.rs
+++ b/crates/loadtest/src/group.rs
@@ -125,6 +125,7 @@
         }],
         platform: None,
         usage_window: Duration::from_secs(60),
+        bounds: Default::default(),
         plan: None,
     })
 }
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -478,6 +478,7 @@
             }],
             platform: Some(platform),
             usage_window: options.usage_window,
+            bounds: Default::default(),
             plan: None,
         };
         if !data_dir.exists() {
--- a/crates/plan/src/deployment.rs
+++ b/crates/plan/src/deployment.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use serde::{
     Deserialize,
     Serialize, //
@@ -14,9 +15,9 @@
 pub struct Document {
     /// The version of the plan.
     pub version: u64,
-    /// The unmodified bytes. An operator who reads the plan gets exactly these.
-    #[serde(with = "serde_bytes")]
-    pub bytes: Vec<u8>,
+    /// The unmodified bytes, which copies of the document share. An operator who reads the plan gets
+    /// exactly these.
+    pub bytes: Bytes,
 }
 
 /// The current plan and the closed zones. Each change increments the generation.
--- a/crates/plan/tests/rules.rs
+++ b/crates/plan/tests/rules.rs
@@ -82,7 +82,7 @@
 fn document(version: u64, bytes: &[u8]) -> Document {
     Document {
         version,
-        bytes: bytes.to_vec(),
+        bytes: bytes.to_vec().into(),
     }
 }
 
--- a/crates/scenario/src/control_host.rs
+++ b/crates/scenario/src/control_host.rs
@@ -2,6 +2,7 @@
 
 use agree::{
     DurableState,
+    Limits,
     MemberId,
     NodeConfig,
     PromotionPolicy,
@@ -13,6 +14,9 @@
 use ids::Tick;
 use wire::MessagePack;
 
+/// Memory and disk space of a host, in bytes.
+const HOST_BYTES: usize = 1 << 30;
+
 /// The contents of a disk: a snapshot and the log records after it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Disk {
@@ -46,6 +50,7 @@
                 id: self.id,
                 timing: Timing::default(),
                 promotion: PromotionPolicy::All,
+                limits: Limits::new(HOST_BYTES, HOST_BYTES),
                 rng_seed,
             },
             unix_ms: 1_800_000_000_000,
--- a/crates/scenario/src/stepping.rs
+++ b/crates/scenario/src/stepping.rs
@@ -59,7 +59,7 @@
                 }
                 govern::Output::Rotate(seq, meta, state, record) => {
                     let disk = &mut self.hosts[n].disk;
-                    (disk.meta, disk.state, disk.records) = (meta, state, vec![record]);
+                    (disk.meta, disk.state, disk.records) = (meta, state.into(), vec![record]);
                     let incarnation = self.hosts[n].incarnation;
                     self.schedule_event(DISK_SYNC_US, Event::Synced(n, incarnation, seq));
                 }
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -22,7 +22,8 @@
     Runs,
     Statement,
     Statements,
-    Tally, //
+    Tally,
+    trim, //
 };
 pub use window::{
     Delivery,
--- a/crates/usage/src/statement.rs
+++ b/crates/usage/src/statement.rs
@@ -40,6 +40,16 @@
     pub delivery: Delivery,
 }
 
+impl Statement {
+    /// An estimate of the statement's encoded size in bytes.
+    fn size(&self) -> usize {
+        const HEADER_BYTES: usize = 32;
+        const COUNT_BYTES: usize = 10;
+        let accounts = self.runs.keys();
+        HEADER_BYTES + accounts.map(|name| name.len() + COUNT_BYTES).sum::<usize>()
+    }
+}
+
 /// The process that counts: one incarnation of a host's front.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
@@ -53,6 +63,14 @@
 /// The counts of one process, by window number.
 pub type Tally = (Reporter, Vec<(u64, Runs)>);
 
+/// Removes the counts of all windows but the oldest that are not sealed, as many as are recorded. The
+/// process repeats the others once these are sealed.
+pub fn trim(windows: &mut Vec<(u64, Runs)>, last_sealed: Option<u64>) {
+    windows.retain(|(window, _)| last_sealed.is_none_or(|last| *window > last));
+    windows.sort_unstable_by_key(|(window, _)| *window);
+    windows.truncate(usize::try_from(MAX_OPEN_WINDOWS).unwrap_or(usize::MAX));
+}
+
 /// Open and sealed windows. They are replicated, so that recorded tallies survive a failure of the
 /// leader that received them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -127,6 +145,13 @@
         self.trim();
     }
 
+    /// The size in bytes, by estimate, of the statements that are not accepted.
+    pub fn pending_bytes(&self) -> usize {
+        let pending = self.sealed.iter();
+        let pending = pending.filter(|statement| statement.delivery == Delivery::Pending);
+        pending.map(Statement::size).sum()
+    }
+
     /// How many processes reported the last sealed window.
     pub fn sources(&self) -> usize {
         self.sealed.back().map_or(0, |statement| statement.sources)
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -190,7 +190,7 @@
     let mut machine = Machine::default();
     machine.apply(Command::Install(Document {
         version: 7,
-        bytes: b"plan".to_vec(),
+        bytes: b"plan".to_vec().into(),
     }));
     if quarantined {
         let parts = quarantine().parts().collect();
