--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -6,10 +6,15 @@
 };
 use wire::{
     WireError,
+    compress,
     decode,
+    decompress,
     encode, //
 };
 
+/// The start of a compressed snapshot file. An uncompressed one starts with a MessagePack array.
+const PACKED: &[u8] = b"zstd";
+
 /// Encodes a journal frame, which holds the records that are synced together.
 pub(crate) fn encode_frame(records: &[Record]) -> Result<Vec<u8>, WireError> {
     encode(&records)
@@ -25,11 +30,21 @@
     encode(&(meta, serde_bytes::Bytes::new(state)))
 }
 
-/// Decodes a snapshot file. An empty file stands for a log without a snapshot.
+/// Compresses an encoded snapshot file.
+pub(crate) fn pack_snapshot(bytes: &[u8]) -> Result<Vec<u8>, WireError> {
+    let mut packed = PACKED.to_vec();
+    packed.extend(compress(bytes)?);
+    Ok(packed)
+}
+
+/// Decodes a snapshot file, compressed or not. An empty file stands for a log without a snapshot.
 pub(crate) fn decode_snapshot(bytes: &[u8]) -> Result<(SnapshotMeta, Vec<u8>), WireError> {
     if bytes.is_empty() {
         return Ok(Default::default());
     }
+    if let Some(packed) = bytes.strip_prefix(PACKED) {
+        return decode_snapshot(&decompress(packed)?);
+    }
     let (meta, state): (SnapshotMeta, serde_bytes::ByteBuf) = decode(bytes)?;
     Ok((meta, state.into_vec()))
 }
--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -96,7 +96,7 @@
     while let Ok(first) = jobs.recv() {
         let more = jobs.try_iter().take(MAX_ADDITIONAL_JOBS);
         let batch: Vec<_> = std::iter::once(first).chain(more).collect();
-        match write(&mut state_dir, batch) {
+        match write(&mut state_dir, batch, log) {
             Ok(seq) => {
                 if inbox.send(Input::Synced(seq)).is_err() {
                     break;
@@ -115,7 +115,7 @@
 
 /// Writes a batch and returns its last sequence number. The records between two rotations form one
 /// frame.
-fn write(state_dir: &mut StateDir, batch: Vec<Job>) -> Result<u64, DiskError> {
+fn write(state_dir: &mut StateDir, batch: Vec<Job>, log: &Logger) -> Result<u64, DiskError> {
     let mut last = 0;
     let mut records = Vec::new();
     for job in batch {
@@ -126,11 +126,7 @@
             }
             Job::Rotate(seq, meta, state, record) => {
                 append(state_dir, &mut records)?;
-                let snapshot = codec::encode_snapshot(&meta, &state).map_err(DiskError::Wire)?;
-                let first = codec::encode_frame(&[record]).map_err(DiskError::Wire)?;
-                state_dir
-                    .rotate(&snapshot, &first)
-                    .map_err(DiskError::Store)?;
+                rotate(state_dir, &meta, &state, record, log)?;
                 last = seq;
             }
         }
@@ -139,6 +135,28 @@
     Ok(last)
 }
 
+/// Replaces snapshot and journal. On a full disk the snapshot is compressed, since the old journal,
+/// which takes most of the space, can be removed only afterwards.
+fn rotate(
+    state_dir: &mut StateDir,
+    meta: &SnapshotMeta,
+    state: &[u8],
+    record: Record,
+    log: &Logger,
+) -> Result<(), DiskError> {
+    let snapshot = codec::encode_snapshot(meta, state).map_err(DiskError::Wire)?;
+    let first = codec::encode_frame(&[record]).map_err(DiskError::Wire)?;
+    match state_dir.rotate(&snapshot, &first) {
+        Err(error) if error.is_full() => {
+            let packed = codec::pack_snapshot(&snapshot).map_err(DiskError::Wire)?;
+            event!(log, SnapshotPacked, "fault" => error.to_string(),
+                "bytes" => snapshot.len(), "packed" => packed.len());
+            state_dir.rotate(&packed, &first).map_err(DiskError::Store)
+        }
+        result => result.map_err(DiskError::Store),
+    }
+}
+
 fn append(state_dir: &mut StateDir, records: &mut Vec<Record>) -> Result<(), DiskError> {
     if records.is_empty() {
         return Ok(());
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -23,7 +23,11 @@
     Logger,
     event, //
 };
-use store::StateDir;
+use store::{
+    Replay,
+    StateDir, //
+};
+use wire::WireError;
 
 use crate::codec;
 use crate::role::RunError;
@@ -134,22 +138,54 @@
     })
 }
 
-/// Opens the data directory and decodes the durable state.
+/// Decodes the durable state while the data directory is read.
+#[derive(Default)]
+struct Decoder {
+    durable: DurableState,
+    /// The first error. What follows it is ignored.
+    error: Option<WireError>,
+}
+
+impl Decoder {
+    fn decode_snapshot(&mut self, bytes: &[u8]) -> Result<(), WireError> {
+        let (meta, state) = codec::decode_snapshot(bytes)?;
+        self.durable = DurableState::new(meta, state);
+        Ok(())
+    }
+
+    fn decode_frame(&mut self, bytes: &[u8]) -> Result<(), WireError> {
+        let records = codec::decode_frame(bytes)?.into_iter();
+        records.for_each(|record| self.durable.replay(record));
+        Ok(())
+    }
+}
+
+impl Replay for Decoder {
+    fn snapshot(&mut self, bytes: Vec<u8>) {
+        self.error = self.decode_snapshot(&bytes).err();
+    }
+
+    fn record(&mut self, bytes: Vec<u8>) {
+        if self.error.is_none() {
+            self.error = self.decode_frame(&bytes).err();
+        }
+    }
+}
+
+/// Opens the data directory and decodes the durable state. Needs memory for that state and one
+/// frame of the journal, whatever the journal's size.
 fn open(data: &Path, log: &Logger) -> Result<Stored, RunError> {
-    let (dir, recovered) = StateDir::open(data)?;
-    if recovered.torn_bytes > 0 {
-        event!(log, JournalTruncated, "bytes" => recovered.torn_bytes);
+    let mut decoder = Decoder::default();
+    let (dir, origin) = StateDir::replay(data, &mut decoder)?;
+    if origin.torn_bytes > 0 {
+        event!(log, JournalTruncated, "bytes" => origin.torn_bytes);
     }
-    let (meta, state) = codec::decode_snapshot(&recovered.snapshot)?;
-    let mut durable = DurableState::new(meta, state);
-    for frame in &recovered.records {
-        codec::decode_frame(frame)?
-            .into_iter()
-            .for_each(|record| durable.replay(record));
+    match decoder.error {
+        Some(error) => Err(error.into()),
+        None => Ok(Stored {
+            dir,
+            id: MemberId(origin.identity),
+            durable: decoder.durable,
+        }),
     }
-    Ok(Stored {
-        dir,
-        id: MemberId(recovered.identity),
-        durable,
-    })
 }
--- a/crates/control/tests/large_changes.rs
+++ b/crates/control/tests/large_changes.rs
@@ -220,7 +220,29 @@
     host.close();
 }
 
+/// Guards against a host that ends for good because its journal leaves no space for a snapshot.
+fn full_disk_takes_packed_snapshot() {
+    let dir = TempDir::new().unwrap();
+    let settings = settings(&dir.path().join("data"), tight());
+    let host = start(&settings);
+    order(orders(&settings), "PUT", &document(1));
+    // Writes of the next snapshot fail once, since the host then removes the file.
+    let next = dir.path().join("data").join("snapshot-1.tmp");
+    std::os::unix::fs::symlink("/dev/full", &next).unwrap();
+    change(&settings, 2, CHANGES);
+    assert!(!next.exists(), "no snapshot was written");
+    host.close();
+    let host = start(&settings);
+    let read = order(orders(&settings), "GET", b"");
+    assert!(
+        read == document(CHANGES - 1),
+        "another plan after a restart"
+    );
+    host.close();
+}
+
 case::cases! {
     large_changes_stay_within_disk: stays_within_disk();
     journal_above_its_bound_shrinks_after_a_start: large_journal_shrinks();
+    full_disk_takes_a_packed_snapshot: full_disk_takes_packed_snapshot();
 }
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -95,6 +95,7 @@
     4010 PartReleased Info "a prompt part or request was released from quarantine";
     4011 CommandDeferred Warning "a command was rejected because too much is not committed or not written to the disk yet";
     4012 SnapshotRejected Warning "the leader's snapshot is larger than the host may receive";
+    4013 SnapshotPacked Warning "the disk is full; the snapshot was written in compressed form";
     4014 PeerQueueFull Warning "messages to another host were dropped because its queue was full";
     4101 ProposalAccepted Info "a change of the configuration was accepted";
     4102 ProposalRejected Info "a change of the configuration was rejected";
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -6,6 +6,31 @@
 /// The length of the header in bytes.
 pub(crate) const HEADER_BYTES: usize = 16;
 
+/// The content of a frame's header.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Header {
+    /// The length of the payload in bytes.
+    pub(crate) len: usize,
+    /// The checksum of the payload.
+    checksum: u32,
+}
+
+impl Header {
+    /// Reads a header; none if it is not valid.
+    pub(crate) fn read(bytes: &[u8; HEADER_BYTES]) -> Option<Self> {
+        let valid = bytes[..4] == MAGIC && read_u32(bytes, 12) == crc32c::crc32c(&bytes[..12]);
+        valid.then(|| Self {
+            len: read_u32(bytes, 4) as usize,
+            checksum: read_u32(bytes, 8),
+        })
+    }
+
+    /// Whether `payload` is the payload that belongs to this header.
+    pub(crate) fn matches(self, payload: &[u8]) -> bool {
+        payload.len() == self.len && crc32c::crc32c(payload) == self.checksum
+    }
+}
+
 /// The result of reading a frame.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Frame {
@@ -29,15 +54,13 @@
 
 /// Reads the frame at the beginning of `bytes`.
 pub(crate) fn read(bytes: &[u8]) -> Frame {
-    if bytes.len() < HEADER_BYTES || bytes[..4] != MAGIC {
+    let Some((header, rest)) = bytes.split_first_chunk::<HEADER_BYTES>() else {
         return Frame::Invalid;
-    }
-    if read_u32(bytes, 12) != crc32c::crc32c(&bytes[..12]) {
-        return Frame::Invalid;
-    }
-    let len = read_u32(bytes, 4) as usize;
-    match bytes.get(HEADER_BYTES..HEADER_BYTES + len) {
-        Some(payload) if crc32c::crc32c(payload) == read_u32(bytes, 8) => Frame::Valid(len),
+    };
+    match Header::read(header) {
+        Some(header) if rest.get(..header.len).is_some_and(|p| header.matches(p)) => {
+            Frame::Valid(header.len)
+        }
         _ => Frame::Invalid,
     }
 }
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -5,6 +5,7 @@
     OpenOptions, //
 };
 use std::io::{
+    BufReader,
     Read,
     Seek,
     SeekFrom,
@@ -18,19 +19,10 @@
 use crate::StoreError;
 use crate::frame::{
     self,
-    Frame,
-    HEADER_BYTES, //
+    HEADER_BYTES,
+    Header, //
 };
 
-/// The content of a journal when it was opened.
-#[derive(Debug, Default)]
-pub struct Replay {
-    /// The payloads of the records, oldest first.
-    pub records: Vec<Vec<u8>>,
-    /// The length of the incomplete record that was truncated from the end, in bytes.
-    pub torn_bytes: u64,
-}
-
 /// A journal that is open for appending.
 #[derive(Debug)]
 pub struct Journal {
@@ -59,40 +51,38 @@
         Ok(journal)
     }
 
-    /// Opens a journal, reads all records, and truncates an incomplete record at the end: a crash
-    /// during [`Journal::append`] leaves one, and it was never reported as written.
+    /// Opens a journal, passes each record to `receive`, oldest first, and truncates an incomplete
+    /// record at the end: a crash during [`Journal::append`] leaves one, and it was never reported
+    /// as written. Returns the journal and the length of the incomplete record in bytes. Holds one
+    /// record in memory at a time.
     ///
     /// # Errors
     ///
     /// [`StoreError::Corrupt`] if valid records follow an invalid one, since a crash cannot cause
     /// that; [`StoreError::Io`].
-    pub fn open(path: &Path) -> Result<(Self, Replay), StoreError> {
+    pub fn open(path: &Path, receive: impl FnMut(Vec<u8>)) -> Result<(Self, u64), StoreError> {
         let mut file = OpenOptions::new()
             .read(true)
             .write(true)
             .open(path)
             .map_err(StoreError::io(path))?;
-        let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes).map_err(StoreError::io(path))?;
-        let mut replay = Replay::default();
-        let mut at = 0;
-        while let Frame::Valid(len) = frame::read(&bytes[at..]) {
-            let payload = at + HEADER_BYTES;
-            replay.records.push(bytes[payload..payload + len].to_vec());
-            at = payload + len;
-        }
-        if frame::contains_valid(&bytes[at..]) {
-            return Err(StoreError::Corrupt(path.to_owned(), at as u64));
+        let end = file.metadata().map_err(StoreError::io(path))?.len();
+        let at = read_records(&file, end, receive).map_err(StoreError::io(path))?;
+        let mut rest = Vec::new();
+        file.seek(SeekFrom::Start(at))
+            .map_err(StoreError::io(path))?;
+        file.read_to_end(&mut rest).map_err(StoreError::io(path))?;
+        if frame::contains_valid(&rest) {
+            return Err(StoreError::Corrupt(path.to_owned(), at));
         }
-        replay.torn_bytes = (bytes.len() - at) as u64;
-        file.set_len(at as u64).map_err(StoreError::io(path))?;
+        file.set_len(at).map_err(StoreError::io(path))?;
         file.seek(SeekFrom::End(0)).map_err(StoreError::io(path))?;
         file.sync_all().map_err(StoreError::io(path))?;
         let journal = Self {
             file,
             path: path.to_owned(),
         };
-        Ok((journal, replay))
+        Ok((journal, end.saturating_sub(at)))
     }
 
     /// Appends a record and syncs the file.
@@ -115,3 +105,32 @@
         drop(self.file);
     }
 }
+
+/// Passes the records from the start of a file of `end` bytes to `receive`. Returns the offset of the
+/// first byte that belongs to no valid record.
+fn read_records(file: &File, end: u64, mut receive: impl FnMut(Vec<u8>)) -> std::io::Result<u64> {
+    let mut reader = BufReader::new(file);
+    let mut at = 0;
+    loop {
+        let mut header = [0; HEADER_BYTES];
+        let payload_at = at + HEADER_BYTES as u64;
+        if payload_at > end {
+            return Ok(at);
+        }
+        reader.read_exact(&mut header)?;
+        let Some(header) = Header::read(&header) else {
+            return Ok(at);
+        };
+        let next = payload_at + header.len as u64;
+        if next > end {
+            return Ok(at);
+        }
+        let mut payload = vec![0; header.len];
+        reader.read_exact(&mut payload)?;
+        if !header.matches(&payload) {
+            return Ok(at);
+        }
+        receive(payload);
+        at = next;
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,12 +7,11 @@
 mod journal;
 mod state_dir;
 
-pub use journal::{
-    Journal,
-    Replay, //
-};
+pub use journal::Journal;
 pub use state_dir::{
+    Origin,
     Recovered,
+    Replay,
     StateDir, //
 };
 
@@ -41,6 +40,11 @@
 }
 
 impl StoreError {
+    /// Whether the disk has no space left.
+    pub fn is_full(&self) -> bool {
+        matches!(self, Self::Io(_, error) if error.kind() == io::ErrorKind::StorageFull)
+    }
+
     fn io(path: &Path) -> impl FnOnce(io::Error) -> Self {
         let path = path.to_owned();
         move |error| Self::Io(path, error)
--- a/crates/store/src/state_dir.rs
+++ b/crates/store/src/state_dir.rs
@@ -20,8 +20,26 @@
 const IDENTITY_FILE: &str = "identity";
 const LOCK_FILE: &str = "lock";
 
-/// The content of a state directory when it was opened.
-#[derive(Debug)]
+/// Receives the content of a state directory while it is opened.
+pub trait Replay {
+    /// Receives the current snapshot, before all records; it is empty if none was taken yet.
+    fn snapshot(&mut self, bytes: Vec<u8>);
+
+    /// Receives the next record of the journal, oldest first.
+    fn record(&mut self, bytes: Vec<u8>);
+}
+
+/// What is known of a state directory besides its content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// The identity with which the directory was initialized.
+    pub identity: u64,
+    /// The length of the incomplete record that was truncated from the journal's end, in bytes.
+    pub torn_bytes: u64,
+}
+
+/// The whole content of a state directory when it was opened.
+#[derive(Debug, Default)]
 pub struct Recovered {
     /// The identity with which the directory was initialized.
     pub identity: u64,
@@ -33,6 +51,16 @@
     pub torn_bytes: u64,
 }
 
+impl Replay for Recovered {
+    fn snapshot(&mut self, bytes: Vec<u8>) {
+        self.snapshot = bytes;
+    }
+
+    fn record(&mut self, bytes: Vec<u8>) {
+        self.records.push(bytes);
+    }
+}
+
 /// An open state directory, locked against other processes.
 #[derive(Debug)]
 pub struct StateDir {
@@ -66,14 +94,28 @@
         dir.join(CURRENT_FILE).exists()
     }
 
-    /// Opens and locks a directory, and reads its current snapshot and journal.
+    /// As [`StateDir::replay`], with the whole content in memory.
+    ///
+    /// # Errors
+    ///
+    /// As [`StateDir::replay`].
+    pub fn open(dir: &Path) -> Result<(Self, Recovered), StoreError> {
+        let mut recovered = Recovered::default();
+        let (state, origin) = Self::replay(dir, &mut recovered)?;
+        recovered.identity = origin.identity;
+        recovered.torn_bytes = origin.torn_bytes;
+        Ok((state, recovered))
+    }
+
+    /// Opens and locks a directory, and passes its current snapshot and the journal's records to
+    /// `replay` one after the other.
     ///
     /// # Errors
     ///
     /// Any [`StoreError`] but [`StoreError::AlreadyInitialized`]. A failed call changes no file,
     /// except that it may create the lock file and truncate an incomplete record from the journal's
     /// end.
-    pub fn open(dir: &Path) -> Result<(Self, Recovered), StoreError> {
+    pub fn replay(dir: &Path, replay: &mut impl Replay) -> Result<(Self, Origin), StoreError> {
         if !Self::exists(dir) {
             return Err(StoreError::Uninitialized(dir.to_owned()));
         }
@@ -83,7 +125,9 @@
         let snapshot = dir.join(snapshot_name(generation));
         let snapshot = fs::read(&snapshot).map_err(StoreError::io(&snapshot))?;
         let snapshot = decode_snapshot(&dir.join(snapshot_name(generation)), snapshot)?;
-        let (journal, replay) = Journal::open(&dir.join(journal_name(generation)))?;
+        replay.snapshot(snapshot);
+        let path = dir.join(journal_name(generation));
+        let (journal, torn_bytes) = Journal::open(&path, |record| replay.record(record))?;
         let state = Self {
             dir: dir.to_owned(),
             generation,
@@ -91,13 +135,11 @@
             lock,
         };
         state.remove_stale_files();
-        let recovered = Recovered {
+        let origin = Origin {
             identity,
-            snapshot,
-            records: replay.records,
-            torn_bytes: replay.torn_bytes,
+            torn_bytes,
         };
-        Ok((state, recovered))
+        Ok((state, origin))
     }
 
     /// Appends a record to the journal and syncs it.
@@ -113,20 +155,41 @@
     ///
     /// # Errors
     ///
-    /// [`StoreError::Io`]; the `StateDir` must not be used afterwards.
+    /// [`StoreError::Io`]; the `StateDir` must not be used afterwards, except that the call may be
+    /// repeated if [`StoreError::is_full`]: it has changed nothing then.
     pub fn rotate(&mut self, snapshot: &[u8], first: &[u8]) -> Result<(), StoreError> {
         let next = self.generation + 1;
-        let mut framed = Vec::new();
-        crate::frame::append(&mut framed, snapshot);
-        write_atomic(&self.dir, &snapshot_name(next), &framed)?;
-        let journal = Journal::create(&self.dir.join(journal_name(next)), first)?;
-        write_atomic(&self.dir, CURRENT_FILE, next.to_string().as_bytes())?;
+        let switched = self
+            .write_generation(next, snapshot, first)
+            .and_then(|journal| {
+                write_atomic(&self.dir, CURRENT_FILE, next.to_string().as_bytes())?;
+                Ok(journal)
+            });
+        let current = read_number(&self.dir.join(CURRENT_FILE));
+        let unchanged = current.is_ok_and(|number| number == self.generation);
+        if switched.as_ref().is_err_and(StoreError::is_full) && unchanged {
+            self.remove_stale_files();
+        }
+        let journal = switched?;
         self.generation = next;
         std::mem::replace(&mut self.journal, journal).close();
         self.remove_stale_files();
         Ok(())
     }
 
+    /// Writes the files of a generation, which does not become the current one.
+    fn write_generation(
+        &self,
+        number: u64,
+        snapshot: &[u8],
+        first: &[u8],
+    ) -> Result<Journal, StoreError> {
+        let mut framed = Vec::new();
+        crate::frame::append(&mut framed, snapshot);
+        write_atomic(&self.dir, &snapshot_name(number), &framed)?;
+        Journal::create(&self.dir.join(journal_name(number)), first)
+    }
+
     /// Closes the directory and releases its lock. All data is synced already.
     pub fn close(self) {
         self.journal.close();
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -147,8 +147,12 @@
     }
 }
 
-/// Compresses a payload and puts its size before it.
-fn compress(payload: &[u8]) -> Result<Vec<u8>, WireError> {
+/// Compresses bytes and puts their size before them.
+///
+/// # Errors
+///
+/// [`WireError::Malformed`] if they are larger than 4 GiB.
+pub fn compress(payload: &[u8]) -> Result<Vec<u8>, WireError> {
     let size = u32::try_from(payload.len())
         .map_err(|_| WireError::Malformed("the message is too large".to_owned()))?;
     let packed = zstd::bulk::compress(payload, COMPRESSION_LEVEL)
@@ -160,7 +164,11 @@
 }
 
 /// Undoes [`compress`]. Allocates no more than the stated size, which is limited.
-fn decompress(bytes: &[u8]) -> Result<Vec<u8>, WireError> {
+///
+/// # Errors
+///
+/// [`WireError::Malformed`] if the bytes are not compressed ones, or stand for more than 64 MiB.
+pub fn decompress(bytes: &[u8]) -> Result<Vec<u8>, WireError> {
     let malformed = |error: &str| WireError::Malformed(error.to_owned());
     let (size, packed) = bytes
         .split_first_chunk::<SIZE_BYTES>()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -38,7 +38,9 @@
     FrameError,
     Sealer,
     WireError,
+    compress,
     decode,
+    decompress,
     encode,
     read_frame, //
 };
