Let hosts that stop leave the control group, and remove voters that are gone

Cause: with both new hosts the group had five voters, and the two that left stayed voters for good. A voter that was gone was removed only if a learner could replace it, and a host that stopped did not leave. Three of five voters were left, so the next loss took the quorum.

An odd group grows only while all its voters respond.

The checker detects a group that never shrinks and one that shrinks too far.

--- a/crates/agree/src/config.rs
+++ b/crates/agree/src/config.rs
@@ -91,8 +91,8 @@
 pub enum PromotionPolicy {
     /// All of them, one at a time.
     All,
-    /// Only as many as keep the number of voters odd; the others remain learners, ready to replace
-    /// a failed voter.
+    /// Only as many as keep the number of voters odd, and none beyond an odd number while a voter does
+    /// not respond; the others remain learners, ready to replace a failed voter.
     KeepOdd,
 }
 
--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -26,7 +26,8 @@
 use crate::peer::Peer;
 
 impl Node {
-    /// Transfers the leadership to the other voter with the longest acknowledged log. The node
+    /// Transfers the leadership to the other voter with the longest acknowledged log, of those that
+    /// have responded within an election timeout if there are any. The node
     /// steps down, which ends its lease, before the message to the successor is sent; so a delayed
     /// message cannot make two leaders.
     ///
@@ -36,8 +37,10 @@
             return false;
         };
         let voters = member::voters(&self.group).filter(|id| *id != self.id);
-        let most_advanced =
-            voters.max_by_key(|id| leader.peers.get(id).map(|peer| peer.match_index));
+        let most_advanced = voters.max_by_key(|id| {
+            let matched = leader.peers.get(id).map(|peer| peer.match_index);
+            (self.responds(now, *id), matched)
+        });
         let Some(successor) = most_advanced else {
             return false;
         };
--- a/crates/agree/src/member.rs
+++ b/crates/agree/src/member.rs
@@ -76,6 +76,8 @@
     RemovesLeader,
     /// The group has [`MAX_MEMBERS`] members.
     Full,
+    /// The group needs the vote of the member that asked to leave.
+    Required,
 }
 
 impl fmt::Display for MemberError {
@@ -89,6 +91,7 @@
                 "the leader cannot remove itself; hand over the leadership first"
             }
             Self::Full => "the group has fourteen members already",
+            Self::Required => "the group needs the vote of this member",
         })
     }
 }
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -256,6 +256,21 @@
         Some(now.since(peer.acked_at.unwrap_or_default().max(leader.elected_at)))
     }
 
+    /// Whether a member has acknowledged a message that was sent within an election timeout. True for
+    /// the leader itself; false unless this node is the leader.
+    pub(crate) fn responds(&self, now: Tick, id: MemberId) -> bool {
+        let silence = self.peer_silent_for(now, id);
+        self.leads() && (id == self.id || silence.is_some_and(|span| span < self.timing.election))
+    }
+
+    /// Whether the latest membership change is committed, and the leader may make another one.
+    pub fn group_settled(&self) -> bool {
+        match &self.role {
+            Role::Leader(leader) => self.commit >= leader.noop_index.max(self.group_index),
+            _ => false,
+        }
+    }
+
     /// Whether a learner has acknowledged all committed entries. False unless this node is the
     /// leader.
     pub fn caught_up(&self, member: &Member) -> bool {
@@ -304,7 +319,7 @@
         let Role::Leader(leader) = &self.role else {
             return Err(MemberError::NotLeader);
         };
-        if self.commit < leader.noop_index || self.commit < self.group_index {
+        if self.commit < leader.noop_index.max(self.group_index) {
             return Err(MemberError::Pending);
         }
         if *change == MemberChange::Remove(self.id) {
@@ -559,25 +574,25 @@
         }
     }
 
-    /// Promotes a caught-up learner to voter, if no membership change is pending and the promotion
-    /// policy and [`MAX_VOTERS`] allow it.
+    /// Promotes a caught-up learner that responds to voter, if no membership change is pending and
+    /// the promotion policy and [`MAX_VOTERS`] allow it.
     pub(crate) fn promote_caught_up(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        let Role::Leader(leader) = &self.role else {
-            return;
-        };
-        if self.commit < leader.noop_index || self.commit < self.group_index {
+        if !self.group_settled() {
             return;
         }
+        let is_ready = |member: &Member| self.caught_up(member) && self.responds(now, member.id);
         let ready: Vec<_> = (0..self.group.len())
-            .filter(|at| self.caught_up(&self.group[*at]))
+            .filter(|at| is_ready(&self.group[*at]))
             .collect();
         let Some(at) = ready.first().copied() else {
             return;
         };
         let voters = member::voters(&self.group).count();
-        let would_be_even =
-            self.promotion == PromotionPolicy::KeepOdd && voters % 2 == 1 && ready.len() < 2;
-        if would_be_even || voters >= MAX_VOTERS {
+        // An odd group grows by two voters, and only while all voters respond: otherwise the group
+        // with one more voter might not survive the loss of that one.
+        let all_respond = member::voters(&self.group).all(|id| self.responds(now, id));
+        let would_be_even = voters % 2 == 1 && (ready.len() < 2 || !all_respond);
+        if self.promotion == PromotionPolicy::KeepOdd && would_be_even || voters >= MAX_VOTERS {
             return;
         }
         let mut group = self.group.clone();
--- a/crates/agree/tests/cluster/mod.rs
+++ b/crates/agree/tests/cluster/mod.rs
@@ -80,6 +80,10 @@
     Compact(usize),
     /// Replaces a member by a new one.
     Replace(usize),
+    /// Removes a member without a successor, if at least three remain.
+    Depart(usize),
+    /// Adds a member, up to seven.
+    Arrive,
 }
 
 #[derive(Debug)]
@@ -334,6 +338,16 @@
                 });
             }
             Action::Replace(n) => self.replace(*n),
+            Action::Depart(n) => {
+                if self.order.len() > 3 {
+                    self.remove(*n);
+                }
+            }
+            Action::Arrive => {
+                if self.order.len() < 7 {
+                    self.add();
+                }
+            }
         }
     }
 
@@ -459,9 +473,16 @@
 
     /// Removes a member permanently and adds a new one under a new identity.
     fn replace(&mut self, n: usize) {
+        if self.remove(n) {
+            self.add();
+        }
+    }
+
+    /// Removes a member permanently. Returns whether the group has committed its removal.
+    fn remove(&mut self, n: usize) -> bool {
         let old = self.pick(n);
         let Some(leader) = self.leader().filter(|id| *id != old) else {
-            return;
+            return false;
         };
         let mut removed = None;
         self.with_node(leader, |node, _, now, out| {
@@ -478,11 +499,16 @@
         let committed = removed.and_then(|index| self.committed.get(&index));
         let removed_from = |group: &[Member]| group.iter().all(|m| m.id != old);
         if !matches!(committed, Some((_, Body::Members(group))) if removed_from(group)) {
-            return;
+            return false;
         }
         self.crash(old);
         self.hosts.remove(&old);
         self.order.retain(|id| *id != old);
+        true
+    }
+
+    /// Adds a new member under a new identity.
+    fn add(&mut self) {
         let id = MemberId(self.next_id);
         self.next_id += 1;
         self.add_host(id, SnapshotMeta::default());
--- a/crates/agree/tests/histories.rs
+++ b/crates/agree/tests/histories.rs
@@ -47,6 +47,8 @@
         2 => Just(Action::HealNetwork),
         1 => Just(Action::TransferLeadership),
         1 => n.clone().prop_map(Action::Compact),
+        1 => n.clone().prop_map(Action::Depart),
+        1 => Just(Action::Arrive),
         1 => n.prop_map(Action::Replace),
     ]
 }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -83,6 +83,7 @@
     Deployment,
     Feed,
     Join,
+    Leave,
     Tally,
     Evidence,
 }
@@ -132,6 +133,9 @@
             ),
             paths::FEED => self.peer_request(exchange, paths::FEED, PeerKind::Feed, feed),
             paths::JOIN => self.peer_request(exchange, paths::JOIN, PeerKind::Join, Request::Join),
+            paths::LEAVE => {
+                self.peer_request(exchange, paths::LEAVE, PeerKind::Leave, Request::Leave)
+            }
             paths::TALLY => {
                 self.counters.count(Counter::UsageMerged);
                 self.peer_request(exchange, paths::TALLY, PeerKind::Tally, tally);
@@ -349,6 +353,9 @@
                 self.send(exchange, &PeerResponse::Done(response));
             }
             (PeerKind::Join, Reply::Member(_)) => self.send(exchange, &PeerResponse::Done(())),
+            (PeerKind::Leave, Reply::Member(result)) => {
+                self.send(exchange, &PeerResponse::Done(result.is_ok()));
+            }
             (PeerKind::Tally, Reply::LastSealed(last)) => {
                 self.send(exchange, &PeerResponse::Done(last));
             }
@@ -379,7 +386,9 @@
         match kind {
             PeerKind::View => self.send(exchange, &PeerResponse::<ViewResponse>::NotLeader(leader)),
             PeerKind::Claim => self.send(exchange, &PeerResponse::<Claimed>::NotLeader(leader)),
-            PeerKind::Settle => self.send(exchange, &PeerResponse::<bool>::NotLeader(leader)),
+            PeerKind::Settle | PeerKind::Leave => {
+                self.send(exchange, &PeerResponse::<bool>::NotLeader(leader));
+            }
             PeerKind::Deployment => self.send(
                 exchange,
                 &PeerResponse::<DeploymentResponse>::NotLeader(leader),
@@ -396,7 +405,9 @@
         match kind {
             PeerKind::View => self.send(exchange, &PeerResponse::<ViewResponse>::Unavailable),
             PeerKind::Claim => self.send(exchange, &PeerResponse::<Claimed>::Unavailable),
-            PeerKind::Settle => self.send(exchange, &PeerResponse::<bool>::Unavailable),
+            PeerKind::Settle | PeerKind::Leave => {
+                self.send(exchange, &PeerResponse::<bool>::Unavailable);
+            }
             PeerKind::Deployment => {
                 self.send(exchange, &PeerResponse::<DeploymentResponse>::Unavailable)
             }
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -33,6 +33,7 @@
 use crate::disk;
 use crate::feed::FeedJob;
 use crate::join::JoinRequest;
+use crate::leave::LeaveRequest;
 use crate::transport::Transport;
 
 /// A request that the core has not replied to yet, and the format of its response.
@@ -50,6 +51,7 @@
     pub(crate) disk: Sender<disk::Job>,
     pub(crate) billing: Sender<billing::Job>,
     pub(crate) join: Sender<JoinRequest>,
+    pub(crate) leave: Sender<LeaveRequest>,
     pub(crate) listing: Sender<()>,
     pub(crate) feed: Sender<FeedJob>,
     pub(crate) transport: Transport,
@@ -157,6 +159,10 @@
                     event!(self.log, JoinRequested);
                 }
             }
+            Output::RequestLeave(id, hosts) => {
+                // The channel holds one request, and a host leaves once.
+                let _ = self.leave.try_send((id, hosts));
+            }
             Output::Event(event) => self.report(event),
         }
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,6 +16,7 @@
 mod effects;
 mod feed;
 mod join;
+mod leave;
 mod listing;
 mod platform;
 mod role;
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -87,6 +87,7 @@
     FeedClient, //
 };
 use crate::join;
+use crate::leave;
 use crate::listing::{
     self,
     ListingFetcher, //
@@ -160,6 +161,9 @@
     disk: Option<Disk>,
     billing: Worker,
     failure: Receiver<String>,
+    /// Receives a message when the request to leave the group is finished; none if this host is no
+    /// member of a group that serves a plan.
+    left: Option<Receiver<()>>,
     log: Logger,
 }
 
@@ -199,6 +203,8 @@
     let (disk_sender, disk_jobs) = disk::channel();
     let (billing_sender, billing_jobs) = billing::channel();
     let (join_sender, join_requests) = join::channel();
+    let (leave_sender, leave_requests) = leave::channel();
+    let (left_sender, left) = bounded(1);
     let (listing_sender, listing_requests) = listing::channel();
     let (feed_sender, feed_jobs) = feed::channel();
     let (failed, failure) = bounded(2);
@@ -206,6 +212,7 @@
         disk: disk_sender,
         billing: billing_sender,
         join: join_sender,
+        leave: leave_sender,
         listing: listing_sender,
         feed: feed_sender,
         transport: Transport::new(
@@ -278,8 +285,10 @@
             };
             let feeder = feed::start(client, feed_jobs).map_err(RunError::Thread)?;
             let path = plan.path.clone();
-            let joiner = join::start(path, peers, join_requests, log.clone());
+            let joiner = join::start(path, peers.clone(), join_requests, log.clone());
             let joiner = joiner.map_err(RunError::Thread)?;
+            let leaver = leave::start(address, peers, leave_requests, left_sender, log.clone());
+            let leaver = leaver.map_err(RunError::Thread)?;
             let commands = CommandHandler {
                 codec,
                 inbox: inbox.clone(),
@@ -298,7 +307,7 @@
                 let server = Server::start("control-metrics", listen, common.limits, handler);
                 servers.push(server.map_err(RunError::Edge)?);
             }
-            (servers, vec![joiner, feeder])
+            (servers, vec![joiner, leaver, feeder])
         }
     };
     let handler = ApiHandler {
@@ -328,6 +337,7 @@
         disk,
         billing,
         failure,
+        left: (!mirror && settings.plan.is_some()).then_some(left),
         log,
     })
 }
@@ -357,6 +367,7 @@
             zone: plan.zone.clone(),
             incarnation: Incarnation(rand::random()),
             usage_window: settings.usage_window,
+            tolerated: plan.tolerated,
             report_delay: plan.report_delay,
         }),
     }
@@ -411,11 +422,22 @@
         self.failure.clone()
     }
 
-    /// Stops gracefully: transfers leadership, responds to the requests received so far, and ends
-    /// all threads.
+    /// Stops gracefully: transfers leadership, leaves the group if it serves a plan and can do
+    /// without this host, responds to the requests received so far, and ends all threads.
     pub fn close(self) {
         event!(self.log, Stopping);
-        let _ = self.control.inbox().send(Input::TransferLeadership);
+        let inbox = self.control.inbox();
+        match self.left {
+            Some(left) => {
+                if inbox.send(Input::Leave).is_ok() {
+                    // The thread that sends the request logs how it ended.
+                    let _ = left.recv_timeout(leave::LEAVE_TIMEOUT);
+                }
+            }
+            None => {
+                let _ = inbox.send(Input::TransferLeadership);
+            }
+        }
         for server in self.plan_servers {
             server.close_within(SHUTDOWN_GRACE);
         }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -20,6 +20,8 @@
 const DEFAULT_WINDOW_S: u64 = 300;
 /// Default time within which fronts stop accepting a withdrawn key, in milliseconds.
 const DEFAULT_REVOCATION_MS: u64 = 5000;
+/// Default number of control hosts that may fail at once.
+const DEFAULT_TOLERATED: u64 = 1;
 /// Default time that a new leader waits before it reports usage, in milliseconds.
 const DEFAULT_REPORT_DELAY_MS: u64 = 3000;
 /// Largest memory or disk space that the settings may grant, in MiB.
@@ -49,6 +51,12 @@
     metrics: Option<String>,
     #[serde(default)]
     zone: String,
+    #[serde(default = "default_tolerated")]
+    tolerate: u64,
+}
+
+fn default_tolerated() -> u64 {
+    DEFAULT_TOLERATED
 }
 
 fn default_revocation() -> u64 {
@@ -123,6 +131,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Whether the seeds form a new group if their data directories hold no state.
     pub bootstrap: bool,
+    /// How many control hosts may fail at once. The group does not shrink to fewer voters than
+    /// tolerate that.
+    pub tolerated: usize,
     /// How long a front may use a view of the deployment.
     pub view_ttl: Duration,
     /// How long a new leader waits before it reports usage.
@@ -231,6 +242,9 @@
     }
     let revocation_ms = validator.in_range("plan.withdraw_ms", plan.withdraw_ms, 1000, 600_000);
     let report_delay_ms = validator.in_range("plan.settle_ms", plan.settle_ms, 0, 600_000);
+    let most = (agree::MAX_VOTERS as u64 - 1) / 2;
+    // No group tolerates more failures than one of the most voters.
+    let tolerated = plan.tolerate.min(most);
     Some(PlanSettings {
         path: path.to_owned(),
         listen: listen?,
@@ -238,6 +252,7 @@
         zone: plan.zone.clone(),
         seeds,
         bootstrap: plan.founding,
+        tolerated: usize::try_from(tolerated).unwrap_or(usize::MAX),
         view_ttl: Duration::from_millis(revocation_ms) * VIEW_TTL_SHARE.0 / VIEW_TTL_SHARE.1,
         report_delay: Duration::from_millis(report_delay_ms),
     })
--- a/crates/control/tests/large_changes.rs
+++ b/crates/control/tests/large_changes.rs
@@ -113,6 +113,7 @@
             zone: String::new(),
             seeds: vec![listen],
             bootstrap: true,
+            tolerated: 1,
             view_ttl: Duration::from_millis(2500),
             report_delay: Duration::from_secs(3),
         }),
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -77,6 +77,7 @@
             zone: String::new(),
             seeds: vec![seed],
             bootstrap: true,
+            tolerated: 1,
             view_ttl: Duration::from_millis(2500),
             report_delay: Duration::from_secs(3),
         }),
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -201,6 +201,7 @@
             Request::Config => self.start_read(now, ticket, ReadKind::Config, out),
             Request::Document => self.start_read(now, ticket, ReadKind::Document, out),
             Request::Join(member) => self.join(now, ticket, member, out),
+            Request::Leave(id) => self.leave(now, ticket, id, out),
             Request::Tally(tally) => self.tally(now, ticket, tally, out),
             Request::Evidence(front, evidence) => {
                 self.evidence(now, ticket, (front, evidence), out);
@@ -469,6 +470,9 @@
             for (_, ticket) in std::mem::take(&mut self.pending_changes) {
                 out.push(Output::Reply(ticket, Reply::Unavailable));
             }
+            for ticket in self.membership.take_leavers() {
+                out.push(Output::Reply(ticket, Reply::Unavailable));
+            }
             self.sealing = false;
             self.delivering = false;
             self.billing = Billing::default();
@@ -577,6 +581,7 @@
             Input::TransferLeadership => {
                 self.node.transfer_leadership(now, &mut node_out);
             }
+            Input::Leave => self.request_leave(now, &mut node_out, out),
             Input::Halt => {
                 self.halted = true;
                 return;
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -65,6 +65,9 @@
     pub incarnation: Incarnation,
     /// Length of a usage window of the wall clock.
     pub usage_window: Duration,
+    /// How many voters may fail at once. The group never shrinks by itself to fewer voters than
+    /// tolerate that.
+    pub tolerated: usize,
     /// How long a new leader waits before its first usage report, so that the report follows the
     /// predecessor's last one.
     pub report_delay: Duration,
@@ -109,6 +112,8 @@
     Document,
     /// Add a host to the control group.
     Join(Member),
+    /// Remove a member that is about to stop, if the group can do without it.
+    Leave(MemberId),
     /// Record a process's counts for usage windows.
     Tally(Tally),
     /// Record what a front knows of prompt parts that crash engines. It replaces what the front
@@ -226,6 +231,9 @@
     Feed(Result<Box<FeedReply>, FeedError>),
     /// Transfer the leadership if this host leads.
     TransferLeadership,
+    /// This host is about to stop: transfer the leadership if it leads, and request to leave the
+    /// group.
+    Leave,
     /// The disk failed: the core stops, and the other members go on without this host.
     Halt,
 }
@@ -239,7 +247,7 @@
     View(Update, Vec<SocketAddr>),
     /// The configuration: its revision and the changes that produce it from an empty one.
     Config(Revision, Vec<conf::Change>),
-    /// Whether the group was changed or a join request recorded.
+    /// Whether the group was changed, a join request recorded, or a member has left.
     Member(Result<(), MemberError>),
     /// This host's status.
     Status(Box<Status>),
@@ -338,6 +346,9 @@
     RequestFeed(SocketAddr, Box<FeedRequest>),
     /// Send the control hosts at these addresses this host's request to join.
     RequestJoin(Member, Vec<SocketAddr>),
+    /// Send the control hosts at these addresses this member's request to leave; none if the group
+    /// has no other member.
+    RequestLeave(MemberId, Vec<SocketAddr>),
     /// Log and count an event.
     Event(Event),
 }
--- a/crates/govern/src/mirror.rs
+++ b/crates/govern/src/mirror.rs
@@ -311,6 +311,7 @@
             | Input::StatementDelivered(..)
             | Input::Listing(_)
             | Input::TransferLeadership
+            | Input::Leave
             | Input::Halt => {}
         }
         self.request_feed(now, out);
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use ::plan::Distributor;
-use agree::Member;
+use agree::{
+    Member,
+    MemberId, //
+};
 use ids::{
     PartId,
     Tick,
@@ -62,6 +65,55 @@
         out.push(Output::Reply(ticket, Reply::Member(Ok(()))));
     }
 
+    /// Records a member's request to leave the group. The leader replies once the member has left or
+    /// has to stay.
+    pub(crate) fn leave(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        id: MemberId,
+        out: &mut Outbox<Output>,
+    ) {
+        if !self.node.leads() {
+            out.push(Output::Reply(ticket, Reply::NotLeader(self.leader())));
+            return;
+        }
+        if let Some(earlier) = self.membership.record_leave(now, id, ticket) {
+            out.push(Output::Reply(earlier, Reply::Unavailable));
+        }
+    }
+
+    /// Requests to leave the group, because this host is about to stop. A leader hands over first,
+    /// since only another leader can remove it.
+    pub(crate) fn request_leave(
+        &mut self,
+        now: Tick,
+        node_out: &mut Outbox<agree::Output>,
+        out: &mut Outbox<Output>,
+    ) {
+        self.membership.stop();
+        let leader = self.leader().filter(|_| !self.node.leads());
+        self.node.transfer_leadership(now, node_out);
+        let id = self.node.id();
+        let others = self.node.group().iter().filter(|member| member.id != id);
+        let others = others.map(|member| member.address);
+        let mut hosts: Vec<_> = leader.into_iter().collect();
+        hosts.extend(others.filter(|host| Some(*host) != leader));
+        out.push(Output::RequestLeave(id, hosts));
+    }
+
+    /// Replies to the requests to leave that are decided, once no change of the group is pending.
+    fn reply_to_leavers(&mut self, now: Tick, tolerated: usize, out: &mut Outbox<Output>) {
+        if !self.node.group_settled() {
+            return;
+        }
+        let replies = self.membership.leave_replies(now, &self.node, tolerated);
+        for (ticket, result) in replies {
+            let reply = result.map_or(Reply::Unavailable, Reply::Member);
+            out.push(Output::Reply(ticket, reply));
+        }
+    }
+
     /// Records a process's usage as leader with a valid lease. Another host passes it on to the
     /// leader, or refers the process to the leader while it has lost touch with it.
     pub(crate) fn tally(
@@ -190,7 +242,9 @@
         if self.reader.start_if_due(now) {
             out.push(Output::FetchListing);
         }
-        if let Some(change) = self.membership.next_change(now, &self.node) {
+        self.reply_to_leavers(now, plan.tolerated, out);
+        let change = self.membership.next_change(now, &self.node, plan.tolerated);
+        if let Some(change) = change {
             let mut node_out = Outbox::default();
             // The node rejects a change while an earlier one is pending; the next heartbeat
             // retries.
--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -80,6 +80,13 @@
     Limits::new(4 << 20, 1 << 20)
 }
 
+/// Pause before a stopping host asks the next host to let it leave, in microseconds.
+const LEAVE_PAUSE_US: u64 = 50_000;
+/// Timeout of a request to leave, in microseconds.
+const LEAVE_TIMEOUT_US: u64 = 500_000;
+/// How long a stopping host waits until it has left, in microseconds.
+const LEAVE_WAIT_US: u64 = 1_500_000;
+
 #[derive(Default)]
 struct Disk {
     id: u64,
@@ -128,6 +135,8 @@
     Synced(usize, u64, u64),
     Wake(usize, u64),
     Join(usize, Member),
+    /// The host asks the next of these hosts to let the member leave.
+    Leave(usize, MemberId, Vec<SocketAddr>),
     Listing(usize, u64),
     Resume(usize),
     /// The host's request for the feed, identified by the receiver and the ticket, has timed out.
@@ -173,6 +182,7 @@
             | Self::Synced(n, ..)
             | Self::Wake(n, _)
             | Self::Join(n, _)
+            | Self::Leave(n, ..)
             | Self::Listing(n, _)
             | Self::Resume(n)
             | Self::FeedTimeout(n, _) => *n,
@@ -222,6 +232,12 @@
     pub(crate) skip_sync: bool,
     /// Bounds on what each host keeps.
     pub(crate) limits: Limits,
+    /// How many voters may fail at once.
+    pub(crate) tolerated: usize,
+    /// Requests to leave in progress, by receiver and ticket: the sender and the hosts to ask next.
+    leaves: BTreeMap<(usize, Ticket), (usize, MemberId, Vec<SocketAddr>)>,
+    /// Whether each host that asked to leave was removed from the group.
+    left: BTreeMap<usize, bool>,
     /// Bytes that each installed plan has besides its version.
     pub(crate) padding: usize,
     /// The last identity given to a host with an empty disk.
@@ -273,6 +289,9 @@
             report_time: HOP_US,
             skip_sync: false,
             limits: limits(),
+            tolerated: 1,
+            leaves: BTreeMap::new(),
+            left: BTreeMap::new(),
             padding: 0,
             last_id: 100,
         };
@@ -363,6 +382,7 @@
                 zone: String::new(),
                 incarnation: Incarnation(self.incarnations[n]),
                 usage_window: Duration::from_secs(5),
+                tolerated: self.tolerated,
                 report_delay: self.report_delay,
             }),
         };
@@ -492,6 +512,7 @@
             Event::Join(n, member) => {
                 self.request(n, Request::Join(member));
             }
+            Event::Leave(n, id, hosts) => self.ask_to_leave(n, id, hosts),
             Event::Listing(n, incarnation)
                 if self.incarnations[n] == incarnation && self.listing_available =>
             {
@@ -560,6 +581,19 @@
                 };
                 self.finish_feed((n, ticket), result);
             }
+            Output::Reply(ticket, reply) if self.leaves.contains_key(&(n, ticket)) => {
+                let leave = self.leaves.remove(&(n, ticket));
+                let Some((from, id, hosts)) = leave else {
+                    return;
+                };
+                match reply {
+                    Reply::Member(result) if !self.blocked_links.contains(&(n, from)) => {
+                        self.left.insert(from, result.is_ok());
+                    }
+                    _ => self.schedule(LEAVE_PAUSE_US, Event::Leave(from, id, hosts)),
+                }
+            }
+            Output::RequestLeave(id, hosts) => self.ask_to_leave(n, id, hosts),
             Output::Reply(ticket, reply) => {
                 self.replies.insert((n, ticket), reply);
             }
@@ -620,6 +654,38 @@
         }
     }
 
+    /// Sends the first of these hosts a request to leave. The next one is asked after a reply that
+    /// decides nothing, or a timeout.
+    fn ask_to_leave(&mut self, n: usize, id: MemberId, mut hosts: Vec<SocketAddr>) {
+        if hosts.is_empty() || self.cores[n].is_none() {
+            self.left.insert(n, false);
+            return;
+        }
+        hosts.rotate_left(1);
+        let other = self.index(*hosts.last().unwrap());
+        if self.blocked_links.contains(&(n, other)) || self.cores[other].is_none() {
+            return self.schedule(LEAVE_TIMEOUT_US, Event::Leave(n, id, hosts));
+        }
+        self.serial += 1;
+        let ticket = Ticket(self.serial);
+        self.leaves.insert((other, ticket), (n, id, hosts));
+        let input = Box::new(Input::Request(ticket, Request::Leave(id)));
+        let incarnation = self.incarnations[other];
+        self.schedule(HOP_US, Event::Input(other, incarnation, input));
+    }
+
+    /// Stops a host gracefully: it requests to leave the group, and ends. Returns whether it left.
+    pub(crate) fn stop(&mut self, n: usize) -> bool {
+        self.left.remove(&n);
+        self.step(n, Some(Input::Leave));
+        let end = self.now + LEAVE_WAIT_US;
+        while self.now < end && !self.left.contains_key(&n) {
+            self.advance(10);
+        }
+        self.crash(n);
+        self.left.remove(&n).unwrap_or(false)
+    }
+
     fn write(&mut self, n: usize, seq: u64, write: Write) {
         let incarnation = self.incarnations[n];
         self.disks[n].pending.push((seq, write));
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -97,6 +97,8 @@
     4012 SnapshotRejected Warning "the leader's snapshot is larger than the host may receive";
     4013 SnapshotPacked Warning "the disk is full; the snapshot was written in compressed form";
     4014 PeerQueueFull Warning "messages to another host were dropped because its queue was full";
+    4015 GroupLeft Info "the stopping host has left the control group, or stays because its vote is needed";
+    4016 LeaveFailed Warning "no leader decided the stopping host's request to leave the control group";
     4101 ProposalAccepted Info "a change of the configuration was accepted";
     4102 ProposalRejected Info "a change of the configuration was rejected";
     4103 CommandDecided Info "an operator's command was accepted or rejected";
--- a/crates/scenario/src/stepping.rs
+++ b/crates/scenario/src/stepping.rs
@@ -83,6 +83,7 @@
                 | govern::Output::FetchListing
                 | govern::Output::RequestFeed(..)
                 | govern::Output::RequestJoin(..)
+                | govern::Output::RequestLeave(..)
                 | govern::Output::Event(_) => {}
             }
         }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -62,6 +62,8 @@
     pub const FEED: &str = "/peer/feed";
     /// A request to join the control group.
     pub const JOIN: &str = "/peer/join";
+    /// A member's request to leave the control group.
+    pub const LEAVE: &str = "/peer/leave";
     /// A front's usage by window.
     pub const TALLY: &str = "/peer/tally";
     /// What a front knows of prompt parts that crash engines.
