Share the settings of control hosts among their tests, and keep no spare capacity in entries

Three test files of control repeated the settings of a host that serves a plan. An encoded command may have grown its buffer to twice its size, which the bound on the log does not count; entries now keep their bytes only.

--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -26,10 +26,9 @@
 use crate::peer::Peer;
 
 impl Node {
-    /// Transfers the leadership to the other voter with the longest acknowledged log, of those that
-    /// have responded within an election timeout if there are any. The node
-    /// steps down, which ends its lease, before the message to the successor is sent; so a delayed
-    /// message cannot make two leaders.
+    /// Transfers the leadership to another voter: to the one with the longest acknowledged log, of
+    /// those that respond if there are any. The node steps down, which ends its lease, before the
+    /// message to the successor is sent; so a delayed message cannot make two leaders.
     ///
     /// Returns whether the node was the leader and there is another voter.
     pub fn transfer_leadership(&mut self, now: Tick, out: &mut Outbox<Output>) -> bool {
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -302,6 +302,8 @@
         if pending > 0 && pending + data.len() > self.limits.pending {
             return Err(ProposeError::Full);
         }
+        // The entry keeps no spare capacity of the encoder's buffer.
+        let data = data.into_boxed_slice();
         Ok(self.append_as_leader(now, Body::Data(data.into()), out))
     }
 
--- a/crates/control/tests/large_changes.rs
+++ b/crates/control/tests/large_changes.rs
@@ -1,12 +1,11 @@
 //! Many changes of a large plan stay within the bounds on memory and disk space that the settings
 //! grant, also where a host starts with more on its disk.
 
+mod hosts;
+
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{
-    Path,
-    PathBuf, //
-};
+use std::path::Path;
 use std::time::{
     Duration,
     Instant, //
@@ -18,7 +17,6 @@
     CommandError,
     Handle,
     OperatorCommand,
-    PlanSettings,
     PlatformCodec,
     Settings, //
 };
@@ -27,13 +25,10 @@
     Head,
     reserve_address, //
 };
-use obs::{
-    Counters,
-    LogFormat, //
-};
+use hosts::settings;
+use obs::Counters;
 use peer::ListingFormat;
 use plan::Document;
-use setting::Common;
 use tempfile::TempDir;
 use usage::Statement;
 
@@ -87,36 +82,12 @@
     }
 }
 
-/// The only host of a group.
-fn settings(data: &Path, bounds: Limits) -> Settings {
+/// The settings of the only host of a group.
+fn only_host(data: &Path, bounds: Limits) -> Settings {
     let listen = reserve_address().unwrap();
     Settings {
-        common: Common {
-            host: "control-0".try_into().unwrap(),
-            cluster: "test".try_into().unwrap(),
-            secret: "a secret of enough bytes".to_owned(),
-            listen,
-            limits: edge::Limits::default(),
-            format: LogFormat::Terminal,
-            statsd: None,
-        },
-        advertise: None,
-        data_dir: Some(data.to_owned()),
-        operators: Vec::new(),
-        platform: None,
-        usage_window: Duration::from_secs(60),
         bounds,
-        plan: Some(PlanSettings {
-            path: PathBuf::from("none.toml"),
-            listen: reserve_address().unwrap(),
-            metrics: None,
-            zone: String::new(),
-            seeds: vec![listen],
-            bootstrap: true,
-            tolerated: 1,
-            view_ttl: Duration::from_millis(2500),
-            report_delay: Duration::from_secs(3),
-        }),
+        ..settings("control-0", listen, vec![listen], Some(data))
     }
 }
 
@@ -180,7 +151,7 @@
 /// large configuration filled disk and memory of all hosts for good.
 fn stays_within_disk() {
     let dir = TempDir::new().unwrap();
-    let settings = settings(&dir.path().join("data"), tight());
+    let settings = only_host(&dir.path().join("data"), tight());
     let host = start(&settings);
     let largest = change(&settings, 1, CHANGES);
     assert!(
@@ -204,12 +175,12 @@
 fn large_journal_shrinks() {
     let dir = TempDir::new().unwrap();
     let data = dir.path().join("data");
-    let before = settings(&data, Limits::new(1 << 30, 1 << 30));
+    let before = only_host(&data, Limits::new(1 << 30, 1 << 30));
     let host = start(&before);
     let largest = change(&before, 1, CHANGES);
     assert!(largest > disk_bound(tight()), "{largest} bytes on the disk");
     host.close();
-    let after = settings(&data, tight());
+    let after = only_host(&data, tight());
     let host = start(&after);
     let read = order(orders(&after), "GET", b"");
     assert!(read == document(CHANGES - 1), "another plan is read back");
@@ -224,7 +195,7 @@
 /// Guards against a host that ends for good because its journal leaves no space for a snapshot.
 fn full_disk_takes_packed_snapshot() {
     let dir = TempDir::new().unwrap();
-    let settings = settings(&dir.path().join("data"), tight());
+    let settings = only_host(&dir.path().join("data"), tight());
     let host = start(&settings);
     order(orders(&settings), "PUT", &document(1));
     // Writes of the next snapshot fail once, since the host then removes the file.
--- a/crates/control/tests/leave.rs
+++ b/crates/control/tests/leave.rs
@@ -1,33 +1,26 @@
 //! A control host that stops leaves a group that can do without it.
 
+mod hosts;
+
 use std::net::{
     IpAddr,
     SocketAddr, //
 };
-use std::path::{
-    Path,
-    PathBuf, //
-};
+use std::path::Path;
 use std::time::{
     Duration,
     Instant, //
 };
 
-use control::{
-    PlanSettings,
-    Settings, //
-};
-use edge::{
-    Limits,
-    reserve_address, //
+use control::Settings;
+use edge::reserve_address;
+use hosts::{
+    SECRET,
+    settings, //
 };
 use ids::Incarnation;
-use obs::{
-    Counters,
-    LogFormat, //
-};
+use obs::Counters;
 use peer::ControlClient;
-use setting::Common;
 use tempfile::TempDir;
 use wire::{
     DeploymentRequest,
@@ -36,7 +29,6 @@
     paths, //
 };
 
-const SECRET: &str = "a secret of enough bytes";
 /// Longest time until the group has admitted its hosts.
 const DEADLINE: Duration = Duration::from_secs(20);
 /// Longest time until a host that has left is no longer listed. The group removes a silent host only
@@ -48,36 +40,20 @@
     SocketAddr::new(IpAddr::from([127, 0, 0, 2 + n]), port)
 }
 
-fn settings(n: u8, ports: [u16; 2], data: &Path) -> Settings {
-    let [peers, orders] = ports;
-    Settings {
-        common: Common {
-            host: format!("control-{n}").as_str().try_into().unwrap(),
-            cluster: "test".try_into().unwrap(),
-            secret: SECRET.to_owned(),
-            listen: address(n, peers),
-            limits: Limits::default(),
-            format: LogFormat::Terminal,
-            statsd: None,
-        },
-        advertise: None,
-        data_dir: Some(data.join(format!("control-{n}"))),
-        operators: Vec::new(),
-        platform: None,
-        usage_window: Duration::from_secs(60),
-        bounds: Default::default(),
-        plan: Some(PlanSettings {
-            path: PathBuf::from("none.toml"),
-            listen: address(n, orders),
-            metrics: None,
-            zone: String::new(),
-            seeds: (0..3).map(|n| address(n, peers)).collect(),
-            bootstrap: n < 3,
-            tolerated: 1,
-            view_ttl: Duration::from_millis(2500),
-            report_delay: Duration::from_secs(3),
-        }),
+/// The settings of host `n`. The first three bootstrap the group.
+fn host_settings(n: u8, port: u16, data: &Path) -> Settings {
+    let seeds = (0..3).map(|n| address(n, port)).collect();
+    let data = data.join(format!("control-{n}"));
+    let mut settings = settings(
+        &format!("control-{n}"),
+        address(n, port),
+        seeds,
+        Some(&data),
+    );
+    if let Some(plan) = &mut settings.plan {
+        plan.bootstrap = n < 3;
     }
+    settings
 }
 
 /// The group's hosts as one of them lists them; empty if it has no leader.
@@ -113,13 +89,13 @@
 /// Guards against members that count for good although their hosts have stopped.
 fn stopped_host_is_not_listed() {
     let dir = TempDir::new().unwrap();
-    let ports = [(); 2].map(|()| reserve_address().unwrap().port());
+    let port = reserve_address().unwrap().port();
     let start = |n| {
-        let settings = settings(n, ports, dir.path());
+        let settings = host_settings(n, port, dir.path());
         control::run(&settings, obs::discard(), Counters::local()).unwrap()
     };
     let mut hosts: Vec<_> = (0..4).map(start).collect();
-    let first = address(0, ports[0]);
+    let first = address(0, port);
     assert!(wait_for(first, 4, DEADLINE), "{:?}", listed(first));
     // The fourth host stands by without a vote, so the group can always do without it.
     if let Some(fourth) = hosts.pop() {
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -1,23 +1,18 @@
 //! Evidence sent to a control process over HTTP leads to a quarantine that fronts get with the
 //! deployment.
 
+mod hosts;
+
 use std::net::SocketAddr;
-use std::path::{
-    Path,
-    PathBuf, //
-};
 use std::time::{
     Duration,
     Instant, //
 };
 
-use control::{
-    PlanSettings,
-    Settings, //
-};
-use edge::{
-    Limits,
-    reserve_address, //
+use edge::reserve_address;
+use hosts::{
+    SECRET,
+    settings, //
 };
 use ids::{
     HostName,
@@ -26,8 +21,7 @@
 };
 use obs::{
     Counter,
-    Counters,
-    LogFormat, //
+    Counters, //
 };
 use peer::ControlClient;
 use quarantine::{
@@ -36,7 +30,6 @@
     Quarantine,
     Suspect, //
 };
-use setting::Common;
 use tempfile::TempDir;
 use wire::{
     DeploymentRequest,
@@ -46,44 +39,11 @@
     paths, //
 };
 
-const SECRET: &str = "a secret of enough bytes";
 /// The part that crashes engines.
 const DEADLY: PartId = PartId(0x0bad_cafe);
 /// Longest time until the hosts have reached a state.
 const DEADLINE: Duration = Duration::from_secs(20);
 
-/// The settings of a host that serves a plan. Without a data directory it is a mirror.
-fn settings(host: &str, listen: SocketAddr, seed: SocketAddr, data: Option<&Path>) -> Settings {
-    Settings {
-        common: Common {
-            host: host.try_into().unwrap(),
-            cluster: "test".try_into().unwrap(),
-            secret: SECRET.to_owned(),
-            listen,
-            limits: Limits::default(),
-            format: LogFormat::Terminal,
-            statsd: None,
-        },
-        advertise: None,
-        data_dir: data.map(Path::to_owned),
-        operators: Vec::new(),
-        platform: None,
-        usage_window: Duration::from_secs(60),
-        bounds: Default::default(),
-        plan: Some(PlanSettings {
-            path: PathBuf::from("none.toml"),
-            listen: reserve_address().unwrap(),
-            metrics: None,
-            zone: String::new(),
-            seeds: vec![seed],
-            bootstrap: true,
-            tolerated: 1,
-            view_ttl: Duration::from_millis(2500),
-            report_delay: Duration::from_secs(3),
-        }),
-    }
-}
-
 fn client(host: SocketAddr) -> ControlClient {
     let sealer = Sealer::new("test".try_into().unwrap(), SECRET);
     ControlClient::new(sealer, vec![host])
@@ -146,8 +106,8 @@
     let [member, mirror] = [0, 1].map(|_| reserve_address().unwrap());
     let counters = Counters::local();
     let hosts = [
-        settings("control-0", member, member, Some(dir.path())),
-        settings("mirror-0", mirror, member, None),
+        settings("control-0", member, vec![member], Some(dir.path())),
+        settings("mirror-0", mirror, vec![member], None),
     ];
     let handles = hosts.map(|settings| control::run(&settings, obs::discard(), counters.clone()));
     let host = if to_mirror { mirror } else { member };
