--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -151,10 +151,12 @@
 ///
 /// # Errors
 ///
-/// [`WireError::Malformed`] if they are larger than 4 GiB.
+/// [`WireError::Malformed`] if they are larger than 64 MiB, which [`decompress`] rejects.
 pub fn compress(payload: &[u8]) -> Result<Vec<u8>, WireError> {
     let size = u32::try_from(payload.len())
-        .map_err(|_| WireError::Malformed("the message is too large".to_owned()))?;
+        .ok()
+        .filter(|_| payload.len() <= MAX_PAYLOAD_BYTES)
+        .ok_or_else(|| WireError::Malformed("the message is too large".to_owned()))?;
     let packed = zstd::bulk::compress(payload, COMPRESSION_LEVEL)
         .map_err(|error| WireError::Malformed(error.to_string()))?;
     let mut bytes = Vec::with_capacity(SIZE_BYTES + packed.len());
