--- a/crates/govern/tests/departures.rs
+++ b/crates/govern/tests/departures.rs
@@ -25,6 +25,9 @@
 const DEPARTURE_MS: u64 = 7000;
 /// Time between two looks at the voters, in milliseconds.
 const SAMPLE_MS: u64 = 250;
+/// Longest time between the removal of a voter and the promotion of its successor, in milliseconds:
+/// two commits.
+const PROMOTION_MS: u64 = 20;
 /// Longest pause of a host, in milliseconds. Longer than all time-outs of the group.
 const MAX_PAUSE_MS: u64 = 9000;
 
@@ -219,16 +222,23 @@
         self.group.heal();
     }
 
+    /// The voters; none without a leader. A leader that has just been suspended does not respond.
+    fn voters(&mut self) -> Option<Vec<usize>> {
+        let leader = self.group.leader()?;
+        let voters = self.group.voters(leader);
+        (!voters.is_empty()).then_some(voters)
+    }
+
     fn note_voters(&mut self) {
-        let Some(leader) = self.group.leader() else {
+        let Some(mut voters) = self.voters() else {
             return;
         };
-        let voters = self.group.voters(leader);
-        let fewest = self.fewest.as_ref().map(Vec::len);
-        // A leader that has just been suspended does not respond.
-        if voters.is_empty() {
-            return;
+        // A successor is promoted as soon as the removal of the voter before it is committed.
+        if voters.len() < self.needed() {
+            self.group.advance(PROMOTION_MS);
+            voters = self.voters().unwrap_or(voters);
         }
+        let fewest = self.fewest.as_ref().map(Vec::len);
         if fewest.is_none_or(|fewest| voters.len() < fewest) {
             self.fewest = Some(voters);
         }
