--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -240,6 +240,8 @@
     left: BTreeMap<usize, bool>,
     /// Bytes that each installed plan has besides its version.
     pub(crate) padding: usize,
+    /// The account of the requests in tallies.
+    pub(crate) account: String,
     /// The last identity given to a host with an empty disk.
     last_id: u64,
 }
@@ -293,6 +295,7 @@
             leaves: BTreeMap::new(),
             left: BTreeMap::new(),
             padding: 0,
+            account: "ana".to_owned(),
             last_id: 100,
         };
         let members = (0..3).map(|n| member(n, n as u64 + 1, Stage::Voter));
@@ -855,13 +858,27 @@
             host: host.to_owned(),
             incarnation: 1,
         };
-        let runs = |count: u64| [("ana".to_owned(), count)].into();
+        let account = self.account.clone();
+        let runs = |count: u64| [(account.clone(), count)].into();
         let windows = windows
             .iter()
             .map(|(window, count)| (*window, runs(*count)));
         self.request(n, Request::Tally((reporter, windows.collect())));
     }
 
+    /// The last window that a host knows to be sealed.
+    pub(crate) fn last_sealed(&mut self, n: usize) -> Option<u64> {
+        let reporter = usage::Reporter {
+            host: "reader".to_owned(),
+            incarnation: 1,
+        };
+        let request = self.request(n, Request::Tally((reporter, Vec::new())));
+        match self.reply(request) {
+            Some(Reply::LastSealed(last)) => last,
+            _ => None,
+        }
+    }
+
     /// Two consecutive reports that break the rule of one holder at a time: the later one has a
     /// lower fencing term, or comes from another host too soon or under the same term. For each, the
     /// host, its term and the time in microseconds.
--- a/crates/govern/tests/plan.rs
+++ b/crates/govern/tests/plan.rs
@@ -291,6 +291,26 @@
         // A new leader reports under a higher fencing term.
         assert!(reports.windows(2).all(|pair| pair[0].1 < pair[1].1 || pair[0].0 == pair[1].0));
     };
+    // Guards against statements without a bound while the billing interface accepts none.
+    no_window_is_sealed_while_statements_take_their_share: {
+        let (mut group, leader) = group_with_plan();
+        group.accepts_reports = false;
+        group.account = "a".repeat(2000);
+        let first = group.window();
+        for _ in 0..40 {
+            let window = group.window();
+            group.tally("f1", &[(window, 1), (window + 1, 0)]);
+            group.advance(5000);
+        }
+        // A statement takes a little more than 2,000 bytes of a quarter of the bound.
+        let most = group::limits().pending as u64 / 4 / 2000 + 1;
+        let sealed = group.last_sealed(leader).unwrap() + 1 - first;
+        assert!((most - 2..=most).contains(&sealed), "{sealed} windows of {most}");
+        group.accepts_reports = true;
+        group.advance(60_000);
+        let sealed = group.last_sealed(leader).unwrap() + 1 - first;
+        assert!(sealed > most, "{sealed} windows");
+    };
     new_leader_reports_only_after_its_predecessor_s_lease: {
         let (mut group, leader) = group_with_plan();
         group.accepts_reports = false;
--- a/crates/usage/tests/statements.rs
+++ b/crates/usage/tests/statements.rs
@@ -32,6 +32,20 @@
 }
 
 case::cases! {
+    report_keeps_the_oldest_windows_that_are_not_sealed: {
+        let windows = (0..30).rev().map(|window| (window, 1)).collect::<Vec<_>>();
+        let (_, mut kept) = tally("a", 1, &windows);
+        usage::trim(&mut kept, Some(4));
+        let numbers: Vec<_> = kept.iter().map(|(window, _)| *window).collect();
+        assert_eq!(numbers, [5, 6, 7, 8, 9, 10, 11, 12]);
+    };
+    accepted_statements_do_not_count_as_pending: {
+        let mut statements = recorded(&[tally("a", 1, &[(7, 3)])]);
+        statements.seal(7);
+        assert!(statements.pending_bytes() > 0);
+        statements.accept(7);
+        assert_eq!(statements.pending_bytes(), 0);
+    };
     later_counts_replace_earlier_ones: {
         let mut statements = recorded(&[tally("a", 1, &[(7, 3)]), tally("a", 1, &[(7, 5)])]);
         statements.seal(7);
