--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -167,12 +167,10 @@
         let window = validator.in_range("window_s", raw.window_s, 1, 86_400);
         let memory = raw
             .memory_mb
-            .map(|mb| space(mb, "memory_mb", 1, &mut validator));
-        // A host without a disk has no space on it.
-        let least = u64::from(raw.data.is_some());
-        let disk = raw
-            .disk_mb
-            .map(|mb| space(mb, "disk_mb", least, &mut validator));
+            .map(|mb| space(mb, "memory_mb", &mut validator));
+        // A host without a disk has no space on it, and stores nothing.
+        let disk = raw.disk_mb.filter(|_| raw.data.is_some());
+        let disk = disk.map(|mb| space(mb, "disk_mb", &mut validator));
         let bounds = Limits::new(
             memory.unwrap_or(Limits::DEFAULT_MEMORY),
             disk.unwrap_or(Limits::DEFAULT_DISK),
@@ -209,10 +207,10 @@
     }
 }
 
-/// Memory or disk space in bytes, from a number of MiB that is at least `least`.
-fn space(mb: f64, name: &'static str, least: u64, validator: &mut Validator) -> usize {
-    // The conversion turns a negative number into 0.
-    let count = validator.in_range(name, mb as u64, least, MAX_MB);
+/// Memory or disk space in bytes, from a number of MiB.
+fn space(mb: f64, name: &'static str, validator: &mut Validator) -> usize {
+    // The conversion turns a negative number into 0, which is out of range.
+    let count = validator.in_range(name, mb as u64, 1, MAX_MB);
     usize::try_from(count << 20).unwrap_or(usize::MAX)
 }
 
