Size the lane of short prompts by its load, and shed long prompts earlier

Cause: in a burst the lane of short prompts (a fifth of the engines) was full. Short prompts spilled over to engines that prefill long prompts, where their streams paused beyond the gap that routes declare, and half of the prompts of medium length went into the lane. Long prompts of low rank were sent to engines that always had something to prefill, and many ran until their deadline.

Change: each front adapts the lane's share of the engines (a fifth to a half) to the occupancy that the lane's engines report. Short prompts spill over only when they would be late otherwise. Long prompts of low rank wait above a backlog of 0.15 of their target instead of a third, those of rank 1 above one target instead of three. The cost of long prompts in the lane is ten times as high.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -167,6 +167,9 @@
             }
             Event::ViewFresh(true) => event!(self.log, ViewValid),
             Event::ViewFresh(false) => event!(self.log, ViewExpired),
+            Event::LaneResized(share) => {
+                event!(self.log, LaneResized, "share" => share);
+            }
             Event::EndpointsChanged(all, draining) => {
                 event!(self.log, EndpointsChanged, "endpoints" => all, "leaving" => draining);
             }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -215,7 +215,13 @@
 
     /// Records the start of a response: counts usage once per request, and updates the endpoint's
     /// delay and load.
-    pub(crate) fn response_started(&mut self, now: Tick, id: RequestId, load: Option<Load>) {
+    pub(crate) fn response_started(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        load: Option<Load>,
+        out: &mut Outbox<Output>,
+    ) {
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
@@ -244,7 +250,9 @@
             delay,
             load,
         };
-        self.endpoints.record_response(now, id, &observed);
+        if let Some(share) = self.endpoints.record_response(now, id, &observed) {
+            out.push(Output::Event(Event::LaneResized(share)));
+        }
     }
 
     pub(crate) fn attempt_failed(
@@ -266,7 +274,7 @@
             ) {
                 // The endpoint probably executed the request although its response is unusable, so
                 // the request counts as usage.
-                self.response_started(now, id, None);
+                self.response_started(now, id, None, out);
             }
             if let Some(request) = self.requests.get_mut(id) {
                 request.tried.push(endpoint);
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -16,11 +16,12 @@
 use crate::request::Priority;
 
 /// Backlog of the best engine above which prompts of the lowest ranks wait, as a share of the
-/// latency target of their route.
-const LOW_RANK_LIMIT: f64 = 1.0 / 3.0;
+/// latency target of their route. An engine that always has prompts to prefill generates tokens so
+/// slowly that long responses miss their deadline, so the limit is far below the target.
+const LOW_RANK_LIMIT: f64 = 0.15;
 /// Backlog of the best engine above which prompts of rank 1 wait, as a multiple of the latency
-/// target of their route.
-const RANK_1_LIMIT: f64 = 3.0;
+/// target of their route. Beyond the target, the response is late in any case.
+const RANK_1_LIMIT: f64 = 1.0;
 /// Factor on the limit for a request at the end of its wait. Below the raised limit the request is
 /// dispatched, above it rejected.
 const FINAL_FACTOR: f64 = 1.6;
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -16,6 +16,7 @@
 use slotmap::SlotMap;
 
 use crate::endpoint::Endpoint;
+use crate::lane_size::LaneSize;
 use crate::lanes::{
     Lane,
     Lanes, //
@@ -55,6 +56,8 @@
     instances: HashMap<String, EndpointId>,
     /// Lanes by service; recomputed when the set of endpoints changes, not for each request.
     lanes: HashMap<String, Lanes>,
+    /// The size of the lane for short prompts, by service.
+    lane_sizes: HashMap<String, LaneSize>,
     /// What is typical of the endpoints in each lane of a service.
     typical: HashMap<(String, Lane), Typical>,
     /// The learned speed of each service's endpoints.
@@ -178,11 +181,15 @@
         typical.map_or_else(TypicalValues::default, |typical| typical.values(now))
     }
 
-    /// Records the start of a response and the load that its endpoint reported.
-    pub(crate) fn record_response(&mut self, now: Tick, id: EndpointId, observed: &Observed<'_>) {
-        let Some(endpoint) = self.endpoints.get_mut(id) else {
-            return;
-        };
+    /// Records the start of a response and the load that its endpoint reported. Returns the new size
+    /// of the lane for short prompts, as a share of the service's engines, if it changed.
+    pub(crate) fn record_response(
+        &mut self,
+        now: Tick,
+        id: EndpointId,
+        observed: &Observed<'_>,
+    ) -> Option<f64> {
+        let endpoint = self.endpoints.get_mut(id)?;
         endpoint.record_delay(now, observed.delay);
         if let Some(load) = observed.load {
             endpoint.record_load(now, load);
@@ -193,16 +200,27 @@
         let queue_ms = self.typical(now, &service, observed.prompt).delay;
         let speed = self.speeds.entry(service.clone()).or_default();
         speed.record(tokens, observed.elapsed_ms, queue_ms);
-        let key = (service, Lane::of(observed.prompt));
+        let key = (service.clone(), Lane::of(observed.prompt));
         let typical = self.typical.entry(key).or_default();
         typical.record(now, observed.delay, others);
+        let load = observed.load.filter(|_| observed.prompt.is_some())?;
+        if !self.lanes.get(&service)?.contains(id) {
+            return None;
+        }
+        let size = self.lane_sizes.entry(service).or_default();
+        let share = size.record(now, load).then_some(size.share());
+        if share.is_some() {
+            self.update_lanes();
+        }
+        share
     }
 
     fn update_lanes(&mut self) {
         let services = self.endpoints.values().map(|e| e.info.service.clone());
         let services: BTreeSet<_> = services.collect();
         let lanes = services.into_iter().map(|service| {
-            let lanes = Lanes::new(self.of_service(&service));
+            let size = self.lane_sizes.get(&service).copied().unwrap_or_default();
+            let lanes = Lanes::new(size, self.of_service(&service));
             (service, lanes)
         });
         self.lanes = lanes.collect();
--- a/crates/relay/src/lanes.rs
+++ b/crates/relay/src/lanes.rs
@@ -2,33 +2,31 @@
 //!
 //! An engine prefills prompts in chunks between the tokens of all other requests that it executes,
 //! so a long prompt pauses their streams. Therefore part of each zone's engines is reserved for
-//! short prompts. All fronts compute the same division from the endpoint listing, without
-//! communication. The division is soft: when the queueing delay in a lane is long
+//! short prompts (module `lane_size`). All fronts divide the endpoint listing in the same order,
+//! without communication. The division is soft: when the queueing delay in a lane is long
 //! enough, its prompts spill over into the other lane.
 
 use std::collections::{
     BTreeMap,
     HashSet, //
 };
+use std::time::Duration;
 
 use ids::EndpointId;
 
 use crate::endpoint::Endpoint;
+use crate::lane_size::LaneSize;
 use crate::message::Prompt;
 use crate::speed::Speed;
 
 /// Maximum number of tokens in a short prompt. Such a prompt fits, with room to spare, into one
 /// prefill chunk, which engines commonly limit to 2,048 tokens.
 const SHORT_PROMPT_TOKENS: u64 = 1500;
-/// One in this many engines of a zone is reserved for short prompts.
-const ENGINES_PER_SHORT_LANE: usize = 5;
-/// Queueing delay in the lane for short prompts at which they spill over into the other lane, as a
-/// multiple of the base time of a response.
-const SPILL_DELAY_FACTOR: f64 = 1.5;
 /// Cost of a long prompt in the lane for short ones, in milliseconds per square millisecond of
 /// prefill. The cost is quadratic because prefill time lengthens both the pause and the number of
-/// streams for which the pause is too long.
-const LONG_PROMPT_PENALTY: f64 = 0.2;
+/// streams for which the pause is too long. At a tenth of this value, half of the prompts of medium
+/// length spill over in a burst of long ones, and the streams in the lane take three times as long.
+const LONG_PROMPT_PENALTY: f64 = 2.0;
 
 /// The part of a service's endpoints that a request prefers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -56,7 +54,10 @@
 
 impl Lanes {
     /// Divides a service's endpoints into lanes.
-    pub(crate) fn new<'a>(endpoints: impl Iterator<Item = (EndpointId, &'a Endpoint)>) -> Self {
+    pub(crate) fn new<'a>(
+        size: LaneSize,
+        endpoints: impl Iterator<Item = (EndpointId, &'a Endpoint)>,
+    ) -> Self {
         let mut zones: BTreeMap<&str, Vec<(&str, EndpointId)>> = BTreeMap::new();
         for (id, endpoint) in endpoints.filter(|(_, e)| !e.leaves()) {
             let zone = zones.entry(&endpoint.info.zone).or_default();
@@ -65,21 +66,34 @@
         let mut short = HashSet::new();
         for zone in zones.values_mut() {
             zone.sort_unstable();
-            let count = (zone.len() / ENGINES_PER_SHORT_LANE).max(usize::from(zone.len() > 1));
+            let count = size.engines(zone.len());
             short.extend(zone.iter().take(count).map(|(_, id)| *id));
         }
         Self(short)
     }
 
-    /// Cost of an endpoint's lane for a prompt, in milliseconds.
-    pub(crate) fn cost(&self, endpoint: EndpointId, prompt: &Prompt, speed: &Speed) -> f64 {
+    /// Cost of an endpoint's lane for a prompt, in milliseconds. A short prompt spills over once its
+    /// delay would exceed the route's latency target: until then the response starts in time, and
+    /// in the other lane its stream would pause.
+    pub(crate) fn cost(
+        &self,
+        endpoint: EndpointId,
+        prompt: &Prompt,
+        speed: &Speed,
+        target: Duration,
+    ) -> f64 {
         match (self.0.contains(&endpoint), is_long(prompt)) {
             (true, false) | (false, true) => 0.0,
-            (false, false) => speed.base_ms() * SPILL_DELAY_FACTOR,
+            (false, false) => target.as_secs_f64() * 1000.0,
             (true, true) => speed.prefill_ms(prompt.input_tokens).powi(2) * LONG_PROMPT_PENALTY,
         }
     }
 
+    /// Whether an endpoint is in the lane for short prompts.
+    pub(crate) fn contains(&self, endpoint: EndpointId) -> bool {
+        self.0.contains(&endpoint)
+    }
+
     /// Whether an endpoint is in the lane of a prompt.
     pub(crate) fn matches(&self, endpoint: EndpointId, prompt: &Prompt) -> bool {
         self.0.contains(&endpoint) != is_long(prompt)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod front_count;
 mod health;
+mod lane_size;
 mod lanes;
 mod message;
 mod part_filter;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -280,7 +280,7 @@
 }
 
 /// An event to count or log.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// An attempt is dispatched.
     Sent {
@@ -344,6 +344,8 @@
     ViewFresh(bool),
     /// The front applied this version of the quarantine with this many parts.
     QuarantineChanged(u64, usize),
+    /// The lane for short prompts has another share of its service's engines.
+    LaneResized(f64),
     /// The set of endpoints changed: their number, and how many of them are draining.
     EndpointsChanged(usize, usize),
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -263,7 +263,7 @@
             Input::View(view) => self.apply_view(now, *view, out),
             Input::Endpoints(list) => self.update_endpoints(now, list, out),
             Input::Request(ticket, head) => self.receive(now, ticket, head, out),
-            Input::ResponseStarted(id, load) => self.response_started(now, id, load),
+            Input::ResponseStarted(id, load) => self.response_started(now, id, load, out),
             Input::Noticed(id, notice) => self.record_notice(now, id, notice, out),
             Input::AttemptFailed(ticket, id, failure) => {
                 self.attempt_failed(now, ticket, id, failure, out);
--- a/crates/relay/src/select.rs
+++ b/crates/relay/src/select.rs
@@ -75,6 +75,7 @@
             .typical(now, &service.name, request.prompt.as_ref());
         let cross_zone_cost = CROSS_ZONE_COST
             + Duration::from_secs_f64(request.transfer_bytes() * CROSS_ZONE_S_PER_BYTE);
+        let target = request.plan.route(request.route)?.latency_target;
         let lanes = self.endpoints.lanes(&service.name)?;
         let speed = self.endpoints.speed(&service.name);
         let preferred = request
@@ -105,7 +106,8 @@
                 let missed_ms = speed.prefill_ms(missed);
                 let factor = CACHE_MISS_FACTOR + estimate.inflight * CACHE_MISS_FACTOR_PER_REQUEST;
                 estimate.prefill_ms = Some(speed.prefill_ms(prefill + endpoint.pending_tokens));
-                estimate.affinity_cost = lanes.cost(*id, prompt, &speed) + missed_ms * factor;
+                estimate.affinity_cost =
+                    lanes.cost(*id, prompt, &speed, target) + missed_ms * factor;
             }
             estimate
         };
