--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -155,7 +155,7 @@
     /// In-flight requests of other fronts when the endpoint last reported its load.
     pub(crate) fn reported_others(&self) -> Option<f64> {
         let (load, own, _) = self.load?;
-        Some(f64::from((load.running + load.waiting).saturating_sub(own)))
+        Some(f64::from(load.in_flight().saturating_sub(own)))
     }
 
     /// Prompt tokens that the endpoint must prefill. A cached part saves its prefill only if all
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -19,7 +19,8 @@
 use crate::lane_size::LaneSize;
 use crate::lanes::{
     Lane,
-    Lanes, //
+    Lanes,
+    is_long, //
 };
 use crate::message::{
     EndpointInfo,
@@ -203,8 +204,9 @@
         let key = (service.clone(), Lane::of(observed.prompt));
         let typical = self.typical.entry(key).or_default();
         typical.record(now, observed.delay, others);
-        let load = observed.load.filter(|_| observed.prompt.is_some())?;
-        if !self.lanes.get(&service)?.contains(id) {
+        // The size of the lane follows the demand of the prompts that it is reserved for.
+        let load = observed.load?;
+        if is_long(observed.prompt?) || !self.lanes.get(&service)?.contains(id) {
             return None;
         }
         let size = self.lane_sizes.entry(service).or_default();
--- a/crates/relay/src/lane_size.rs
+++ b/crates/relay/src/lane_size.rs
@@ -55,7 +55,7 @@
 impl LaneSize {
     /// Records the load of an engine in the lane. Returns whether the size changed.
     pub(crate) fn record(&mut self, now: Tick, load: Load) -> bool {
-        let occupancy = f64::from(load.running + load.waiting) / f64::from(load.slots.max(1));
+        let occupancy = f64::from(load.in_flight()) / f64::from(load.slots.max(1));
         self.occupancy += (occupancy - self.occupancy) * WEIGHT;
         self.observations += 1;
         let early = now.since(self.changed_at) < INTERVAL;
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -136,6 +136,13 @@
     }
 }
 
+impl Load {
+    /// Requests at the endpoint. An endpoint may state any numbers.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// What an endpoint states about itself in the head of a response, beyond its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
