--- a/crates/control/src/listing.rs
+++ b/crates/control/src/listing.rs
@@ -12,7 +12,10 @@
     Logger,
     event, //
 };
-use peer::fetch_listing;
+use peer::{
+    Listing,
+    fetch_listing, //
+};
 use serde_bytes::ByteBuf;
 use step::Worker;
 
@@ -38,14 +41,19 @@
     fetcher: ListingFetcher<C>,
     requests: Receiver<()>,
 ) -> std::io::Result<Worker> {
-    let mut reachable = true;
+    let (mut reachable, mut incomplete) = (true, false);
     Worker::start("control-list", move || {
         requests.recv().ok()?;
         match fetcher.fetch() {
-            Ok(pages) => {
+            Ok(listing) => {
                 if !std::mem::replace(&mut reachable, true) {
                     event!(fetcher.log, ListingAvailable);
                 }
+                let before = std::mem::replace(&mut incomplete, listing.incomplete);
+                if listing.incomplete && !before {
+                    event!(fetcher.log, ListingIncomplete, "pages" => listing.pages.len());
+                }
+                let pages = listing.pages.into_iter().map(ByteBuf::from).collect();
                 fetcher.inbox.send(Input::Listing(pages)).ok()?;
             }
             Err(error) => {
@@ -59,9 +67,8 @@
 }
 
 impl<C: PlatformCodec> ListingFetcher<C> {
-    fn fetch(&self) -> Result<Vec<ByteBuf>, String> {
+    fn fetch(&self) -> Result<Listing, String> {
         let platform = self.platform.ok_or("the settings name no platform")?;
-        let pages = fetch_listing(&self.codec, platform)?;
-        Ok(pages.into_iter().map(ByteBuf::from).collect())
+        fetch_listing(&self.codec, platform)
     }
 }
--- a/crates/front/src/listing.rs
+++ b/crates/front/src/listing.rs
@@ -84,6 +84,8 @@
     pub(crate) max_age: Duration,
     /// Whether the last fetch succeeded.
     pub(crate) reachable: bool,
+    /// Whether the last listing was incomplete.
+    pub(crate) incomplete: bool,
 }
 
 impl<A: ProtocolAdapter> ListingFetcher<A> {
@@ -122,7 +124,11 @@
     }
 
     fn fetch(&mut self) -> Result<Vec<EndpointInfo>, String> {
-        let pages = fetch_listing(&self.decoder.adapter, self.address)?;
-        self.decoder.decode(&pages)
+        let listing = fetch_listing(&self.decoder.adapter, self.address)?;
+        let before = std::mem::replace(&mut self.incomplete, listing.incomplete);
+        if listing.incomplete && !before {
+            event!(self.log, ListingIncomplete, "pages" => listing.pages.len());
+        }
+        self.decoder.decode(&listing.pages)
     }
 }
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -154,6 +154,7 @@
         listing_read,
         max_age: settings.listing_age,
         reachable: true,
+        incomplete: false,
     };
     let listing_fetcher = Worker::start("front-list", move || fetcher.step());
     let reporter = || UsageReporter {
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -62,6 +62,7 @@
     1202 ListingAvailable Info "the endpoint listing can be read again";
     1203 ListingEntriesSkipped Warning "the process skipped invalid entries in the endpoint listing";
     1204 EndpointsChanged Info "endpoints were added, were removed or started to drain";
+    1205 ListingIncomplete Warning "the endpoint listing refers to a page that was read before, or to too many pages";
     2001 RequestFailed Info "a request ended with an error response";
     2002 AttemptFailed Warning "an attempt failed at an endpoint";
     2003 StreamAborted Warning "a response was aborted before its end";
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -12,6 +12,7 @@
 };
 pub use distribute::distributor_order;
 pub use listing::{
+    Listing,
     ListingFormat,
     fetch_listing, //
 };
--- a/crates/peer/src/listing.rs
+++ b/crates/peer/src/listing.rs
@@ -1,5 +1,6 @@
 //! Fetches the platform's paginated listing of endpoints.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,19 +24,29 @@
     fn next(&self, page: &[u8]) -> Result<Option<String>, String>;
 }
 
-/// Fetches all pages.
+/// The pages of one fetch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    /// The pages, each once.
+    pub pages: Vec<Vec<u8>>,
+    /// Whether further pages may exist: the last page refers to one that was read before, or there are
+    /// too many pages.
+    pub incomplete: bool,
+}
+
+/// Fetches all pages. If a page refers to one that was read before, all pages that can be reached were
+/// read, and they are returned: an error would take all engines from the fronts for as long as the
+/// reference is listed.
 ///
 /// # Errors
 ///
 /// A sentence that states why a page could not be fetched.
-pub fn fetch_listing<F: ListingFormat>(
-    format: &F,
-    address: SocketAddr,
-) -> Result<Vec<Vec<u8>>, String> {
+pub fn fetch_listing<F: ListingFormat>(format: &F, address: SocketAddr) -> Result<Listing, String> {
     let client = Client::new(PAGE_TIMEOUT);
     let mut pages = Vec::new();
+    let mut seen = HashSet::new();
     let mut token: Option<String> = None;
-    while pages.len() < MAX_PAGES {
+    loop {
         let target = format.target(token.as_deref());
         let response = client
             .call(address, "GET", &target, &[], Vec::new())
@@ -48,9 +59,13 @@
         }
         token = format.next(&response.body)?;
         pages.push(response.body);
-        if token.is_none() {
+        let Some(next) = &token else {
+            break;
+        };
+        if !seen.insert(next.clone()) || pages.len() == MAX_PAGES {
             break;
         }
     }
-    Ok(pages)
+    let incomplete = token.is_some();
+    Ok(Listing { pages, incomplete })
 }
--- a/crates/peer/tests/listing.rs
+++ b/crates/peer/tests/listing.rs
@@ -17,6 +17,7 @@
 use std::thread;
 
 use peer::{
+    Listing,
     ListingFormat,
     fetch_listing, //
 };
@@ -68,22 +69,25 @@
     (address, sent)
 }
 
-fn fetch(next: fn(usize) -> Vec<u8>) -> (usize, usize) {
+fn fetch(next: fn(usize) -> Vec<u8>) -> (Listing, usize) {
     let (address, sent) = serve(next, 0);
-    let pages = fetch_listing(&Tokens, address).unwrap();
-    (pages.len(), sent.load(Ordering::Relaxed))
+    let listing = fetch_listing(&Tokens, address).unwrap();
+    (listing, sent.load(Ordering::Relaxed))
 }
 
 case::cases! {
     all_pages_are_read: {
-        assert_eq!(fetch(|n| if n < 3 { (n + 1).to_string().into() } else { Vec::new() }), (4, 4));
+        let (listing, sent) = fetch(|n| if n < 3 { (n + 1).to_string().into() } else { Vec::new() });
+        assert_eq!((listing.pages.len(), listing.incomplete, sent), (4, false, 4));
     };
     // The fetch read the same pages again, 64 in total, every 700 ms.
     pages_of_a_loop_are_read_once: {
-        assert_eq!(fetch(|n| (n % 3 + 1).to_string().into()), (4, 4));
+        let (listing, sent) = fetch(|n| (n % 3 + 1).to_string().into());
+        assert_eq!((listing.pages.len(), listing.incomplete, sent), (4, true, 4));
     };
     pages_without_end_are_limited: {
-        assert_eq!(fetch(|n| (n + 1).to_string().into()), (64, 64));
+        let (listing, sent) = fetch(|n| (n + 1).to_string().into());
+        assert_eq!((listing.pages.len(), listing.incomplete, sent), (64, true, 64));
     };
     truncated_page_is_an_error: {
         let (address, _) = serve(|_| Vec::new(), 5);
