--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod backlog;
 mod balance;
+mod duplicates;
 mod endpoint;
 mod endpoints;
 mod event;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -29,6 +29,7 @@
 
 use crate::backlog::BacklogQueue;
 use crate::balance::Balancer;
+use crate::duplicates::Duplicates;
 use crate::endpoints::Endpoints;
 use crate::front_count::FrontCount;
 use crate::message::{
@@ -75,6 +76,7 @@
     /// Number of fronts that subscribe to the deployment.
     pub(crate) fronts: FrontCount,
     pub(crate) endpoints: Endpoints,
+    pub(crate) duplicates: Duplicates,
     pub(crate) requests: SlotMap<RequestId, Request>,
     /// Retry budgets by service.
     pub(crate) retry_budgets: HashMap<String, RetryBudget>,
@@ -99,6 +101,7 @@
             view_requested: Tick::default(),
             fronts: FrontCount::default(),
             endpoints: Endpoints::default(),
+            duplicates: Duplicates::default(),
             requests: SlotMap::with_key(),
             retry_budgets: HashMap::new(),
             usage: UsageCount::new(options.usage_window),
@@ -133,6 +136,9 @@
             self.generation = view.generation;
             self.plan = plan;
             self.close_zones(now, closed);
+            if let Some(list) = self.duplicates.take_ambiguous(now) {
+                self.update_endpoints(now, list, out);
+            }
             out.push(Output::Event(Event::Advanced(self.generation)));
         }
         if view.generation == self.generation {
@@ -247,6 +253,11 @@
     }
 
     fn update_endpoints(&mut self, now: Tick, list: Vec<EndpointInfo>, out: &mut Outbox<Output>) {
+        let plan = self.plan.as_ref();
+        let known = |name: &str| {
+            plan.is_some_and(|plan| plan.services().any(|service| service.name == name))
+        };
+        let list = self.duplicates.resolve(now, list, known);
         if self.endpoints.update(now, list, &mut self.rng) {
             let (total, draining) = self.endpoints.counts();
             out.push(Output::Event(Event::EndpointsChanged(total, draining)));
