Show the age of the endpoint listing as a metric

A listing that stood still showed in one log line at its beginning. Fronts now show berg_listing_age_ms.

--- a/crates/front/src/deployment.rs
+++ b/crates/front/src/deployment.rs
@@ -6,7 +6,6 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{
-    AtomicU64,
     AtomicUsize,
     Ordering, //
 };
@@ -48,7 +47,10 @@
 
 use crate::adapter::ProtocolAdapter;
 use crate::control::FrontInbox;
-use crate::listing::ListingDecoder;
+use crate::listing::{
+    ListingDecoder,
+    ListingTimes, //
+};
 use crate::settings::Settings;
 
 /// How long a control host may hold a request until a newer deployment or directory exists.
@@ -84,9 +86,7 @@
     pub(crate) directory_version: u64,
     /// Version of the quarantine last received; 0 if there is none.
     pub(crate) quarantine_version: u64,
-    /// When the control group read the listing that it last supplied, in microseconds of the clock;
-    /// 0 if it has supplied none.
-    pub(crate) listing_read: Arc<AtomicU64>,
+    pub(crate) listing_times: ListingTimes,
     /// Maximum size of a request's body in bytes, according to the plan.
     pub(crate) body_limit: Arc<AtomicUsize>,
     /// The availability zone of this front.
@@ -177,12 +177,14 @@
             .set_hosts(std::iter::once(host).chain(others).collect());
         self.usage_control.prefer(host);
         self.control.set_hosts(response.control_hosts);
-        if let Some(age) = response.directory_age {
-            let read_at = (self.clock.now() - age).0;
-            self.listing_read.fetch_max(read_at, Ordering::AcqRel);
-        }
-        if let Some(directory) = response.directory {
-            self.send_endpoints(&directory, response.directory_age.unwrap_or_default())?;
+        let readable = match response.directory {
+            Some(directory) => {
+                self.send_endpoints(&directory, response.directory_age.unwrap_or_default())?
+            }
+            None => true,
+        };
+        if let Some(age) = response.directory_age.filter(|_| readable) {
+            self.listing_times.record_supplied(self.clock.now() - age);
         }
         let deployment = match response.snapshot.map(|snapshot| self.decode(snapshot)) {
             None => None,
@@ -211,24 +213,32 @@
             requested_at,
             quarantine: response.quarantine.map(Arc::new),
         };
-        self.inbox.send(Input::View(Box::new(view))).ok()
+        self.inbox.send(Input::View(Box::new(view))).ok()?;
+        if !readable {
+            // The control host sends the directory again at once.
+            thread::park_timeout(ROUND_PAUSE);
+        }
+        Some(())
     }
 
-    /// Sends the endpoints of a newer directory to the core. Returns `None` once the core has
-    /// ended. `age` is the time since the control group read the directory; it is subtracted from
-    /// the remaining cold time.
-    fn send_endpoints(&mut self, directory: &Directory, age: Duration) -> Option<()> {
+    /// Sends the endpoints of a newer directory to the core. Returns whether the directory could be
+    /// read, and `None` once the core has ended. A directory that could not be read does not count
+    /// as supplied, so that the front reads the listing itself once the last one is too old. `age` is
+    /// the time since the control group read the directory; it is subtracted from the remaining cold
+    /// time.
+    fn send_endpoints(&mut self, directory: &Directory, age: Duration) -> Option<bool> {
         match self.decoder.decode(&directory.pages) {
             Ok(mut endpoints) => {
                 self.directory_version = directory.version;
                 for endpoint in &mut endpoints {
                     endpoint.cold_remaining = endpoint.cold_remaining.saturating_sub(age);
                 }
-                self.inbox.send(Input::Endpoints(endpoints)).ok()
+                self.inbox.send(Input::Endpoints(endpoints)).ok()?;
+                Some(true)
             }
             Err(error) => {
                 event!(self.log, ListingUnavailable, "fault" => error);
-                Some(())
+                Some(false)
             }
         }
     }
--- a/crates/front/src/listing.rs
+++ b/crates/front/src/listing.rs
@@ -38,6 +38,44 @@
 /// Delay before a retry after a fetch failed.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// When the listings that this front has were read. Clones share the times.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ListingTimes(Arc<Times>);
+
+/// Microseconds of the front's clock; 0 before the first listing.
+#[derive(Debug, Default)]
+struct Times {
+    /// When the control group read the listing that it last supplied.
+    supplied: AtomicU64,
+    /// When the listing in use was read.
+    used: AtomicU64,
+}
+
+impl ListingTimes {
+    /// Records that the listing that the control group read at `at` is in use.
+    pub(crate) fn record_supplied(&self, at: Tick) {
+        self.0.supplied.fetch_max(at.0, Ordering::AcqRel);
+        self.record_used(at);
+    }
+
+    /// Records that a listing that was read at `at` is in use.
+    fn record_used(&self, at: Tick) {
+        self.0.used.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// When the control group read the listing that it last supplied; none if it supplied none.
+    fn supplied_at(&self) -> Option<Tick> {
+        let at = Tick(self.0.supplied.load(Ordering::Acquire));
+        (at > Tick::default()).then_some(at)
+    }
+
+    /// The age of the listing in use; none if there is none.
+    pub(crate) fn age(&self, now: Tick) -> Option<Duration> {
+        let at = Tick(self.0.used.load(Ordering::Acquire));
+        (at > Tick::default()).then(|| now.since(at))
+    }
+}
+
 /// Decodes the pages of the listing. Logs the number of invalid entries when it changes.
 pub(crate) struct ListingDecoder<A> {
     pub(crate) adapter: A,
@@ -77,9 +115,7 @@
     pub(crate) inbox: FrontInbox,
     pub(crate) log: Logger,
     pub(crate) clock: Monotonic,
-    /// When the control group read the listing that it last supplied, in microseconds of the clock;
-    /// 0 if it has supplied none.
-    pub(crate) listing_read: Arc<AtomicU64>,
+    pub(crate) times: ListingTimes,
     /// Maximum age of the control group's listing.
     pub(crate) max_age: Duration,
     /// Whether the last fetch succeeded.
@@ -96,8 +132,10 @@
             thread::park_timeout(AGE_CHECK_INTERVAL);
             return Some(());
         }
+        let requested_at = self.clock.now();
         match self.fetch() {
             Ok(endpoints) => {
+                self.times.record_used(requested_at);
                 if !std::mem::replace(&mut self.reachable, true) {
                     event!(self.log, ListingAvailable);
                 }
@@ -117,9 +155,9 @@
     /// Whether the control group has supplied a recent listing or may still supply the first one.
     fn awaits_control_group(&self) -> bool {
         let now = self.clock.now();
-        match Tick(self.listing_read.load(Ordering::Acquire)) {
-            read_at if read_at > Tick::default() => now.since(read_at) < self.max_age,
-            _ => now.since(Tick::default()) < START_GRACE,
+        match self.times.supplied_at() {
+            Some(read_at) => now.since(read_at) < self.max_age,
+            None => now.since(Tick::default()) < START_GRACE,
         }
     }
 
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -8,9 +8,15 @@
 };
 use std::time::Duration;
 
-use ids::millis;
+use ids::{
+    Clock,
+    Monotonic,
+    millis, //
+};
 use obs::Counters;
 
+use crate::listing::ListingTimes;
+
 /// Upper bounds of the histograms' buckets, in milliseconds. They range from below the usual
 /// latency targets to above the usual deadlines.
 const BOUNDS_MS: [u64; 12] = [5, 10, 25, 50, 100, 200, 300, 500, 1000, 2000, 4000, 12_000];
@@ -33,29 +39,44 @@
     sum_ms: AtomicU64,
 }
 
-/// The histograms of one front. Clones share their values.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Metrics(Arc<[Histogram; STAGES.len()]>);
+/// The metrics of one front. Clones share their values.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    histograms: Arc<[Histogram; STAGES.len()]>,
+    listing: ListingTimes,
+    clock: Monotonic,
+}
 
 impl Metrics {
+    pub(crate) fn new(listing: ListingTimes, clock: Monotonic) -> Self {
+        Self {
+            histograms: Arc::default(),
+            listing,
+            clock,
+        }
+    }
+
     /// Records how long a stage took.
     pub(crate) fn observe(&self, stage: Stage, elapsed: Duration) {
         let elapsed_ms = millis(elapsed);
         let index = BOUNDS_MS.partition_point(|bound| *bound < elapsed_ms);
-        let histogram = &self.0[stage as usize];
+        let histogram = &self.histograms[stage as usize];
         histogram.buckets[index].fetch_add(1, Ordering::Relaxed);
         histogram.sum_ms.fetch_add(elapsed_ms, Ordering::Relaxed);
     }
 
-    /// All counters and histograms, one value per line.
+    /// All counters, the age of the listing in use and the histograms, one value per line.
     pub(crate) fn text(&self, counters: &Counters) -> String {
         let mut text = String::new();
         for (name, count) in counters.all() {
             // Writing to a string cannot fail.
             let _ = writeln!(text, "berg_{} {count}", name.replace('.', "_"));
         }
+        if let Some(age) = self.listing.age(self.clock.now()) {
+            let _ = writeln!(text, "berg_listing_age_ms {}", millis(age));
+        }
         for (stage, name) in STAGES {
-            let histogram = &self.0[stage as usize];
+            let histogram = &self.histograms[stage as usize];
             let mut count = 0;
             for (bound, bucket) in BOUNDS_MS.iter().zip(&histogram.buckets) {
                 count += bucket.load(Ordering::Relaxed);
@@ -73,3 +94,34 @@
         text
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use ids::Tick;
+
+    use super::*;
+
+    fn age_line(listing: &ListingTimes, clock: Monotonic) -> Option<u64> {
+        let text = Metrics::new(listing.clone(), clock).text(&Counters::local());
+        let line = text
+            .lines()
+            .find_map(|line| line.strip_prefix("berg_listing_age_ms "));
+        line.map(|age| age.parse().unwrap())
+    }
+
+    case::cases! {
+        // A listing that stood still was visible in a log line at its beginning only.
+        age_of_the_listing_is_shown_once_there_is_one: {
+            let (listing, clock) = (ListingTimes::default(), Monotonic::start());
+            assert_eq!(age_line(&listing, clock), None);
+            listing.record_supplied(clock.now() + Duration::from_micros(1));
+            assert!(age_line(&listing, clock).is_some());
+        };
+        older_listing_does_not_replace_the_age: {
+            let listing = ListingTimes::default();
+            listing.record_supplied(Tick(5_000_000));
+            listing.record_supplied(Tick(2_000_000));
+            assert_eq!(listing.age(Tick(7_000_000)), Some(Duration::from_secs(2)));
+        };
+    }
+}
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -46,7 +46,8 @@
 use crate::evidence_report::EvidenceReporter;
 use crate::listing::{
     ListingDecoder,
-    ListingFetcher, //
+    ListingFetcher,
+    ListingTimes, //
 };
 use crate::metrics::Metrics;
 use crate::serve::{
@@ -116,7 +117,7 @@
     let peers = ControlClient::new(sealer.clone(), settings.control.clone());
     peers.rotate(incarnation.0);
     let usage_peers = ControlClient::new(sealer, settings.control.clone());
-    let listing_read = Arc::new(AtomicU64::new(0));
+    let listing_times = ListingTimes::default();
     let body_limit = Arc::new(AtomicUsize::new(common.limits.body_bytes));
     let decoder = || ListingDecoder {
         adapter: adapter.clone(),
@@ -140,7 +141,7 @@
         generation: 0,
         directory_version: 0,
         quarantine_version: 0,
-        listing_read: Arc::clone(&listing_read),
+        listing_times: listing_times.clone(),
         body_limit: Arc::clone(&body_limit),
         reachable: true,
     };
@@ -151,7 +152,7 @@
         inbox: inbox.clone(),
         log: log.clone(),
         clock,
-        listing_read,
+        times: listing_times.clone(),
         max_age: settings.listing_age,
         reachable: true,
         incomplete: false,
@@ -183,7 +184,7 @@
         inbox,
         tickets: Arc::new(AtomicU64::new(0)),
         counters,
-        metrics: Metrics::default(),
+        metrics: Metrics::new(listing_times, clock),
         log: log.clone(),
         limits: common.limits,
         body_limit,
