Carry the attempt's number in evidence of crashes

The control group dates a crash and the dispatch of the retry by the ages of different reports; only the front knows their order for certain. A crash now lists the attempts that ended with it, each with a number of its request that is unique among all fronts, its number within the request, and the time from its dispatch. Another attempt of a request ended with another crash, also at the same instance. Crashes of processes of the version before have no attempts and are decoded as before; one without attempts is encoded as before. Existing tests: literals of Crash get the new field; the one of a front's report checks the attempt as well.

--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -74,6 +74,7 @@
         instance: format!("i{n}"),
         age: Duration::from_secs(n),
         parts: Suspect::of_request([DEADLY], Duration::ZERO).collect(),
+        attempts: Vec::new(),
     };
     let request = EvidenceRequest {
         host: front(),
--- a/crates/govern/src/evidence.rs
+++ b/crates/govern/src/evidence.rs
@@ -9,7 +9,7 @@
 
 /// Reports held at most. Above it, the one received first is dropped; its front repeats it.
 const MAX_REPORTS: usize = 1024;
-/// Parts in one request above which the other reports wait for the next request. It keeps the request
+/// Parts and attempts in one request above which the other reports wait for the next request. It keeps the request
 /// far below the limit of a body's size.
 const MAX_PARTS: usize = 32 * 1024;
 
@@ -48,7 +48,8 @@
             };
             let (received_at, reported) = &report;
             let crashes = reported.crashes.iter();
-            parts += reported.served.len() + crashes.map(|crash| crash.parts.len()).sum::<usize>();
+            let entries = crashes.map(|crash| crash.parts.len() + crash.attempts.len());
+            parts += reported.served.len() + entries.sum::<usize>();
             evidence.append(reported.clone().aged(now.since(*received_at)));
             self.sending.insert(front, report);
         }
--- a/crates/govern/tests/quarantine.rs
+++ b/crates/govern/tests/quarantine.rs
@@ -75,6 +75,7 @@
         instance: format!("i{n}"),
         age: Duration::from_millis(*age),
         parts: Suspect::of_request(parts.iter().copied(), Duration::ZERO).collect(),
+        attempts: Vec::new(),
     };
     Evidence {
         crashes: list.iter().enumerate().map(crash).collect(),
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -24,6 +24,26 @@
     pub age: Duration,
     /// The shared parts of the prompts to which the engine had begun no response, or only just.
     pub parts: Vec<Suspect>,
+    /// The attempts that ended with the crash. Processes of the version before state none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub attempts: Vec<Attempt>,
+}
+
+/// An attempt of a request that ended with a crash. Of two crashes, the one with the higher number of
+/// the same request is the later one, whatever times are stated: a front sends an attempt after the
+/// one before it has failed.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Attempt {
+    /// The request, by a number that no other request of any front has. It is not a request's
+    /// content, which may come again.
+    pub request: u64,
+    /// The attempt's number within the request, from 1.
+    pub number: u32,
+    /// Time from the dispatch of the attempt to the crash.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub elapsed: Duration,
 }
 
 /// A part of a prompt, or a request as a whole, that was in progress at a crash.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -15,6 +15,7 @@
 mod suspects;
 
 pub use evidence::{
+    Attempt,
     Crash,
     Evidence,
     Served,
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::evidence::{
+    Attempt,
     Crash,
     Evidence,
     Served,
@@ -51,9 +52,22 @@
     at: Tick,
     /// The suspects by part, each with its greatest depth and shortest time.
     suspects: BTreeMap<PartId, Suspect>,
+    /// The attempts that ended with the crash, by request.
+    attempts: BTreeMap<u64, Attempt>,
 }
 
 impl Observed {
+    /// Whether an observation of the instance at `at` is of this crash. Another attempt of a request
+    /// ended with another crash.
+    fn is_same(&self, at: Tick, instance: &str, attempts: &[Attempt]) -> bool {
+        let apart = self.at.since(at).max(at.since(self.at));
+        let other = |attempt: &Attempt| {
+            let held = self.attempts.get(&attempt.request);
+            held.is_some_and(|held| held.number != attempt.number)
+        };
+        self.instance == instance && apart < SAME_CRASH && !attempts.iter().any(other)
+    }
+
     fn add(&mut self, suspects: impl IntoIterator<Item = Suspect>) {
         for suspect in suspects {
             let held = self.suspects.entry(suspect.part).or_insert(suspect);
@@ -125,7 +139,18 @@
         instance: &str,
         suspects: impl IntoIterator<Item = Suspect>,
     ) {
-        self.observe(at, instance, suspects);
+        self.observe(at, instance, suspects, &[]);
+    }
+
+    /// As [`Self::crashed`], with the attempt of the request that ended with the crash.
+    pub fn attempt_crashed(
+        &mut self,
+        at: Tick,
+        instance: &str,
+        attempt: Attempt,
+        suspects: impl IntoIterator<Item = Suspect>,
+    ) {
+        self.observe(at, instance, suspects, &[attempt]);
     }
 
     /// Returns whether the crash or one of the suspects is new.
@@ -134,22 +159,23 @@
         at: Tick,
         instance: &str,
         suspects: impl IntoIterator<Item = Suspect>,
+        attempts: &[Attempt],
     ) -> bool {
-        let same = self.crashes.iter_mut().find(|crash| {
-            let apart = crash.at.since(at).max(at.since(crash.at));
-            crash.instance == instance && apart < SAME_CRASH
-        });
-        let new = match same {
+        let by_request = attempts.iter().map(|attempt| (attempt.request, *attempt));
+        let mut crashes = self.crashes.iter_mut();
+        let new = match crashes.find(|crash| crash.is_same(at, instance, attempts)) {
             Some(crash) => {
-                let before = crash.suspects.len();
+                let before = (crash.suspects.len(), crash.attempts.len());
                 crash.add(suspects);
-                crash.suspects.len() > before
+                crash.attempts.extend(by_request);
+                (crash.suspects.len(), crash.attempts.len()) != before
             }
             None => {
                 let mut crash = Observed {
                     instance: instance.to_owned(),
                     at,
                     suspects: BTreeMap::new(),
+                    attempts: by_request.collect(),
                 };
                 crash.add(suspects);
                 let after = self.crashes.partition_point(|earlier| earlier.at <= at);
@@ -195,7 +221,8 @@
         let mut new = false;
         for crash in &evidence.crashes {
             let suspects = crash.parts.iter().copied();
-            new |= self.observe(now - crash.age, &crash.instance, suspects);
+            let at = now - crash.age;
+            new |= self.observe(at, &crash.instance, suspects, &crash.attempts);
         }
         for served in &evidence.served {
             let at = now - served.age;
@@ -227,6 +254,7 @@
                     instance: crash.instance.clone(),
                     age: now.since(crash.at),
                     parts: crash.suspects.values().copied().collect(),
+                    attempts: crash.attempts.values().copied().collect(),
                 })
                 .collect(),
         }
--- a/crates/quarantine/tests/suspects.rs
+++ b/crates/quarantine/tests/suspects.rs
@@ -67,6 +67,7 @@
             instance: instance.to_owned(),
             age: Duration::from_millis(age_ms),
             parts: of(parts.iter().copied()).collect(),
+            attempts: Vec::new(),
         }],
         served: Vec::new(),
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,6 +14,7 @@
     Route,
     Service, //
 };
+use slotmap::Key;
 use step::Outbox;
 
 use crate::backlog::WaitPolicy;
@@ -49,6 +50,12 @@
 /// counts as a failure.
 const GAP_TIMEOUT_FACTOR: u32 = 3;
 
+/// A number that no other request of any front has: fronts have different seeds.
+fn request_number(rng_seed: u64, id: RequestId) -> u64 {
+    // An odd factor keeps the numbers of one front different.
+    rng_seed ^ id.data().as_ffi().wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
 impl<B: Balancer> Relay<B> {
     /// Selects an endpoint for a request's next attempt. Rejects and ends the request if there is
     /// none. Returns no decision if the request is to wait.
@@ -314,8 +321,13 @@
             return;
         }
         let instance = endpoint.info.instance.clone();
+        let attempt = quarantine::Attempt {
+            request: request_number(self.options.rng_seed, id),
+            number: request.attempts,
+            elapsed: now.since(request.sent_at),
+        };
         self.part_filter
-            .crashed(now, &instance, &request.parts, request.sent_at);
+            .crashed(now, &instance, &request.parts, attempt);
         let event = Event::Crashed(request.name.clone(), instance, request.parts.clone());
         out.push(Output::Event(event));
     }
--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -10,6 +10,7 @@
     Tick, //
 };
 use quarantine::{
+    Attempt,
     Evidence,
     LocalVerdicts,
     Quarantine,
@@ -128,11 +129,18 @@
         Some((rejected, LocalVerdicts::RETRY_AFTER))
     }
 
-    /// Records that an endpoint crashed while a request with these parts was in progress there, sent
-    /// at `sent_at`.
-    pub(crate) fn crashed(&mut self, now: Tick, instance: &str, parts: &[PartId], sent_at: Tick) {
-        let suspects = Suspect::of_request(parts.iter().copied(), now.since(sent_at));
-        self.suspects.crashed(now, instance, suspects);
+    /// Records that an endpoint crashed while an attempt of a request with these parts was in
+    /// progress there.
+    pub(crate) fn crashed(
+        &mut self,
+        now: Tick,
+        instance: &str,
+        parts: &[PartId],
+        attempt: Attempt,
+    ) {
+        let suspects = Suspect::of_request(parts.iter().copied(), attempt.elapsed);
+        self.suspects
+            .attempt_crashed(now, instance, attempt, suspects);
         let due_at = now + Suspects::REPORT_DELAY;
         self.report_at = Some(self.report_at.map_or(due_at, |at| at.min(due_at)));
     }
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -372,14 +372,40 @@
         front.fail(attempt.request, Failure::Crashed);
         let evidence = front.evidence().unwrap();
         let parts = [PartId(1), PartId(DEADLY), identity(&prompt(&[1, DEADLY], 100))];
+        let attempts = evidence.crashes[0].attempts.clone();
         let crash = Crash {
             instance: attempt.instance,
             age: SECOND,
             parts: Suspect::of_request(parts, Duration::from_millis(20)).collect(),
+            attempts: attempts.clone(),
         };
         assert_eq!(evidence.crashes, [crash]);
+        assert_eq!(attempts.len(), 1);
+        assert_eq!((attempts[0].number, attempts[0].elapsed), (1, Duration::from_millis(20)));
         assert_eq!(front.evidence(), None);
     };
+    // The control group dates both crashes by reports of different delays.
+    crashes_of_a_request_are_reported_with_the_numbers_of_its_attempts: {
+        let mut front = Front::new();
+        let first = front.dispatched(prompt(&[DEADLY], 100));
+        let other = front.dispatched(prompt(&[1], 101));
+        let second = assert_matches!(front.fail(first.request, Failure::Crashed), Decision::Dispatch(a) => *a);
+        assert_ne!(first.instance, second.instance);
+        front.wait(Duration::from_millis(30));
+        front.fail(second.request, Failure::Crashed);
+        front.fail(other.request, Failure::Crashed);
+        let crashes = front.evidence().unwrap().crashes;
+        let attempts = |instance: &str| {
+            let crash = crashes.iter().find(|crash| crash.instance == instance).unwrap();
+            crash.attempts.clone()
+        };
+        let earlier = attempts(&first.instance).into_iter().find(|a| a.elapsed.is_zero()).unwrap();
+        let later = attempts(&second.instance).into_iter().find(|a| a.request == earlier.request).unwrap();
+        assert_eq!((earlier.number, later.number), (1, 2));
+        assert_eq!(later.elapsed, Duration::from_millis(30));
+        let others = attempts(&other.instance);
+        assert!(others.iter().any(|a| a.request != earlier.request && a.number == 1));
+    };
     // Guards against evidence that is lost with the leader that received it.
     evidence_is_repeated_for_ten_seconds: {
         let mut front = Front::new();
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -21,6 +21,7 @@
     Document, //
 };
 use quarantine::{
+    Attempt,
     Crash,
     Evidence,
     Quarantine,
@@ -171,6 +172,7 @@
             instance: "i1".to_owned(),
             age: Duration::from_millis(30),
             parts: Suspect::of_request([PartId(u64::MAX)], Duration::ZERO).collect(),
+            attempts: Vec::new(),
         }],
         served: Vec::new(),
     }
@@ -249,6 +251,18 @@
         convert(&(PartId(1), 2)),
         Some(Suspect { part: PartId(1), depth: 2, elapsed: Duration::ZERO })
     );
+    crash_without_attempts_is_that_of_the_version_before: {
+        let crash = evidence().crashes.remove(0);
+        let old = ("i1".to_owned(), 30_u64, crash.parts.clone());
+        assert_eq!(convert(&old).as_ref(), Some(&crash));
+        assert_eq!(convert(&crash), Some(old));
+    };
+    crash_with_attempts_is_decoded_unchanged: {
+        let mut crash = evidence().crashes.remove(0);
+        let elapsed = Duration::from_millis(20);
+        crash.attempts = vec![Attempt { request: u64::MAX, number: 2, elapsed }];
+        assert_eq!(convert(&crash), Some(crash));
+    };
     messages_with_quarantine_and_evidence_are_decoded_unchanged: {
         let request = deployment_request(6);
         assert_eq!(convert(&request), Some(request));
