Order crashes by the attempts of a request

A crash whose re-dated time lay before that of the crash to which its request's retry is due was taken for the same loss of engines, so that three crashes counted as two. A judgement now dates the crash of an attempt no earlier than that of the attempt before it plus the measured time from dispatch to crash (order.rs); crashes without attempts keep their times.

--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -12,6 +12,7 @@
 mod identity;
 mod list;
 mod local;
+mod order;
 mod suspects;
 
 pub use evidence::{
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -19,6 +19,11 @@
     Served,
     Suspect, //
 };
+use crate::order::{
+    Dated,
+    Reported,
+    in_order, //
+};
 
 /// Observations of the same instance within this time are of the same crash.
 const SAME_CRASH: Duration = Duration::from_secs(1);
@@ -57,17 +62,6 @@
 }
 
 impl Observed {
-    /// Whether an observation of the instance at `at` is of this crash. Another attempt of a request
-    /// ended with another crash.
-    fn is_same(&self, at: Tick, instance: &str, attempts: &[Attempt]) -> bool {
-        let apart = self.at.since(at).max(at.since(self.at));
-        let other = |attempt: &Attempt| {
-            let held = self.attempts.get(&attempt.request);
-            held.is_some_and(|held| held.number != attempt.number)
-        };
-        self.instance == instance && apart < SAME_CRASH && !attempts.iter().any(other)
-    }
-
     fn add(&mut self, suspects: impl IntoIterator<Item = Suspect>) {
         for suspect in suspects {
             let held = self.suspects.entry(suspect.part).or_insert(suspect);
@@ -76,11 +70,32 @@
         }
     }
 
+    /// Adds attempts. Of two of one request, such as one that was sent to an endpoint that had just
+    /// crashed, the later one counts.
+    fn add_attempts(&mut self, attempts: &[Attempt]) {
+        for attempt in attempts {
+            let held = self.attempts.entry(attempt.request).or_insert(*attempt);
+            if held.number < attempt.number {
+                *held = *attempt;
+            }
+        }
+    }
+
     fn has_any(&self, parts: &BTreeSet<PartId>) -> bool {
         self.suspects.keys().any(|part| parts.contains(part))
     }
 }
 
+impl Reported for Observed {
+    fn at(&self) -> Tick {
+        self.at
+    }
+
+    fn attempts(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.values()
+    }
+}
+
 /// The crashes that count against a part.
 #[derive(Clone, Debug, Default)]
 struct Count {
@@ -161,13 +176,15 @@
         suspects: impl IntoIterator<Item = Suspect>,
         attempts: &[Attempt],
     ) -> bool {
-        let by_request = attempts.iter().map(|attempt| (attempt.request, *attempt));
-        let mut crashes = self.crashes.iter_mut();
-        let new = match crashes.find(|crash| crash.is_same(at, instance, attempts)) {
+        let same = self.crashes.iter_mut().find(|crash| {
+            let apart = crash.at.since(at).max(at.since(crash.at));
+            crash.instance == instance && apart < SAME_CRASH
+        });
+        let new = match same {
             Some(crash) => {
                 let before = (crash.suspects.len(), crash.attempts.len());
                 crash.add(suspects);
-                crash.attempts.extend(by_request);
+                crash.add_attempts(attempts);
                 (crash.suspects.len(), crash.attempts.len()) != before
             }
             None => {
@@ -175,9 +192,10 @@
                     instance: instance.to_owned(),
                     at,
                     suspects: BTreeMap::new(),
-                    attempts: by_request.collect(),
+                    attempts: BTreeMap::new(),
                 };
                 crash.add(suspects);
+                crash.add_attempts(attempts);
                 let after = self.crashes.partition_point(|earlier| earlier.at <= at);
                 self.crashes.insert(after, crash);
                 true
@@ -291,9 +309,9 @@
         suspected && !causes.iter().any(|cause| cause.part == part)
     }
 
-    fn current(&self, now: Tick) -> Vec<&Observed> {
+    fn current(&self, now: Tick) -> Vec<Dated<'_, Observed>> {
         let current = |crash: &&Observed| now.since(crash.at) < MAX_AGE;
-        self.crashes.iter().filter(current).collect()
+        in_order(self.crashes.iter().filter(current))
     }
 
     /// The causes of crashes.
@@ -303,13 +321,18 @@
     /// of several, such as parts never served, the one present in the most crashes, then the one with
     /// the most parts before it, which the fewest prompts share. It explains all crashes in which it
     /// was present.
-    fn causes(&self, crashes: &[&Observed], mut explaining: BTreeSet<PartId>) -> Vec<Cause> {
+    fn causes(
+        &self,
+        crashes: &[Dated<'_, Observed>],
+        mut explaining: BTreeSet<PartId>,
+    ) -> Vec<Cause> {
         let mut causes = Vec::new();
         loop {
             let mut counts = self.counts(crashes, &explaining);
             counts.retain(|part, count| count.deciding(*part).len() >= MIN_CRASHES);
             let depth = |part: PartId| {
-                let open = crashes.iter().filter(|crash| !crash.has_any(&explaining));
+                let open = crashes.iter().map(|dated| dated.crash);
+                let open = open.filter(|crash| !crash.has_any(&explaining));
                 let suspects = open.filter_map(|crash| crash.suspects.get(&part));
                 suspects.map(|suspect| suspect.depth).max()
             };
@@ -341,7 +364,7 @@
     /// present in most of these crashes: otherwise they have another cause.
     fn counts(
         &self,
-        crashes: &[&Observed],
+        crashes: &[Dated<'_, Observed>],
         explaining: &BTreeSet<PartId>,
     ) -> BTreeMap<PartId, Count> {
         let mut counts: BTreeMap<PartId, Count> = BTreeMap::new();
@@ -351,8 +374,11 @@
             let (moment, later) = rest.split_at(end.max(1));
             rest = later;
             let mut present: BTreeMap<PartId, usize> = BTreeMap::new();
-            let open = moment.iter().filter(|crash| !crash.has_any(explaining));
-            let suspects = open.flat_map(|crash| crash.suspects.values().map(|s| (s, crash.at)));
+            let open = moment
+                .iter()
+                .filter(|dated| !dated.crash.has_any(explaining));
+            let suspects =
+                open.flat_map(|dated| dated.crash.suspects.values().map(|s| (s, dated.at)));
             for (suspect, at) in suspects {
                 *present.entry(suspect.part).or_default() += 1;
                 if suspect.part.is_request() && self.served_at(suspect.part) < Some(first.at) {
@@ -376,9 +402,9 @@
 }
 
 /// The parts of crashes for which a condition holds.
-fn parts_that(crashes: &[&Observed], holds: impl Fn(PartId) -> bool) -> BTreeSet<PartId> {
+fn parts_that(crashes: &[Dated<'_, Observed>], holds: impl Fn(PartId) -> bool) -> BTreeSet<PartId> {
     let parts = crashes
         .iter()
-        .flat_map(|crash| crash.suspects.keys().copied());
+        .flat_map(|dated| dated.crash.suspects.keys().copied());
     parts.filter(|part| holds(*part)).collect()
 }
