Test how soon crashes are reported

first_crash_is_reported_within_five_milliseconds fails: a front collects for 100 ms before it reports a crash, and one that ends meanwhile loses it. The bound of 100 ms for crashes in a row holds.

--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -413,6 +413,33 @@
         let reports = (0..20).filter(|_| front.evidence().is_some()).count();
         assert_eq!(reports, 5);
     };
+    // A front that ends between a crash and its report loses the crash. These two cases bound the loss.
+    first_crash_is_reported_within_five_milliseconds: {
+        let mut front = Front::new();
+        front.crash(prompt(&[DEADLY], 100));
+        let evidence = evidence(front.wait(Duration::from_millis(5))).unwrap();
+        assert_eq!(evidence.crashes.len(), 1);
+        for n in 0..3 {
+            front.wait(Duration::from_millis(100));
+            front.crash(prompt(&[DEADLY], 200 + n));
+            assert_matches!(self::evidence(front.wait(Duration::from_millis(5))), Some(_), "{n}");
+        }
+    };
+    crashes_in_a_row_are_reported_within_a_hundred_milliseconds: {
+        let mut front = Front::new();
+        let (mut unreported, mut reports) = (Vec::new(), 0);
+        for n in 0..500 {
+            front.crash_plain(&[7, u8::try_from(n % 250).unwrap(), u8::from(n < 250)]);
+            unreported.push(front.now);
+            if evidence(front.wait(Duration::from_millis(1))).is_some() {
+                reports += 1;
+                unreported.clear();
+            }
+            let oldest = unreported.first().copied().unwrap_or(front.now);
+            assert!(front.now.since(oldest) <= Duration::from_millis(100), "{n}");
+        }
+        assert!((5..=6).contains(&reports), "{reports}");
+    };
     lost_connection_is_no_evidence: for failure in [Failure::Broken, Failure::Silent, Failure::Errored] {
         let mut front = Front::new();
         let request = front.dispatched(prompt(&[1, 2], 100)).request;
