Report the first crash after 5 ms

A front collected for 100 ms before it reported a crash, so one that ended between a crash and its report lost the crash.

--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -36,7 +36,8 @@
 /// held on its way for [`REPORT_DELAY`] and for the interval at which control processes request the
 /// feed.
 const SETTLE: Duration = Duration::from_millis(700);
-/// How long a front collects observations before it reports them.
+/// Interval between reports of a front while it observes crashes, and so the longest time for which it
+/// collects observations.
 pub(crate) const REPORT_DELAY: Duration = Duration::from_millis(100);
 /// How long fronts repeat an observation with later reports. With clocks that drift by 5 percent, the
 /// age of a repeated crash is off by less than [`SAME_CRASH`].
@@ -144,7 +145,7 @@
 }
 
 impl Suspects {
-    /// How long a front collects observations before it reports them.
+    /// Interval between reports of a front while it observes crashes.
     pub const REPORT_DELAY: Duration = REPORT_DELAY;
 
     /// Records the crash of an engine and the suspects of a request that was in progress there.
--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -27,6 +27,10 @@
 const OBJECTION_REPEAT: Duration = Duration::from_secs(10);
 /// Interval at which a front repeats its evidence, since the leader that received it may fail.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a front collects observations of a crash before it reports them, if it has reported nothing
+/// lately. A front that ends sooner loses them. The connections to an engine that crashes break within
+/// a millisecond or two.
+const FIRST_REPORT_DELAY: Duration = Duration::from_millis(5);
 /// Time since the last view after which the front has lost touch with the control group and decides
 /// by its own observations.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
@@ -51,6 +55,8 @@
     local: LocalVerdicts,
     /// When to report evidence; none if there is nothing new.
     report_at: Option<Tick>,
+    /// When evidence was last reported.
+    reported_at: Option<Tick>,
 }
 
 impl PartFilter {
@@ -141,7 +147,8 @@
         let suspects = Suspect::of_request(parts.iter().copied(), attempt.elapsed);
         self.suspects
             .attempt_crashed(now, instance, attempt, suspects);
-        let due_at = now + Suspects::REPORT_DELAY;
+        let spaced = self.reported_at.map(|at| at + Suspects::REPORT_DELAY);
+        let due_at = (now + FIRST_REPORT_DELAY).max(spaced.unwrap_or_default());
         self.report_at = Some(self.report_at.map_or(due_at, |at| at.min(due_at)));
     }
 
@@ -161,6 +168,7 @@
             return None;
         }
         self.report_at = Some(now + REPEAT_INTERVAL);
+        self.reported_at = Some(now);
         Some(evidence)
     }
 
