--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -10,6 +10,7 @@
     Tick, //
 };
 use quarantine::{
+    Attempt,
     Evidence,
     LocalVerdicts,
     Quarantine,
@@ -26,6 +27,10 @@
 const OBJECTION_REPEAT: Duration = Duration::from_secs(10);
 /// Interval at which a front repeats its evidence, since the leader that received it may fail.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// How long a front collects observations of a crash before it reports them, if it has reported nothing
+/// lately. A front that ends sooner loses them. The connections to an engine that crashes break within
+/// a millisecond or two.
+const FIRST_REPORT_DELAY: Duration = Duration::from_millis(5);
 /// Time since the last view after which the front has lost touch with the control group and decides
 /// by its own observations.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
@@ -50,6 +55,8 @@
     local: LocalVerdicts,
     /// When to report evidence; none if there is nothing new.
     report_at: Option<Tick>,
+    /// When evidence was last reported.
+    reported_at: Option<Tick>,
 }
 
 impl PartFilter {
@@ -128,12 +135,20 @@
         Some((rejected, LocalVerdicts::RETRY_AFTER))
     }
 
-    /// Records that an endpoint crashed while a request with these parts was in progress there, sent
-    /// at `sent_at`.
-    pub(crate) fn crashed(&mut self, now: Tick, instance: &str, parts: &[PartId], sent_at: Tick) {
-        let suspects = Suspect::of_request(parts.iter().copied(), now.since(sent_at));
-        self.suspects.crashed(now, instance, suspects);
-        let due_at = now + Suspects::REPORT_DELAY;
+    /// Records that an endpoint crashed while an attempt of a request with these parts was in
+    /// progress there.
+    pub(crate) fn crashed(
+        &mut self,
+        now: Tick,
+        instance: &str,
+        parts: &[PartId],
+        attempt: Attempt,
+    ) {
+        let suspects = Suspect::of_request(parts.iter().copied(), attempt.elapsed);
+        self.suspects
+            .attempt_crashed(now, instance, attempt, suspects);
+        let spaced = self.reported_at.map(|at| at + Suspects::REPORT_DELAY);
+        let due_at = (now + FIRST_REPORT_DELAY).max(spaced.unwrap_or_default());
         self.report_at = Some(self.report_at.map_or(due_at, |at| at.min(due_at)));
     }
 
@@ -153,6 +168,7 @@
             return None;
         }
         self.report_at = Some(now + REPEAT_INTERVAL);
+        self.reported_at = Some(now);
         Some(evidence)
     }
 
