--- a/crates/rollout/src/tally.rs
+++ b/crates/rollout/src/tally.rs
@@ -38,6 +38,26 @@
         self.slow = self.slow.max(other.slow);
     }
 
+    /// The counts added since an earlier sum.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            sent: self.sent.saturating_sub(earlier.sent),
+            failed: self.failed.saturating_sub(earlier.failed),
+            started: self.started.saturating_sub(earlier.started),
+            start_ms: (self.start_ms - earlier.start_ms).max(0.0),
+            slow: self.slow.saturating_sub(earlier.slow),
+        }
+    }
+
+    /// The mean relative time to the start of a response; 0 without responses.
+    pub fn mean_start(&self) -> f64 {
+        if self.started == 0 {
+            return 0.0;
+        }
+        self.start_ms / self.started as f64
+    }
+
     /// Adds the counts of another process.
     pub fn add(&mut self, other: &Self) {
         self.sent = self.sent.saturating_add(other.sent);
