--- a/crates/govern/src/command.rs
+++ b/crates/govern/src/command.rs
@@ -30,7 +30,7 @@
 
 /// A command of the replicated log. Variants are stored by name, so a renamed one keeps its stored
 /// name.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub enum Command {
     /// Applies a proposed change of the configuration.
@@ -87,6 +87,8 @@
     Quarantine(Vec<(PartId, Sentence)>),
     /// Releases prompt parts from quarantine.
     Release(Vec<PartId>),
+    /// Changes the orders of rollouts.
+    Rollout(rollout::Change),
 }
 
 /// The result of applying a command.
@@ -98,6 +100,8 @@
     Claimed(Claimed),
     /// Whether a settlement was recorded.
     Settled(bool),
+    /// The effect on the orders of rollouts.
+    Rollout(rollout::Effect),
     /// The command was applied and has no result.
     Applied,
 }
--- a/crates/govern/src/confirm.rs
+++ b/crates/govern/src/confirm.rs
@@ -80,12 +80,15 @@
         let applied = self.applied;
         let config = self.machine.registry.config();
         let document = self.machine.deployment.document();
+        let orders = self.machine.rollouts.list();
+        let orders: Vec<_> = orders.map(|progress| progress.order.clone()).collect();
         self.reads.retain(|read| {
             let ready = read.confirmed.is_some_and(|index| index <= applied);
             if ready {
                 let reply = match read.kind {
                     ReadKind::Config => Reply::Config(config.revision(), config.export()),
                     ReadKind::Document => Reply::Document(document.cloned()),
+                    ReadKind::Orders => Reply::Orders(orders.clone()),
                 };
                 out.push(Output::Reply(read.ticket, reply));
             }
--- a/crates/govern/src/feed.rs
+++ b/crates/govern/src/feed.rs
@@ -1,4 +1,5 @@
-//! Distribution of the deployment, the directory and the quarantine over two levels: the leader feeds
+//! Distribution of the deployment, the directory, the quarantine and the stages of
+//! rollouts over two levels: the leader feeds
 //! the other control processes, and each control process serves the fronts that poll it.
 
 use std::collections::BTreeMap;
@@ -20,6 +21,7 @@
     FeedRequest,
     Output, //
 };
+use crate::rollout::FrontCounts;
 use crate::subscribers::SubscriberId;
 
 /// How long the leader holds a distributor's request without an update. A front's directory is at
@@ -33,7 +35,8 @@
 /// Time since its last request after which the leader no longer counts a distributor.
 const DISTRIBUTOR_TTL: Duration = Duration::from_secs(3);
 
-/// The versions of the deployment, the directory and the quarantine that a distributor holds.
+/// The versions of the deployment, the directory, the quarantine and the stages of rollouts that a
+/// distributor holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FeedPosition {
     /// The deployment's generation; none if the distributor does not get it from the feed.
@@ -42,6 +45,8 @@
     pub(crate) directory: u64,
     /// The quarantine's version; none if the distributor does not get it from the feed.
     pub(crate) quarantine: Option<u64>,
+    /// The version of the stages; none if the distributor does not get them from the feed.
+    pub(crate) rollouts: Option<u64>,
 }
 
 /// What the leader knows of a control process that it feeds.
@@ -112,6 +117,8 @@
     tallies: BTreeMap<Reporter, Vec<(u64, Runs)>>,
     /// Evidence to report with the next request.
     pub(crate) reports: Reports,
+    /// Fronts' counts for rollouts, to report with the next request.
+    pub(crate) counts: FrontCounts,
 }
 
 impl Uplink {
@@ -128,6 +135,7 @@
             last_sealed: None,
             tallies: BTreeMap::new(),
             reports: Reports::default(),
+            counts: FrontCounts::default(),
         }
     }
 
@@ -176,8 +184,10 @@
             generation: held.generation,
             directory: held.directory,
             quarantine: held.quarantine,
+            rollouts: held.rollouts,
             tallies: std::mem::take(&mut self.tallies).into_iter().collect(),
             evidence: self.reports.send(now),
+            counts: self.counts.send(now),
             max_wait: FEED_WAIT,
         };
         out.push(Output::RequestFeed(host, Box::new(request)));
@@ -192,6 +202,7 @@
         self.subscribers = reply.deployment.subscribers;
         self.last_sealed = self.last_sealed.max(reply.last_sealed);
         self.reports.sent();
+        self.counts.sent();
         sent_at
     }
 
@@ -200,5 +211,6 @@
         self.sent_at = None;
         self.retry_at = now + FEED_RETRY;
         self.reports.unsent();
+        self.counts.repeat();
     }
 }
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -60,6 +60,7 @@
     Read,
     ReadKind, //
 };
+use crate::rollout::RolloutState;
 use crate::subscribers::{
     CONFIRM_RETRY,
     SubscriberId,
@@ -97,6 +98,7 @@
     pub(crate) membership: Membership,
     pub(crate) billing: Billing,
     pub(crate) judge: Judge,
+    pub(crate) rollouts: RolloutState,
     pub(crate) reads: Vec<Read>,
     /// The term in which this host leads; none if it does not lead.
     led_term: Option<Term>,
@@ -142,6 +144,7 @@
             membership: Membership::default(),
             billing: Billing::default(),
             judge: Judge::default(),
+            rollouts: RolloutState::default(),
             reads: Vec::new(),
             led_term: None,
             started_at: now,
@@ -206,6 +209,11 @@
             Request::Evidence(front, evidence) => {
                 self.evidence(now, ticket, (front, evidence), out);
             }
+            Request::Order(request) => self.order(now, ticket, request, out),
+            Request::Orders => self.start_read(now, ticket, ReadKind::Orders, out),
+            Request::FrontCounts(front, report) => {
+                self.front_counts(now, ticket, (front, report), out);
+            }
             Request::Member(change) => self.change_group(now, ticket, &change, out),
             Request::Status => {
                 let status = Box::new(self.status(now));
@@ -418,6 +426,7 @@
             Outcome::Claimed(ledger::Claimed::Granted) => {
                 out.push(Output::Event(Event::ClaimGranted))
             }
+            Outcome::Rollout(effect) => self.rollout_changed(*effect, out),
             _ => {}
         }
         outcome
@@ -444,6 +453,7 @@
     /// the log is long.
     fn after_step(&mut self, now: Tick, out: &mut Outbox<Output>) {
         self.update_leadership(out);
+        self.rollouts.ages.follow(now, &self.machine.rollouts);
         self.reply_to_reads(out);
         self.confirm_requests(now, out);
         self.reply_to_views(now, out);
@@ -477,6 +487,7 @@
             self.delivering = false;
             self.billing = Billing::default();
             self.judge = Judge::default();
+            self.rollouts.step_down();
         }
         if let Some(new) = leads {
             out.push(Output::Event(Event::Elected(new)));
--- a/crates/govern/src/lib.rs
+++ b/crates/govern/src/lib.rs
@@ -1,8 +1,8 @@
 //! The decision core of a control host: the replicated state machine, and the duties of its leader.
 //!
 //! [`Govern`] combines the consensus node [`agree::Node`] with the aggregates that it replicates:
-//! the configuration registry, the ledger of claims, the deployment, the usage windows and the
-//! quarantine of prompt parts. A [`Codec`] encodes commands and snapshots.
+//! the configuration registry, the ledger of claims, the deployment, the usage windows, the
+//! quarantine of prompt parts and the orders of rollouts. A [`Codec`] encodes commands and snapshots.
 //!
 //! [`Mirror`] is the core of a control process without a disk. It is not a member of the group: it
 //! gets the deployment from the leader and distributes it to fronts.
@@ -21,6 +21,7 @@
 mod mirror;
 mod plan;
 mod read;
+mod rollout;
 mod subscribers;
 
 pub use command::{
@@ -53,6 +54,7 @@
     Mirror,
     MirrorOptions, //
 };
+pub use rollout::RolloutOptions;
 pub use subscribers::{
     Subscriber,
     SubscriberId,
--- a/crates/govern/src/machine.rs
+++ b/crates/govern/src/machine.rs
@@ -9,9 +9,12 @@
 use ledger::Ledger;
 use plan::Deployment;
 use quarantine::Quarantine;
+use rollout::Orders;
+use serde::ser::SerializeStruct;
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    Serializer, //
 };
 use usage::{
     Statements,
@@ -38,24 +41,47 @@
     pub statements: Statements,
     /// The prompt parts in quarantine.
     pub quarantine: Quarantine,
+    /// The orders of rollouts.
+    pub rollouts: Orders,
 }
 
 /// The stored form of a [`Machine`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+// Parts at the end are not stored before their first change, so that hosts of the versions before can
+// load the snapshot.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct MachineSnapshot {
     registry: RegistryState,
     ledger: Ledger,
     usage: UsageWindows,
     deployment: Deployment,
     statements: Statements,
-    // Not stored before its first change, so that hosts of the version before can load the snapshot.
-    #[serde(default, skip_serializing_if = "is_unchanged")]
+    #[serde(default)]
     quarantine: Quarantine,
+    #[serde(default)]
+    rollouts: Orders,
 }
 
-fn is_unchanged(quarantine: &Quarantine) -> bool {
-    quarantine.version() == 0
+impl Serialize for MachineSnapshot {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        // The fields have no names, so the quarantine is stored with the orders.
+        let orders = self.rollouts.version() > 0;
+        let quarantine = orders || self.quarantine.version() > 0;
+        let count = 5 + usize::from(quarantine) + usize::from(orders);
+        let mut out = s.serialize_struct("MachineSnapshot", count)?;
+        out.serialize_field("registry", &self.registry)?;
+        out.serialize_field("ledger", &self.ledger)?;
+        out.serialize_field("usage", &self.usage)?;
+        out.serialize_field("deployment", &self.deployment)?;
+        out.serialize_field("statements", &self.statements)?;
+        if quarantine {
+            out.serialize_field("quarantine", &self.quarantine)?;
+        }
+        if orders {
+            out.serialize_field("rollouts", &self.rollouts)?;
+        }
+        out.end()
+    }
 }
 
 impl Machine {
@@ -116,6 +142,7 @@
                 self.quarantine.lift(&parts);
                 Outcome::Applied
             }
+            Command::Rollout(change) => Outcome::Rollout(self.rollouts.apply(change)),
         }
     }
 
@@ -128,6 +155,7 @@
             deployment: self.deployment.clone(),
             statements: self.statements.clone(),
             quarantine: self.quarantine.clone(),
+            rollouts: self.rollouts.clone(),
         }
     }
 }
@@ -143,6 +171,7 @@
             deployment: state.deployment,
             statements: state.statements,
             quarantine: state.quarantine,
+            rollouts: state.rollouts,
         })
     }
 }
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -38,6 +38,14 @@
     Evidence,
     Quarantine, //
 };
+use rollout::{
+    Decision,
+    FrontTally,
+    Order,
+    OrderRequest,
+    Progress,
+    Stages, //
+};
 use serde_bytes::ByteBuf;
 use usage::{
     Statement,
@@ -49,6 +57,7 @@
     Command,
     Outcome, //
 };
+use crate::rollout::RolloutOptions;
 use crate::subscribers::{
     Subscriber,
     SubscriberId, //
@@ -71,6 +80,8 @@
     /// How long a new leader waits before its first usage report, so that the report follows the
     /// predecessor's last one.
     pub report_delay: Duration,
+    /// Options for rollouts; none if the host accepts none.
+    pub rollouts: Option<RolloutOptions>,
 }
 
 /// Options of a control host's core.
@@ -119,6 +130,13 @@
     /// Record what a front knows of prompt parts that crash engines. It replaces what the front
     /// reported before.
     Evidence(SubscriberId, Evidence),
+    /// Order a rollout.
+    Order(OrderRequest),
+    /// Read the orders of rollouts, with a leader's confirmation.
+    Orders,
+    /// Record a front's counts of the responses of both versions of rollouts. They replace what the
+    /// front reported before.
+    FrontCounts(SubscriberId, FrontTally),
 }
 
 /// The versions that a subscriber of the deployment holds.
@@ -130,6 +148,8 @@
     pub directory: u64,
     /// The quarantine's version.
     pub quarantine: u64,
+    /// The version of the stages of rollouts.
+    pub rollouts: u64,
 }
 
 /// Brings a subscriber of the deployment up to date.
@@ -156,6 +176,8 @@
     pub ttl: Option<Duration>,
     /// The quarantine; none if the subscriber holds this version.
     pub quarantine: Option<Quarantine>,
+    /// The stages of rollouts; none if the subscriber holds this version.
+    pub rollouts: Option<Stages>,
 }
 
 /// A distributor's request for the deployment and the directory.
@@ -173,10 +195,14 @@
     pub directory: u64,
     /// The version of its quarantine; none if it gets the quarantine from the replicated log.
     pub quarantine: Option<u64>,
+    /// The version of its stages of rollouts; none if it gets them from the replicated log.
+    pub rollouts: Option<u64>,
     /// The usage that its fronts reported since its last request.
     pub tallies: Vec<Tally>,
     /// What its fronts reported of prompt parts that crash engines.
     pub evidence: Evidence,
+    /// What its fronts reported of rollouts.
+    pub counts: Vec<FrontTally>,
     /// How long it waits for an update.
     pub max_wait: Duration,
 }
@@ -261,6 +287,10 @@
     LastSealed(Option<u64>),
     /// The evidence was recorded, or will be passed on to the leader.
     Recorded,
+    /// The newest order of each service.
+    Orders(Vec<Order>),
+    /// The plan has no service of the order's name.
+    UnknownService,
     /// This host does not lead; the leader's address, if known.
     NotLeader(Option<SocketAddr>),
     /// No leader confirmed the request in time. A command may still be applied later.
@@ -293,7 +323,7 @@
 }
 
 /// An event for logs and counters.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// This host was elected leader of this term.
     Elected(Term),
@@ -320,6 +350,9 @@
     PartQuarantined(PartId),
     /// This host leads, and a prompt part was released from quarantine.
     PartReleased(PartId),
+    /// This host leads, and an order of a rollout was accepted, changed its exposure or ended; the
+    /// decision, unless the order was accepted.
+    RolloutChanged(Box<Progress>, Option<Box<Decision>>),
     /// A committed entry or a snapshot cannot be encoded or decoded, with the reason. The core stops.
     CodecFailed(String),
 }
--- a/crates/govern/src/mirror.rs
+++ b/crates/govern/src/mirror.rs
@@ -1,6 +1,6 @@
 //! The core of a control process without a disk. It is not a member of the control group and never
-//! votes. It copies the deployment, the directory and the quarantine from the leader, serves them to
-//! fronts, passes the fronts' usage and evidence on, and refers all other requests to the leader.
+//! votes. It copies the deployment, the directory, the quarantine and the stages of rollouts
+//! from the leader, serves them to fronts, passes the fronts' usage and evidence on, and refers all other requests to the leader.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,6 +19,10 @@
     Evidence,
     Quarantine, //
 };
+use rollout::{
+    FrontTally,
+    Stages, //
+};
 use step::{
     Core,
     Outbox, //
@@ -83,6 +87,7 @@
     members: Vec<SocketAddr>,
     snapshot: Option<DeploymentSnapshot>,
     quarantine: Quarantine,
+    stages: Stages,
     /// When the copy expires. Fronts must not use it any longer.
     valid_until: Tick,
     reader: DirectoryReader,
@@ -104,6 +109,7 @@
             members: Vec::new(),
             snapshot: None,
             quarantine: Quarantine::default(),
+            stages: Stages::default(),
             valid_until: Tick::default(),
             reader: DirectoryReader::default(),
             wall_clock: (0, Tick::default()),
@@ -146,6 +152,9 @@
             Request::Evidence(front, evidence) => {
                 out.push(Output::Reply(ticket, self.evidence(now, front, evidence)));
             }
+            Request::FrontCounts(front, report) => {
+                out.push(Output::Reply(ticket, self.front_counts(now, front, report)));
+            }
             _ => out.push(Output::Reply(ticket, Reply::NotLeader(self.leader))),
         }
     }
@@ -170,6 +179,16 @@
         Reply::Recorded
     }
 
+    /// Passes a front's counts for rollouts on to the leader, or refers the front to the leader while
+    /// this process has lost touch with it.
+    fn front_counts(&mut self, now: Tick, front: SubscriberId, report: FrontTally) -> Reply {
+        if !self.uplink.in_touch(now) {
+            return Reply::NotLeader(self.leader);
+        }
+        self.uplink.counts.add(now, front, report);
+        Reply::Recorded
+    }
+
     /// Renews the copy. Its validity counts from when the request for it was sent.
     fn renew(&mut self, now: Tick, reply: FeedReply) {
         let sent_at = self.uplink.replied(now, &reply);
@@ -181,11 +200,16 @@
             }
         }
         self.members = deployment.hosts;
-        // A copy that goes back to an older generation or quarantine is never valid.
+        // A copy that goes back to an older generation, quarantine or stage is never valid.
         let (snapshot, quarantine) = (deployment.snapshot, deployment.quarantine);
+        let stages = deployment.rollouts;
         let older = |snapshot: &DeploymentSnapshot| snapshot.generation < self.generation();
         let earlier = |quarantine: &Quarantine| quarantine.version() < self.quarantine.version();
-        if snapshot.as_ref().is_some_and(older) || quarantine.as_ref().is_some_and(earlier) {
+        let before = |stages: &Stages| stages.version < self.stages.version;
+        if snapshot.as_ref().is_some_and(older)
+            || quarantine.as_ref().is_some_and(earlier)
+            || stages.as_ref().is_some_and(before)
+        {
             return;
         }
         if let Some(snapshot) = snapshot {
@@ -194,6 +218,9 @@
         if let Some(quarantine) = quarantine {
             self.quarantine = quarantine;
         }
+        if let Some(stages) = stages {
+            self.stages = stages;
+        }
         self.reader
             .adopt(now, deployment.directory, deployment.directory_age);
         self.wall_clock = (deployment.unix_ms, now);
@@ -235,6 +262,7 @@
             generation: Some(self.generation()),
             directory: self.reader.version(),
             quarantine: Some(self.quarantine.version()),
+            rollouts: Some(self.stages.version),
         };
         self.uplink.request(now, host, held, self.fronts.len(), out);
     }
@@ -256,13 +284,16 @@
         let valid = now < self.valid_until && self.uplink.in_touch(now);
         let held = pending.held;
         let quarantine = self.quarantine.version();
-        let behind = self.generation() < held.generation || quarantine < held.quarantine;
+        let behind = self.generation() < held.generation
+            || quarantine < held.quarantine
+            || self.stages.version < held.rollouts;
         if !valid || behind {
             return over.then_some(Reply::Unavailable);
         }
         let update = self.generation() > held.generation
             || self.served_version(now) > held.directory
-            || quarantine > held.quarantine;
+            || quarantine > held.quarantine
+            || self.stages.version > held.rollouts;
         let renewed = self.uplink.refreshed_at >= Some(pending.received_at)
             && waited >= pending.max_wait / RENEWAL_DIVISOR;
         (update || renewed || over).then(|| self.deployment_reply(now, pending))
@@ -288,6 +319,7 @@
             // The front counts from when it sent its request, which was earlier.
             ttl: Some(self.valid_until.since(pending.received_at)),
             quarantine: (quarantine.version() > held.quarantine).then(|| quarantine.clone()),
+            rollouts: (self.stages.version > held.rollouts).then(|| self.stages.clone()),
         }))
     }
 }
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -1,6 +1,6 @@
 //! Requests and duties that a control host has only where it serves a plan: membership, the
-//! directory of endpoints, the deployment's subscribers, the fronts' usage and the quarantine of
-//! prompt parts.
+//! directory of endpoints, the deployment's subscribers, the fronts' usage, the quarantine of
+//! prompt parts and the stages of rollouts.
 
 use std::time::Duration;
 
@@ -159,7 +159,7 @@
     }
 
     /// Refers a requester to the leader, unless this host leads without a valid lease.
-    fn refer_to_leader(&self, ticket: Ticket, out: &mut Outbox<Output>) {
+    pub(crate) fn refer_to_leader(&self, ticket: Ticket, out: &mut Outbox<Output>) {
         let leader = self.leader().filter(|_| !self.node.leads());
         out.push(Output::Reply(ticket, Reply::NotLeader(leader)));
     }
@@ -180,12 +180,14 @@
             self.billing.add(tally, last_sealed);
         }
         self.judge.record(now, &request.evidence);
+        self.fed_counts(now, &request.counts);
         self.distributors
             .record(now, &request.distributor, request.subscribers);
         let held = FeedPosition {
             generation: request.generation,
             directory: request.directory,
             quarantine: request.quarantine,
+            rollouts: request.rollouts,
         };
         self.feeds
             .add(now, ticket, request.id, held, request.max_wait);
@@ -216,6 +218,7 @@
             generation: None,
             directory: self.reader.version(),
             quarantine: None,
+            rollouts: None,
         };
         let fronts = self.deployments.active(now, SUBSCRIBER_ACTIVE);
         if let Some((leader, uplink)) = leader.zip(self.uplink.as_mut()) {
@@ -224,7 +227,7 @@
     }
 
     /// Requests to join the group if this host has no leader. As leader under a valid lease, reads
-    /// the listing of endpoints, changes the group, judges prompt parts, and seals and reports usage. A
+    /// the listing of endpoints, changes the group, judges prompt parts and rollouts, and seals and reports usage. A
     /// leader wakes for every heartbeat, so these duties need no timer.
     pub(crate) fn advance_plan(&mut self, now: Tick, out: &mut Outbox<Output>) {
         let Some(plan) = self.options.plan.clone() else {
@@ -253,6 +256,7 @@
             }
         }
         self.judge_parts(now, out);
+        self.judge_rollouts(now, out);
         let unix_ms = self.unix_ms(now);
         let statements = &self.machine.statements;
         let capacity = self.options.node.limits.pending / STATEMENT_SHARE;
@@ -343,10 +347,12 @@
         let generation = self.machine.deployment.generation();
         let directory = self.served_version(now);
         let quarantine = self.machine.quarantine.version();
+        let rollouts = self.machine.rollouts.version();
         let has_update = |held: &DeploymentVersions| {
             held.generation != generation
                 || held.directory < directory
                 || held.quarantine != quarantine
+                || held.rollouts != rollouts
         };
         for (ticket, held) in self.deployments.take_ready(now, self.applied, has_update) {
             let reply = self.deployment_reply(now, held);
@@ -363,16 +369,19 @@
         let current = self.machine.deployment.generation();
         let directory = self.served_version(now);
         let quarantine = self.machine.quarantine.version();
+        let rollouts = self.machine.rollouts.version();
         let has_update = |held: &FeedPosition| {
             held.generation.is_some_and(|held| held != current)
                 || held.directory < directory
                 || held.quarantine.is_some_and(|held| held != quarantine)
+                || held.rollouts.is_some_and(|held| held != rollouts)
         };
         for (ticket, held) in self.feeds.take_ready(now, self.applied, has_update) {
             let held = DeploymentVersions {
                 generation: held.generation.unwrap_or(current),
                 directory: held.directory,
                 quarantine: held.quarantine.unwrap_or(quarantine),
+                rollouts: held.rollouts.unwrap_or(rollouts),
             };
             let reply = FeedReply {
                 deployment: self.deployment_reply(now, held),
@@ -420,6 +429,7 @@
     fn deployment_reply(&self, now: Tick, held: DeploymentVersions) -> DeploymentReply {
         let deployment = &self.machine.deployment;
         let quarantine = &self.machine.quarantine;
+        let rollouts = &self.machine.rollouts;
         let newer = |directory: &&::plan::Directory| directory.version > held.directory;
         DeploymentReply {
             snapshot: (held.generation != deployment.generation()).then(|| deployment.snapshot()),
@@ -432,6 +442,7 @@
             distributors: self.distributors(now),
             ttl: None,
             quarantine: (held.quarantine != quarantine.version()).then(|| quarantine.clone()),
+            rollouts: (held.rollouts != rollouts.version()).then(|| rollouts.stages()),
         }
     }
 
--- a/crates/govern/src/read.rs
+++ b/crates/govern/src/read.rs
@@ -14,6 +14,8 @@
     Config,
     /// The plan document.
     Document,
+    /// The orders of rollouts.
+    Orders,
 }
 
 /// A read that waits for a leader's confirmation.
--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -43,6 +43,7 @@
     PlanOptions,
     Reply,
     Request,
+    RolloutOptions,
     SubscriberId,
     SubscriberKind,
     VIEW_TTL, //
@@ -246,6 +247,27 @@
     last_id: u64,
 }
 
+/// The version of a plan without services. All other plans have the service `s`.
+pub(crate) const EMPTY_PLAN: u64 = 9;
+
+fn rollout_options() -> RolloutOptions {
+    RolloutOptions {
+        limits: rollout::Limits {
+            share: 0.1,
+            slack: 50,
+            rollback: Duration::from_secs(5),
+        },
+        services: |document| {
+            let service = rollout::Service {
+                name: "s".to_owned(),
+                timeout: Duration::from_secs(4),
+            };
+            let empty = document.trim_ascii() == EMPTY_PLAN.to_string().as_bytes();
+            Some(Vec::from_iter((!empty).then_some(service)))
+        },
+    }
+}
+
 fn address(n: usize) -> SocketAddr {
     ([10, 0, 0, u8::try_from(n).unwrap()], 1).into()
 }
@@ -387,6 +409,7 @@
                 usage_window: Duration::from_secs(5),
                 tolerated: self.tolerated,
                 report_delay: self.report_delay,
+                rollouts: Some(rollout_options()),
             }),
         };
         let core = Govern::new(Tick(self.now), options, MessagePack, saved).unwrap();
@@ -795,6 +818,7 @@
             generation: 0,
             directory,
             quarantine: 0,
+            rollouts: 0,
         };
         let request = self.request(
             n,
--- a/crates/govern/tests/mirror.rs
+++ b/crates/govern/tests/mirror.rs
@@ -50,6 +50,7 @@
         generation,
         directory: u64::MAX,
         quarantine: 0,
+        rollouts: 0,
     };
     let wait = Duration::from_millis(WAIT_MS);
     group.request(n, Request::Deployment(front("front"), held, wait))
@@ -150,7 +151,7 @@
         let hosts = [leader, (leader + 1) % 3, mirror, mirror];
         for _ in 0..4 {
             for (i, n) in hosts.into_iter().enumerate() {
-                let held = DeploymentVersions { generation: 0, directory: 0, quarantine: 0 };
+                let held = DeploymentVersions { generation: 0, directory: 0, quarantine: 0, rollouts: 0 };
                 let wait = Duration::from_millis(150);
                 group.request(n, Request::Deployment(front(&format!("front-{i}")), held, wait));
             }
