Serve the operator's calls about rollouts

Control hosts answered 404 to `POST /rollouts` and `GET /rollouts/{service}`. Fronts' counts arrive at /peer/rollout; events 4017 to 4019 and three counters report what happens.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -41,6 +41,7 @@
     event, //
 };
 use oxhttp::model::HeaderMap;
+use rollout::FrontTally;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use usage::Report;
@@ -53,6 +54,7 @@
     FeedRequest,
     FeedResponse,
     PeerResponse,
+    RolloutRequest,
     Sealer,
     SettleRequest,
     TallyRequest,
@@ -86,10 +88,11 @@
     Leave,
     Tally,
     Evidence,
+    FrontCounts,
 }
 
 /// The format of a response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub(crate) enum ResponseFormat {
     /// Sealed, for a process of the system.
     Peer(PeerKind),
@@ -143,6 +146,14 @@
             paths::EVIDENCE => {
                 self.peer_request(exchange, paths::EVIDENCE, PeerKind::Evidence, evidence);
             }
+            paths::ROLLOUT => {
+                self.peer_request(
+                    exchange,
+                    paths::ROLLOUT,
+                    PeerKind::FrontCounts,
+                    front_counts,
+                );
+            }
             "/counters" => admin::counters(exchange, &self.counters),
             _ => self.admin_request(exchange),
         }
@@ -242,6 +253,7 @@
         generation: message.generation,
         directory: message.directory_version,
         quarantine: message.quarantine_version,
+        rollouts: message.rollout_version,
     };
     Request::Deployment(
         front_subscriber(message.host, message.incarnation),
@@ -261,10 +273,13 @@
         subscribers: usize::try_from(message.subscribers).unwrap_or(usize::MAX),
         generation: message.generation,
         directory: message.directory_version,
-        // A process that gets the deployment from the log gets the quarantine from there too.
+        // A process that gets the deployment from the log gets the quarantine and the stages from there
+        // too.
         quarantine: message.generation.and(Some(message.quarantine.version)),
+        rollouts: message.generation.and(Some(message.rollouts.version)),
         tallies: message.tallies,
         evidence: message.quarantine.evidence,
+        counts: message.rollouts.tallies,
         max_wait: message.max_wait,
     }))
 }
@@ -282,6 +297,14 @@
     Request::Evidence(front, message.evidence)
 }
 
+fn front_counts(message: RolloutRequest) -> Request {
+    let FrontTally {
+        host, incarnation, ..
+    } = &message.report;
+    let front = front_subscriber(host.clone(), *incarnation);
+    Request::FrontCounts(front, message.report)
+}
+
 /// Identifies a front as a subscriber. A front subscribes with the kind of an entry.
 fn front_subscriber(host: HostName, incarnation: Incarnation) -> SubscriberId {
     SubscriberId {
@@ -359,7 +382,9 @@
             (PeerKind::Tally, Reply::LastSealed(last)) => {
                 self.send(exchange, &PeerResponse::Done(last));
             }
-            (PeerKind::Evidence, Reply::Recorded) => self.send(exchange, &PeerResponse::Done(())),
+            (PeerKind::Evidence | PeerKind::FrontCounts, Reply::Recorded) => {
+                self.send(exchange, &PeerResponse::Done(()))
+            }
             (kind, Reply::NotLeader(leader)) => self.not_leader(exchange, kind, leader),
             (kind, _) => self.unavailable(exchange, kind),
         }
@@ -379,7 +404,7 @@
             unix_ms: reply.unix_ms,
             distributors: reply.distributors,
             quarantine: reply.quarantine,
-            rollouts: None,
+            rollouts: reply.rollouts,
         }
     }
 
@@ -396,7 +421,7 @@
             ),
             PeerKind::Feed => self.send(exchange, &PeerResponse::<FeedResponse>::NotLeader(leader)),
             PeerKind::Tally => self.send(exchange, &PeerResponse::<Option<u64>>::NotLeader(leader)),
-            PeerKind::Usage | PeerKind::Join | PeerKind::Evidence => {
+            PeerKind::Usage | PeerKind::Join | PeerKind::Evidence | PeerKind::FrontCounts => {
                 self.send(exchange, &PeerResponse::<()>::NotLeader(leader));
             }
         }
@@ -414,7 +439,7 @@
             }
             PeerKind::Feed => self.send(exchange, &PeerResponse::<FeedResponse>::Unavailable),
             PeerKind::Tally => self.send(exchange, &PeerResponse::<Option<u64>>::Unavailable),
-            PeerKind::Usage | PeerKind::Join | PeerKind::Evidence => {
+            PeerKind::Usage | PeerKind::Join | PeerKind::Evidence | PeerKind::FrontCounts => {
                 self.send(exchange, &PeerResponse::<()>::Unavailable);
             }
         }
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -18,6 +18,12 @@
     Logger,
     event, //
 };
+use rollout::{
+    Decision,
+    Exposure,
+    Progress,
+    State, //
+};
 use step::{
     Effects,
     Inbox, //
@@ -113,6 +119,9 @@
                 self.counters.count(Counter::PartReleased);
                 event!(self.log, PartReleased, "part" => format!("{:016x}", part.0));
             }
+            Event::RolloutChanged(progress, decision) => {
+                self.report_rollout(&progress, decision.as_deref());
+            }
             Event::CodecFailed(error) => {
                 event!(self.log, DiskFailed, "fault" => error.clone());
                 let _ = self.failed.send(error);
@@ -121,6 +130,44 @@
     }
 }
 
+impl ControlEffects {
+    /// Logs and counts a change of an order, with the evidence on which it was decided.
+    fn report_rollout(&self, progress: &Progress, decision: Option<&Decision>) {
+        let order = &progress.order;
+        let seen = decision.map(|decision| decision.seen).unwrap_or_default();
+        let (old, new) = (seen.outcomes.old, seen.outcomes.new);
+        match order.state {
+            State::Running if decision.is_none() && progress.exposure == Exposure::None => {
+                self.counters.count(Counter::RolloutOrdered);
+                event!(self.log, RolloutOrdered, "order" => order.id,
+                    "service" => order.service.clone(), "to" => order.version.clone(),
+                    "duration_ms" => progress.duration_ms);
+            }
+            State::Running => {
+                event!(self.log, RolloutStepped, "order" => order.id,
+                    "service" => order.service.clone(), "to" => order.version.clone(),
+                    "exposure" => format!("{:?}", progress.exposure),
+                    "elapsed_ms" => progress.elapsed_ms,
+                    "old_sent" => old.sent, "new_sent" => new.sent);
+            }
+            State::Done | State::RolledBack => {
+                self.counters.count(match order.state {
+                    State::Done => Counter::RolloutDone,
+                    _ => Counter::RolloutRolledBack,
+                });
+                event!(self.log, RolloutEnded, "order" => order.id,
+                    "service" => order.service.clone(), "to" => order.version.clone(),
+                    "state" => format!("{:?}", order.state),
+                    "reason" => decision.map(|decision| format!("{:?}", decision.reason)),
+                    "old_sent" => old.sent, "old_failed" => old.failed, "old_slow" => old.slow,
+                    "old_start" => old.mean_start(),
+                    "new_sent" => new.sent, "new_failed" => new.failed, "new_slow" => new.slow,
+                    "new_start" => new.mean_start());
+            }
+        }
+    }
+}
+
 impl Effects<Output> for ControlEffects {
     type Attachment = PendingRequest;
 
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -133,7 +133,10 @@
             version: request.quarantine.unwrap_or_default(),
             evidence: request.evidence,
         },
-        rollouts: RolloutReport::default(),
+        rollouts: RolloutReport {
+            version: request.rollouts.unwrap_or_default(),
+            tallies: request.counts,
+        },
     }
 }
 
@@ -149,7 +152,7 @@
         unix_ms,
         distributors,
         quarantine,
-        rollouts: _,
+        rollouts,
     } = response.deployment;
     FeedReply {
         deployment: DeploymentReply {
@@ -163,6 +166,7 @@
             distributors,
             ttl: Some(ttl),
             quarantine,
+            rollouts,
         },
         last_sealed: response.last_sealed,
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,7 +29,8 @@
     CommandError,
     NoPlatform,
     OperatorCommand,
-    PlatformCodec, //
+    PlatformCodec,
+    RolloutCommand, //
 };
 pub use role::{
     Handle,
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -4,6 +4,11 @@
 use edge::Head;
 use peer::ListingFormat;
 use plan::Document;
+use rollout::{
+    Order,
+    OrderRequest,
+    Service, //
+};
 use usage::Statement;
 
 /// A decoded command of an operator.
@@ -17,6 +22,15 @@
     SetZoneClosed(String, bool),
 }
 
+/// A decoded command of an operator about rollouts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RolloutCommand {
+    /// Order a rollout.
+    Order(OrderRequest),
+    /// Return the state of this service's rollout.
+    Read(String),
+}
+
 /// Why a command was rejected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CommandError {
@@ -46,6 +60,29 @@
     /// [`CommandError`] if the request is no command, or its plan is invalid.
     fn decode_command(&self, head: &Head, body: &[u8]) -> Result<OperatorCommand, CommandError>;
 
+    /// Decodes an operator's command about rollouts; none if the request is no such command.
+    ///
+    /// # Errors
+    ///
+    /// [`CommandError`] if the command is invalid.
+    fn decode_rollout(
+        &self,
+        _head: &Head,
+        _body: &[u8],
+    ) -> Result<Option<RolloutCommand>, CommandError> {
+        Ok(None)
+    }
+
+    /// Encodes the state of a rollout, for an operator.
+    fn encode_order(_order: &Order) -> Vec<u8> {
+        Vec::new()
+    }
+
+    /// The services of a plan's document; none if it cannot be read.
+    fn services(_document: &[u8]) -> Option<Vec<Service>> {
+        None
+    }
+
     /// Encodes a statement for the billing interface. `holder` is the host that holds the lease,
     /// and `fence` the lease's fencing token.
     fn encode_statement(&self, statement: &Statement, holder: &str, fence: u64) -> BillingRequest;
--- a/crates/control/src/role.rs
+++ b/crates/control/src/role.rs
@@ -35,6 +35,7 @@
     MirrorOptions,
     Options,
     PlanOptions,
+    RolloutOptions,
     SubscriberId,
     SubscriberKind,
     VIEW_TTL, //
@@ -239,7 +240,7 @@
     };
     let (control, disk) = match stored {
         Some(stored) => {
-            let options = member_options(settings, id);
+            let options = member_options(settings, id, C::services);
             let core = Govern::new(clock.now(), options, MessagePack, stored.durable);
             let core = core.map_err(RunError::State)?;
             let control = step::ControlThread::start("control-control", core, effects, clock);
@@ -291,6 +292,7 @@
             let leaver = leaver.map_err(RunError::Thread)?;
             let commands = CommandHandler {
                 codec,
+                rollouts: plan.rollouts.is_some(),
                 inbox: inbox.clone(),
                 tickets: Arc::clone(&tickets),
                 counters: counters.clone(),
@@ -343,7 +345,11 @@
 }
 
 /// The options of a member of the group.
-fn member_options(settings: &Settings, id: MemberId) -> Options {
+fn member_options(
+    settings: &Settings,
+    id: MemberId,
+    services: fn(&[u8]) -> Option<Vec<rollout::Service>>,
+) -> Options {
     Options {
         node: agree::NodeConfig {
             id,
@@ -369,6 +375,9 @@
             usage_window: settings.usage_window,
             tolerated: plan.tolerated,
             report_delay: plan.report_delay,
+            rollouts: plan
+                .rollouts
+                .map(|limits| RolloutOptions { limits, services }),
         }),
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use agree::Limits;
+use rollout::Limits as RolloutLimits;
 use serde::Deserialize;
 use setting::{
     Common,
@@ -53,6 +54,12 @@
     zone: String,
     #[serde(default = "default_tolerated")]
     tolerate: u64,
+    #[serde(default)]
+    expose_share: Option<f64>,
+    #[serde(default)]
+    expose_slack: Option<f64>,
+    #[serde(default)]
+    rollback_ms: Option<f64>,
 }
 
 fn default_tolerated() -> u64 {
@@ -138,6 +145,8 @@
     pub view_ttl: Duration,
     /// How long a new leader waits before it reports usage.
     pub report_delay: Duration,
+    /// Bounds on a bad version of a service; `None` if the host accepts no rollouts.
+    pub rollouts: Option<RolloutLimits>,
 }
 
 impl Settings {
@@ -257,6 +266,29 @@
         tolerated: usize::try_from(tolerated).unwrap_or(usize::MAX),
         view_ttl: Duration::from_millis(revocation_ms) * VIEW_TTL_SHARE.0 / VIEW_TTL_SHARE.1,
         report_delay: Duration::from_millis(report_delay_ms),
+        rollouts: rollout_limits(plan, validator),
+    })
+}
+
+/// The bounds for rollouts, if the settings name all of them. They are decimal numbers, as in the
+/// deployment's description.
+fn rollout_limits(plan: &RawPlan, validator: &mut Validator) -> Option<RolloutLimits> {
+    let (share, slack) = (plan.expose_share?, plan.expose_slack?);
+    let rollback_ms = plan.rollback_ms?;
+    if !(0.0..=1.0).contains(&share) {
+        validator.report(
+            "plan.expose_share",
+            share.to_string(),
+            "must be from 0 to 1",
+        );
+    }
+    // The conversions turn a negative number into 0.
+    let slack = validator.in_range("plan.expose_slack", slack as u64, 0, 1_000_000_000);
+    let rollback_ms = validator.in_range("plan.rollback_ms", rollback_ms as u64, 1000, 600_000);
+    Some(RolloutLimits {
+        share,
+        slack,
+        rollback: Duration::from_millis(rollback_ms),
     })
 }
 
--- a/crates/control/tests/hosts/mod.rs
+++ b/crates/control/tests/hosts/mod.rs
@@ -53,6 +53,7 @@
             tolerated: 1,
             view_ttl: Duration::from_millis(2500),
             report_delay: Duration::from_secs(3),
+            rollouts: None,
         }),
     }
 }
--- a/crates/govern/tests/quarantine.rs
+++ b/crates/govern/tests/quarantine.rs
@@ -130,6 +130,7 @@
         generation,
         directory: u64::MAX,
         quarantine: version,
+        rollouts: 0,
     };
     let wait = Duration::from_millis(WAIT_MS);
     group.request(n, Request::Deployment(front("poll"), held, wait))
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -74,6 +74,9 @@
     UsageSealed "usage.sealed" "usage windows sealed";
     PartQuarantined "quarantine.imposed" "prompt parts put into quarantine";
     PartReleased "quarantine.lifted" "prompt parts released from quarantine";
+    RolloutOrdered "rollout.ordered" "orders for rollouts accepted";
+    RolloutDone "rollout.done" "rollouts ended with all requests at the new version";
+    RolloutRolledBack "rollout.rolled_back" "rollouts ended with no requests at the new version";
 }
 
 /// The counters of one process. Clones share their values.
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -99,6 +99,9 @@
     4014 PeerQueueFull Warning "messages to another host were dropped because its queue was full";
     4015 GroupLeft Info "the stopping host has left the control group, or stays because its vote is needed";
     4016 LeaveFailed Warning "no leader decided the stopping host's request to leave the control group";
+    4017 RolloutOrdered Info "an order for a rollout was accepted";
+    4018 RolloutStepped Info "a rollout changed the part of the requests that the new version gets";
+    4019 RolloutEnded Info "a rollout ended";
     4101 ProposalAccepted Info "a change of the configuration was accepted";
     4102 ProposalRejected Info "a change of the configuration was rejected";
     4103 CommandDecided Info "an operator's command was accepted or rejected";
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -28,6 +28,7 @@
     Suspect, //
 };
 use rollout::{
+    Change,
     Exposure,
     FrontTally,
     Outcomes,
@@ -212,6 +213,14 @@
     }
 }
 
+fn open() -> Change {
+    Change::Open {
+        service: "s".to_owned(),
+        version: "v2".to_owned(),
+        duration_ms: 12_000,
+    }
+}
+
 fn front_tally() -> FrontTally {
     let outcomes = Outcomes {
         sent: 3,
@@ -346,6 +355,37 @@
         assert_eq!(decoded, snapshot(true));
         assert_eq!(Machine::try_from(decoded).unwrap().quarantine, quarantine());
     };
+    snapshot_before_the_first_order_is_that_of_the_version_before: {
+        let machine = Machine::try_from(snapshot(true)).unwrap();
+        assert_eq!(machine.rollouts.version(), 0);
+        let bytes = MessagePack.encode_snapshot(&snapshot(true)).unwrap();
+        // Five parts and the quarantine.
+        assert_eq!(bytes[0], 0x96);
+    };
+    snapshot_with_an_order_is_decoded_unchanged_with_and_without_quarantine: {
+        for quarantined in [false, true] {
+            let mut machine = Machine::try_from(snapshot(quarantined)).unwrap();
+            machine.apply(Command::Rollout(open()));
+            let bytes = MessagePack.encode_snapshot(&machine.export()).unwrap();
+            let decoded = MessagePack.decode_snapshot(&bytes).unwrap();
+            assert_eq!(decoded, machine.export());
+            let decoded = Machine::try_from(decoded).unwrap();
+            assert_eq!(decoded.rollouts, machine.rollouts);
+        }
+    };
+    commands_about_rollouts_are_decoded_unchanged: {
+        let step = Change::Step {
+            id: 1,
+            exposure: Exposure::Share(0.02),
+            elapsed_ms: 5,
+            seen: rollout::Seen::default(),
+        };
+        for change in [open(), step, Change::End { id: 1, done: true }] {
+            let command = Command::Rollout(change);
+            let bytes = MessagePack.encode_command(&command).unwrap();
+            assert_eq!(MessagePack.decode_command(&bytes), Ok(command));
+        }
+    };
     // The names are in the logs of running groups.
     commands_keep_their_stored_names: {
         let sentences = quarantine().parts().collect();
@@ -354,5 +394,7 @@
         };
         assert!(stored(&Command::Quarantine(sentences)).contains("Quarantine"));
         assert!(stored(&Command::Release(vec![PartId(1)])).contains("Release"));
+        let rollout = stored(&Command::Rollout(open()));
+        assert!(rollout.contains("Rollout") && rollout.contains("Open"));
     };
 }
