--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -7,13 +7,17 @@
     Change,
     Effect,
     Exposure,
+    Judge,
     Order,
     OrderError,
     OrderRequest,
     Orders,
+    Outcomes,
     RawOrder,
+    RouteTally,
     Seen,
-    State, //
+    State,
+    Tally, //
 };
 use std::time::Duration;
 
@@ -99,6 +103,27 @@
         let bytes = rmp_serde::to_vec(&orders).unwrap();
         assert_eq!(rmp_serde::from_slice::<Orders>(&bytes).unwrap(), orders);
     };
+    // Guards against an order whose exposure stays for good after the settings were removed.
+    order_ends_if_the_settings_allow_no_rollouts: {
+        let (orders, _) = applied([open("v2"), step(1, Exposure::Share(0.1), 500)]);
+        let mut judge = Judge::new(Tick::default());
+        let decision = judge.decide(Tick::default(), None, None, &orders, |_| Duration::ZERO);
+        assert_eq!(decision.unwrap().change, Change::End { id: 1, done: false });
+    };
+    // A front and a distributor repeat their counts, and may do so out of order.
+    earlier_counts_change_nothing: {
+        let tally = |sent| Tally {
+            id: 1,
+            routes: vec![RouteTally {
+                route: "r".to_owned(),
+                new: Outcomes { sent, ..Outcomes::default() },
+                ..RouteTally::default()
+            }],
+        };
+        let mut held = tally(5);
+        held.merge(&tally(3));
+        assert_eq!(held, tally(5));
+    };
     // The clocks of two processes differ.
     new_leader_continues_at_the_committed_time: {
         let (orders, _) = applied([open("v2"), step(1, Exposure::All, 5000)]);
