Wait with the switchover of a rollout while the case is unclear

The test before the switchover now has the same floors as the one for a roll-back with fewer deviations, and waits until half of the switchover is left if there are few responses, or bad ones at only two moments.

--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -49,11 +49,10 @@
 /// version is compared with; if there are fewer, all since the order are used. After the switchover
 /// began, a span contains few of them, whose outcomes are mere chance.
 const MIN_OLD: u64 = 100;
-/// Part of the responses that may be bad at the switchover in addition to the allowed part, and a
-/// constant for small counts.
-const SUSPICION: (f64, f64) = (0.02, 1.0);
-/// Standard deviations by which the count of bad responses may exceed that part.
-const SUSPICION_DEVIATIONS: f64 = 2.0;
+/// The same for the weaker test before the switchover.
+const SUSPICION_DEVIATIONS: (f64, f64) = (2.0, 1.0);
+/// Separate samples with bad responses from which the switchover waits for more evidence.
+const UNCLEAR_MOMENTS: u64 = 2;
 
 /// The outcomes of both versions.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -82,6 +81,11 @@
         self.moments >= MIN_MOMENTS && suspect(&self.outcomes)
     }
 
+    /// Whether more evidence may show that the new version should not serve all requests.
+    pub(crate) fn unclear(&self) -> bool {
+        self.moments >= UNCLEAR_MOMENTS && suspect(&self.outcomes)
+    }
+
     /// What two leaders knew: the one that knew more of the new version.
     #[must_use]
     pub fn or(self, other: Self) -> Self {
@@ -177,6 +181,11 @@
         self.moments >= MIN_MOMENTS && self.compare(&self.sums, suspect)
     }
 
+    /// Whether more evidence may show that the new version is worse than the old one.
+    pub(crate) fn unclear(&self) -> bool {
+        self.moments >= UNCLEAR_MOMENTS && self.compare(&self.sums, suspect)
+    }
+
     /// The sums since the sample that many samples ago, and the number of samples since then in which
     /// bad responses were added.
     fn recent(&self, samples: usize) -> (Sums, u64) {
@@ -226,9 +235,18 @@
 
 /// Whether the new version fails more often, or is slow more often, than the old one explains.
 fn worse(pair: &Pair) -> bool {
+    exceeds(pair, DEVIATIONS)
+}
+
+/// Whether the new version seems to fail or to be slow more often.
+fn suspect(pair: &Pair) -> bool {
+    exceeds(pair, SUSPICION_DEVIATIONS)
+}
+
+fn exceeds(pair: &Pair, (deviations, constant): (f64, f64)) -> bool {
     let excess = |bad: u64, count: u64, rate: f64| {
         let mean = count as f64 * rate * MAX_RATIO;
-        bad as f64 > mean + DEVIATIONS.0 * mean.sqrt() + DEVIATIONS.1
+        bad as f64 > mean + deviations * mean.sqrt() + constant
     };
     let failed = rate(pair.old.failed, pair.old.sent).max(FAILED_FLOOR);
     let slow = rate(pair.old.slow, pair.old.started).max(SLOW_FLOOR);
@@ -243,14 +261,6 @@
         && new.mean_start() > MAX_START_RATIO * old.mean_start()
 }
 
-/// Whether the new version should not serve all requests.
-fn suspect(pair: &Pair) -> bool {
-    let bad = |outcomes: &Outcomes| outcomes.failed + outcomes.slow;
-    let old = rate(bad(&pair.old), pair.old.sent);
-    let mean = pair.new.sent as f64 * (MAX_RATIO * old + SUSPICION.0);
-    bad(&pair.new) as f64 > mean + SUSPICION_DEVIATIONS * mean.sqrt() + SUSPICION.1
-}
-
 fn rate(part: u64, count: u64) -> f64 {
     if count == 0 {
         return 0.0;
