--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -30,6 +30,7 @@
     FeedResponse,
     PeerResponse,
     QuarantineReport,
+    RolloutReport,
     paths, //
 };
 
@@ -132,6 +133,10 @@
             version: request.quarantine.unwrap_or_default(),
             evidence: request.evidence,
         },
+        rollouts: RolloutReport {
+            version: request.rollouts.unwrap_or_default(),
+            tallies: request.counts,
+        },
     }
 }
 
@@ -147,6 +152,7 @@
         unix_ms,
         distributors,
         quarantine,
+        rollouts,
     } = response.deployment;
     FeedReply {
         deployment: DeploymentReply {
@@ -160,6 +166,7 @@
             distributors,
             ttl: Some(ttl),
             quarantine,
+            rollouts,
         },
         last_sealed: response.last_sealed,
     }
