--- a/crates/enginesim/src/deployment.rs
+++ b/crates/enginesim/src/deployment.rs
@@ -56,6 +56,7 @@
         // Engines below `ZONES` are those that crash; a list after the start of the run shows
         // them with a later start time.
         started_ms: u64::from(now > START_TIME && n < ZONES),
+        version: String::new(),
     }
 }
 
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -164,6 +164,8 @@
     pub cold_remaining: Duration,
     /// When this incarnation started, in milliseconds of Unix time; 0 if the listing omits it.
     pub started_ms: u64,
+    /// The version of the service that the endpoint runs; empty if the listing omits it.
+    pub version: String,
 }
 
 /// Why an attempt produced no response to pass through.
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -208,6 +208,7 @@
             draining: false,
             cold_remaining: Duration::ZERO,
             started_ms: 1,
+            version: String::new(),
         };
         (0..).zip(self.endpoints.keys()).map(info).collect()
     }
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -158,6 +158,7 @@
             draining: false,
             cold_remaining: Duration::ZERO,
             started_ms: 0,
+            version: String::new(),
         });
         front.step(Input::Endpoints(engines.collect()));
         front
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -139,6 +139,7 @@
         draining: false,
         cold_remaining: Duration::ZERO,
         started_ms: 0,
+        version: String::new(),
     }
 }
 
