Add the types of service version rollouts and their messages

Control hosts and fronts had no types for rollouts of service versions. The new crate `rollout` contains orders, stages and tallies; `wire` carries the stages in the response with the deployment and the tallies in a report of fronts and in a distributor's request for the feed. Fields at the end of these messages are encoded by position, so a field before one that is sent is sent too; empty fields at the end stay out of the message as before.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -379,6 +379,7 @@
             unix_ms: reply.unix_ms,
             distributors: reply.distributors,
             quarantine: reply.quarantine,
+            rollouts: None,
         }
     }
 
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -30,6 +30,7 @@
     FeedResponse,
     PeerResponse,
     QuarantineReport,
+    RolloutReport,
     paths, //
 };
 
@@ -132,6 +133,7 @@
             version: request.quarantine.unwrap_or_default(),
             evidence: request.evidence,
         },
+        rollouts: RolloutReport::default(),
     }
 }
 
@@ -147,6 +149,7 @@
         unix_ms,
         distributors,
         quarantine,
+        rollouts: _,
     } = response.deployment;
     FeedReply {
         deployment: DeploymentReply {
--- a/crates/control/tests/leave.rs
+++ b/crates/control/tests/leave.rs
@@ -66,6 +66,7 @@
         directory_version: 0,
         max_wait: Duration::from_millis(50),
         quarantine_version: 0,
+        rollout_version: 0,
     };
     let client = ControlClient::new(sealer, vec![host]);
     let timeout = Duration::from_millis(1000);
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -62,6 +62,7 @@
         directory_version: 0,
         max_wait: Duration::from_millis(150),
         quarantine_version,
+        rollout_version: 0,
     };
     let timeout = Duration::from_millis(1000);
     let response = client(host).call_host(host, paths::DEPLOYMENT, &request, timeout);
--- a/crates/front/src/deployment.rs
+++ b/crates/front/src/deployment.rs
@@ -155,6 +155,7 @@
             directory_version: self.directory_version,
             max_wait: wait,
             quarantine_version: self.quarantine_version,
+            rollout_version: 0,
         };
         self.control
             .call_host(host, paths::DEPLOYMENT, &request, timeout)
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,25 @@
+//! Rollouts of service versions.
+//!
+//! An [`Order`] asks that a service's requests be moved to engines of another version. Fronts get a
+//! [`Stage`] for each order, which states the part of the requests that the new version may get, and
+//! report a [`Tally`] of how both versions responded.
+
+mod order;
+mod tally;
+
+pub use order::{
+    Exposure,
+    Order,
+    OrderError,
+    OrderRequest,
+    RawOrder,
+    Stage,
+    Stages,
+    State, //
+};
+pub use tally::{
+    FrontTally,
+    Outcomes,
+    RouteTally,
+    Tally, //
+};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -55,6 +55,8 @@
     FeedResponse,
     PeerResponse,
     QuarantineReport,
+    RolloutReport,
+    RolloutRequest,
     SettleRequest,
     SubscriberKind,
     TallyRequest,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -29,9 +29,15 @@
     Evidence,
     Quarantine, //
 };
+use rollout::{
+    FrontTally,
+    Stages, //
+};
+use serde::ser::SerializeStruct;
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    Serializer, //
 };
 use serde_with::{
     DurationMilliSeconds,
@@ -68,6 +74,8 @@
     pub const TALLY: &str = "/peer/tally";
     /// What a front knows of prompt parts that crash engines.
     pub const EVIDENCE: &str = "/peer/evidence";
+    /// A front's counts of the responses of both versions of a rollout.
+    pub const ROLLOUT: &str = "/peer/rollout";
     /// An attempt, from an entry to an agent.
     pub const ATTEMPT: &str = "/peer/attempt";
     /// The path that responses are sealed for. It is never requested. It keeps a sealed request
@@ -134,10 +142,13 @@
     pub control_hosts: Vec<SocketAddr>,
 }
 
-/// Requests a deployment or directory newer than the subscriber's, or another quarantine.
+/// Requests a deployment or directory newer than the subscriber's, or another quarantine or other
+/// stages of rollouts.
+// Fields at the end that are 0 are not sent, so that processes of the versions before accept the
+// message.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Deserialize)]
 pub struct DeploymentRequest {
     /// The subscriber's host.
     pub host: HostName,
@@ -151,15 +162,38 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub max_wait: Duration,
     /// The version of the quarantine that the subscriber has.
-    // Not sent while it is 0, so that processes of the version before accept the message.
-    #[serde(default, skip_serializing_if = "is_default")]
+    #[serde(default)]
     pub quarantine_version: u64,
+    /// The version of the stages of rollouts that the subscriber has.
+    #[serde(default)]
+    pub rollout_version: u64,
+}
+
+impl Serialize for DeploymentRequest {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let tail = sent([self.quarantine_version != 0, self.rollout_version != 0]);
+        let mut out = s.serialize_struct("DeploymentRequest", 5 + tail)?;
+        out.serialize_field("host", &self.host)?;
+        out.serialize_field("incarnation", &self.incarnation)?;
+        out.serialize_field("generation", &self.generation)?;
+        out.serialize_field("directory_version", &self.directory_version)?;
+        out.serialize_field("max_wait", &Millis(self.max_wait))?;
+        if tail > 0 {
+            out.serialize_field("quarantine_version", &self.quarantine_version)?;
+        }
+        if tail > 1 {
+            out.serialize_field("rollout_version", &self.rollout_version)?;
+        }
+        out.end()
+    }
 }
 
 /// The deployment and directory that bring a subscriber up to date.
+// Fields at the end that are `None` are not sent, so that processes of the versions before accept
+// the message.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct DeploymentResponse {
     /// The deployment; `None` if the subscriber has the newest generation.
     pub snapshot: Option<DeploymentSnapshot>,
@@ -182,15 +216,43 @@
     /// The control processes that serve this request's path.
     pub distributors: Vec<Distributor>,
     /// The quarantine, if the control host has another version than the subscriber.
-    #[serde(default, skip_serializing_if = "is_default")]
+    #[serde(default)]
     pub quarantine: Option<Quarantine>,
+    /// The stages of rollouts, if the control host has another version than the subscriber.
+    #[serde(default)]
+    pub rollouts: Option<Stages>,
+}
+
+impl Serialize for DeploymentResponse {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let tail = sent([self.quarantine.is_some(), self.rollouts.is_some()]);
+        let mut out = s.serialize_struct("DeploymentResponse", 9 + tail)?;
+        out.serialize_field("snapshot", &self.snapshot)?;
+        out.serialize_field("directory", &self.directory)?;
+        out.serialize_field("directory_age", &self.directory_age.map(Millis))?;
+        out.serialize_field("leader", &self.leader)?;
+        out.serialize_field("ttl", &Millis(self.ttl))?;
+        out.serialize_field("control_hosts", &self.control_hosts)?;
+        out.serialize_field("subscribers", &self.subscribers)?;
+        out.serialize_field("unix_ms", &self.unix_ms)?;
+        out.serialize_field("distributors", &self.distributors)?;
+        if tail > 0 {
+            out.serialize_field("quarantine", &self.quarantine)?;
+        }
+        if tail > 1 {
+            out.serialize_field("rollouts", &self.rollouts)?;
+        }
+        out.end()
+    }
 }
 
 /// A distributor's request for a deployment or directory newer than its own. Only the leader
 /// answers it.
+// Fields at the end that are empty are not sent, so that processes of the versions before accept the
+// message.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct FeedRequest {
     /// The distributor's host.
     pub host: HostName,
@@ -211,8 +273,44 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub max_wait: Duration,
     /// What the distributor has and knows of prompt parts that crash engines.
-    #[serde(default, skip_serializing_if = "is_default")]
+    #[serde(default)]
     pub quarantine: QuarantineReport,
+    /// What the distributor has and knows of rollouts.
+    #[serde(default)]
+    pub rollouts: RolloutReport,
+}
+
+impl Serialize for FeedRequest {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        let quarantine = self.quarantine != QuarantineReport::default();
+        let tail = sent([quarantine, self.rollouts != RolloutReport::default()]);
+        let mut out = s.serialize_struct("FeedRequest", 8 + tail)?;
+        out.serialize_field("host", &self.host)?;
+        out.serialize_field("incarnation", &self.incarnation)?;
+        out.serialize_field("distributor", &self.distributor)?;
+        out.serialize_field("subscribers", &self.subscribers)?;
+        out.serialize_field("generation", &self.generation)?;
+        out.serialize_field("directory_version", &self.directory_version)?;
+        out.serialize_field("tallies", &self.tallies)?;
+        out.serialize_field("max_wait", &Millis(self.max_wait))?;
+        if tail > 0 {
+            out.serialize_field("quarantine", &self.quarantine)?;
+        }
+        if tail > 1 {
+            out.serialize_field("rollouts", &self.rollouts)?;
+        }
+        out.end()
+    }
+}
+
+/// What a distributor has and knows of rollouts.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// The version of the distributor's stages; 0 if it gets them from the replicated log.
+    pub version: u64,
+    /// What its fronts reported since its last request.
+    pub tallies: Vec<FrontTally>,
 }
 
 /// What a distributor has and knows of prompt parts that crash engines.
@@ -227,7 +325,7 @@
 }
 
 /// Brings a distributor up to date.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct FeedResponse {
     /// The deployment and directory.
@@ -260,6 +358,15 @@
     pub evidence: Evidence,
 }
 
+/// Reports a front's counts of the responses of both versions of each rollout. The response is
+/// [`PeerResponse::Done`] once the control host has the counts.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct RolloutRequest {
+    /// The counts. They replace those that this process reported before.
+    pub report: FrontTally,
+}
+
 /// Claims the execution of a request that must be executed at most once.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -302,7 +409,16 @@
     Unavailable,
 }
 
-/// Whether a field at the end of a message may be left out.
-fn is_default<T: Default + PartialEq>(value: &T) -> bool {
-    *value == T::default()
+/// A duration that is sent in milliseconds.
+#[serde_as]
+#[derive(Serialize)]
+struct Millis(#[serde_as(as = "DurationMilliSeconds<u64>")] Duration);
+
+/// How many of the fields at the end of a message are sent, given which of them are not empty. The
+/// fields have no names, so those before one that is sent are sent too.
+fn sent<const N: usize>(filled: [bool; N]) -> usize {
+    filled
+        .iter()
+        .rposition(|filled| *filled)
+        .map_or(0, |last| last + 1)
 }
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -27,6 +27,14 @@
     Sentence,
     Suspect, //
 };
+use rollout::{
+    Exposure,
+    FrontTally,
+    Outcomes,
+    RouteTally,
+    Stage,
+    Stages, //
+};
 use serde::de::DeserializeOwned;
 use serde::{
     Deserialize,
@@ -41,6 +49,8 @@
     FeedResponse,
     MessagePack,
     QuarantineReport,
+    RolloutReport,
+    RolloutRequest,
     decode,
     encode, //
 };
@@ -102,6 +112,7 @@
         directory_version: 5,
         max_wait: Duration::from_millis(800),
         quarantine_version,
+        rollout_version: 0,
     }
 }
 
@@ -121,6 +132,7 @@
         unix_ms: 9,
         distributors: vec![distributor()],
         quarantine,
+        rollouts: None,
     }
 }
 
@@ -149,6 +161,7 @@
         tallies: Vec::new(),
         max_wait: Duration::from_millis(400),
         quarantine,
+        rollouts: RolloutReport::default(),
     }
 }
 
@@ -186,6 +199,42 @@
     quarantine
 }
 
+fn stages() -> Stages {
+    let stage = Stage {
+        id: 1,
+        service: "s".to_owned(),
+        version: "v2".to_owned(),
+        exposure: Exposure::Share(0.08),
+    };
+    Stages {
+        version: 2,
+        stages: vec![stage],
+    }
+}
+
+fn front_tally() -> FrontTally {
+    let outcomes = Outcomes {
+        sent: 3,
+        failed: 1,
+        started: 2,
+        start_ms: 2.5,
+        slow: 1,
+    };
+    let route = RouteTally {
+        route: "r".to_owned(),
+        old: outcomes,
+        new: Outcomes::default(),
+    };
+    FrontTally {
+        host: host(),
+        incarnation: Incarnation(3),
+        tallies: vec![rollout::Tally {
+            id: 1,
+            routes: vec![route],
+        }],
+    }
+}
+
 fn snapshot(quarantined: bool) -> MachineSnapshot {
     let mut machine = Machine::default();
     machine.apply(Command::Install(Document {
@@ -259,6 +308,30 @@
         let report = EvidenceRequest { host: host(), incarnation: Incarnation(3), evidence: evidence() };
         assert_eq!(convert(&report), Some(report));
     };
+    // The version before rollouts knows the quarantine; both fields are at the end of the message.
+    messages_with_rollouts_are_decoded_unchanged_with_and_without_quarantine: {
+        for version in [0, 6] {
+            let request = DeploymentRequest { rollout_version: 2, ..deployment_request(version) };
+            assert_eq!(convert(&request), Some(request));
+        }
+        for quarantine in [None, Some(quarantine())] {
+            let rollouts = Some(stages());
+            let response = DeploymentResponse { rollouts, ..deployment_response(quarantine) };
+            assert_eq!(convert(&response), Some(response));
+        }
+        for evidence in [Evidence::default(), evidence()] {
+            let report = QuarantineReport { version: 0, evidence };
+            let rollouts = RolloutReport { version: 2, tallies: vec![front_tally()] };
+            let request = FeedRequest { rollouts, ..feed_request(report) };
+            assert_eq!(convert(&request), Some(request));
+        }
+        let report = RolloutRequest { report: front_tally() };
+        assert_eq!(convert(&report), Some(report));
+    };
+    host_before_rollouts_accepts_a_front_that_has_no_stages: assert_eq!(
+        convert(&deployment_request(6)),
+        Some((host(), Incarnation(3), 4u64, 5u64, 800u64, 6u64))
+    );
     snapshot_of_the_version_before_is_loaded: assert_eq!(
         MessagePack.decode_snapshot(&OLD_SNAPSHOT),
         Ok(snapshot(false))
