Split requests between the versions of a service in fronts

Fronts sent requests to every listed engine, whatever its version, so that a new version got its full part of the requests as soon as it was listed. With the settings expose_share and expose_slack, fronts use only versions that they have seen in use and, for the version of an order, what its stage allows: at most the share of the requests that the front has sent since, plus its part of the slack, on as many engines as each get the load of an old one. Streams are resumed at their version only. Fronts report failures, start times and slow responses of both sides by route, at most twice a second. Without the settings nothing changes.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -24,6 +24,10 @@
     Input,
     Output, //
 };
+use rollout::{
+    Exposure,
+    Tally, //
+};
 use smol::channel::Sender;
 use step::{
     Effects,
@@ -37,6 +41,8 @@
     Decision(Ticket, Sender<Decision>),
     /// Receives the usage by window.
     Usage(Ticket, Sender<Vec<(u64, Runs)>>),
+    /// Receives the tallies of the rollouts.
+    Tallies(Ticket, Sender<Vec<Tally>>),
     /// Receives whether the front is ready.
     Ready(Ticket, Sender<bool>),
 }
@@ -48,6 +54,7 @@
 pub(crate) struct FrontEffects {
     decisions: HashMap<Ticket, Sender<Decision>>,
     usage: HashMap<Ticket, Sender<Vec<(u64, Runs)>>>,
+    tallies: HashMap<Ticket, Sender<Vec<Tally>>>,
     ready: HashMap<Ticket, Sender<bool>>,
     cancelled: Sender<RequestId>,
     evidence: crossbeam::channel::Sender<(Evidence, Tick)>,
@@ -69,6 +76,7 @@
         Self {
             decisions: HashMap::new(),
             usage: HashMap::new(),
+            tallies: HashMap::new(),
             ready: HashMap::new(),
             cancelled,
             evidence,
@@ -165,6 +173,19 @@
                 self.counters.count(Counter::ViewAdvanced);
                 event!(self.log, ViewAdvanced, "edition" => generation);
             }
+            Event::Exposed => self.counters.count(Counter::Exposed),
+            Event::StageChanged(stage) => {
+                let share = match stage.exposure {
+                    Exposure::None => 0.0,
+                    Exposure::Share(share) => share,
+                    Exposure::All => 1.0,
+                };
+                event!(self.log, StageChanged, "service" => stage.service,
+                    "version" => stage.version, "order" => stage.id, "share" => share);
+            }
+            Event::VersionsReplaced(service) => {
+                event!(self.log, VersionsReplaced, "service" => service);
+            }
             Event::ViewFresh(true) => event!(self.log, ViewValid),
             Event::ViewFresh(false) => event!(self.log, ViewExpired),
             Event::EndpointsChanged(all, draining) => {
@@ -185,6 +206,9 @@
             Attachment::Usage(ticket, reply_to) => {
                 self.usage.insert(ticket, reply_to);
             }
+            Attachment::Tallies(ticket, reply_to) => {
+                self.tallies.insert(ticket, reply_to);
+            }
             Attachment::Ready(ticket, reply_to) => {
                 self.ready.insert(ticket, reply_to);
             }
@@ -209,6 +233,11 @@
                     let _ = reply_to.try_send(windows);
                 }
             }
+            Output::Tallies(ticket, tallies) => {
+                if let Some(reply_to) = self.tallies.remove(&ticket) {
+                    let _ = reply_to.try_send(tallies);
+                }
+            }
             Output::Ready(ticket, ready) => {
                 if let Some(reply_to) = self.ready.remove(&ticket) {
                     let _ = reply_to.try_send(ready);
--- a/crates/front/src/deployment.rs
+++ b/crates/front/src/deployment.rs
@@ -84,6 +84,8 @@
     pub(crate) directory_version: u64,
     /// Version of the quarantine last received; 0 if there is none.
     pub(crate) quarantine_version: u64,
+    /// Version of the stages of rollouts last received; 0 if there is none.
+    pub(crate) rollout_version: u64,
     /// When the control group read the listing that it last supplied, in microseconds of the clock;
     /// 0 if it has supplied none.
     pub(crate) listing_read: Arc<AtomicU64>,
@@ -155,7 +157,7 @@
             directory_version: self.directory_version,
             max_wait: wait,
             quarantine_version: self.quarantine_version,
-            rollout_version: 0,
+            rollout_version: self.rollout_version,
         };
         self.control
             .call_host(host, paths::DEPLOYMENT, &request, timeout)
@@ -182,6 +184,11 @@
             let read_at = (self.clock.now() - age).0;
             self.listing_read.fetch_max(read_at, Ordering::AcqRel);
         }
+        // The core must know an order before it sees the endpoints of the new version.
+        if let Some(stages) = response.rollouts {
+            self.rollout_version = stages.version;
+            self.inbox.send(Input::Stages(stages)).ok()?;
+        }
         if let Some(directory) = response.directory {
             self.send_endpoints(&directory, response.directory_age.unwrap_or_default())?;
         }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod response;
 mod role;
+mod rollout_report;
 mod serve;
 mod settings;
 mod stream;
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -49,6 +49,7 @@
     ListingFetcher, //
 };
 use crate::metrics::Metrics;
+use crate::rollout_report::RolloutReporter;
 use crate::serve::{
     Context,
     service, //
@@ -67,6 +68,7 @@
     listing_fetcher: Worker,
     usage_reporter: Worker,
     evidence_reporter: Worker,
+    rollout_reporter: Worker,
     /// Sends the last usage report.
     final_reporter: UsageReporter,
     control: step::ControlThread<Input, Attachment>,
@@ -108,7 +110,7 @@
         counters.clone(),
         log.clone(),
     );
-    let core = Relay::new(options, PredictedLatency);
+    let core = Relay::new(options, PredictedLatency).with_bounds(settings.exposure);
     let control = step::ControlThread::start("front-control", core, effects, clock);
     let control = control.map_err(EdgeError::Thread)?;
     let inbox = control.inbox();
@@ -140,6 +142,7 @@
         generation: 0,
         directory_version: 0,
         quarantine_version: 0,
+        rollout_version: 0,
         listing_read: Arc::clone(&listing_read),
         body_limit: Arc::clone(&body_limit),
         reachable: true,
@@ -177,6 +180,17 @@
         unacknowledged: None,
     };
     let evidence_reporter = Worker::start("front-evidence", move || evidence_reporter.step());
+    let mut rollout_reporter = RolloutReporter {
+        host: common.host.clone(),
+        incarnation,
+        control: usage_peers.clone(),
+        inbox: inbox.clone(),
+        clock,
+        log: log.clone(),
+        acknowledged: None,
+        reachable: true,
+    };
+    let rollout_reporter = Worker::start("front-rollout", move || rollout_reporter.step());
     let draining = Arc::new(AtomicBool::new(false));
     let context = Context {
         inbox,
@@ -213,6 +227,7 @@
         listing_fetcher: listing_fetcher.map_err(EdgeError::Thread)?,
         usage_reporter: usage_reporter.map_err(EdgeError::Thread)?,
         evidence_reporter: evidence_reporter.map_err(EdgeError::Thread)?,
+        rollout_reporter: rollout_reporter.map_err(EdgeError::Thread)?,
         final_reporter,
         control,
         draining,
@@ -245,6 +260,7 @@
         self.listing_fetcher.stop();
         self.usage_reporter.stop();
         self.evidence_reporter.stop();
+        self.rollout_reporter.stop();
         let _ = self.control.close();
         event!(self.log, Stopped);
     }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -7,6 +7,7 @@
 };
 use std::time::Duration;
 
+use relay::ExposureBounds;
 use setting::{
     Common,
     SettingsError,
@@ -54,6 +55,10 @@
         retry_ratio: f64,
         #[serde(default = "default_retry_extra")]
         retry_extra: f64,
+        #[serde(default)]
+        expose_share: Option<f64>,
+        #[serde(default)]
+        expose_slack: f64,
     }
 }
 
@@ -116,6 +121,9 @@
     pub retry_ratio: f64,
     /// Retries allowed in a retry window in addition to the ratio, over all fronts.
     pub retry_extra: f64,
+    /// The bound on the requests that a version gets before its rollout has ended, over all fronts;
+    /// `None` if there are no rollouts.
+    pub exposure: Option<ExposureBounds>,
 }
 
 impl TryFrom<&Path> for Settings {
@@ -140,11 +148,16 @@
         for (field, value) in [
             ("retry_ratio", raw.retry_ratio),
             ("retry_extra", raw.retry_extra),
+            ("expose_slack", raw.expose_slack),
         ] {
             if !value.is_finite() || value < 0.0 {
                 validator.report(field, value, "must be a number of at least 0");
             }
         }
+        let share = raw.expose_share;
+        if let Some(share) = share.filter(|share| !(0.0..=1.0).contains(share)) {
+            validator.report("expose_share", share, "must be a number from 0 to 1");
+        }
         let common = Common::check(&raw.common(), &mut validator);
         let required = common.zip(ready).zip(listing);
         let settings = required.map(|((common, ready), listing)| Self {
@@ -162,6 +175,10 @@
             retry_window: Duration::from_secs(retry_window_s),
             retry_ratio: raw.retry_ratio,
             retry_extra: raw.retry_extra,
+            exposure: share.map(|share| ExposureBounds {
+                share,
+                slack: raw.expose_slack,
+            }),
         });
         validator.finish(settings)
     }
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -16,7 +16,8 @@
 use obs::Counter;
 use relay::{
     Attempt,
-    Failure, //
+    Failure,
+    Input, //
 };
 use smol::channel::Sender;
 
@@ -54,6 +55,7 @@
     /// Forwards the stream until its end. Returns whether the caller received the complete stream.
     pub(crate) async fn forward(mut self, attempt: Attempt, response: OpenResponse) -> bool {
         let request = attempt.request;
+        let _ = self.attempts.inbox.send(Input::StreamStarted(request));
         let (mut attempt, mut response) = (attempt, response);
         loop {
             match self.forward_from(&attempt, response).await {
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -55,6 +55,7 @@
     RetryBudgetExhausted "retry.budget" "retries not made because the retry budget was exhausted";
     EndpointConnected "endpoint.connected" "requests for which a connection to an endpoint was opened";
     Ejected "endpoint.ejected" "endpoints ejected after repeated failures";
+    Exposed "rollout.exposed" "attempts sent to the new version of a rollout";
     Admitted "admit.started" "requests dispatched to the engine";
     Queued "admit.queued" "requests queued in the agent";
     Preempted "admit.preempted" "running requests preempted by a higher tier";
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -79,6 +79,9 @@
     2015 EndpointLimited Info "an endpoint stated another limit on its rate of requests, or that it has none";
     2016 EndpointLeaving Info "an endpoint stated that it is about to leave";
     2017 EndpointPaused Info "an endpoint rejected a request and wants no more for a time";
+    2018 StageChanged Info "the part of a service's requests that a new version gets changed";
+    2019 VersionsReplaced Warning "no version in use of a service was listed any more, so the listed versions count as in use";
+    2020 TallyDeferred Warning "a report on the responses of a new version was not acknowledged and will be retried";
     3001 EngineFailed Warning "the agent's engine failed";
     3002 EngineCold Info "the engine became cold";
     3003 UsageDeferred Warning "a usage report was not acknowledged and will be retried";
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -204,6 +204,7 @@
             started: false,
             answering_since: None,
             queued: false,
+            trial: Default::default(),
         });
         if let Some(service) = plan.service(service) {
             let budget = self.retry_budgets.entry(service.name.clone()).or_default();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -70,6 +70,7 @@
         if let Some(rejection) = self.quarantined(now, id) {
             return Some(self.reject_unserved(id, rejection, out));
         }
+        self.draw_side(id, &service.name);
         let Some((endpoint, backlog_ms)) = self.select(now, id, service) else {
             return match self.next_accept(now, id, service) {
                 Some(_) if wait.for_accept => None,
@@ -133,6 +134,8 @@
             endpoint.pending_tokens += request.pending_tokens;
             endpoint.record_prompt(now, prompt);
         }
+        self.versions
+            .dispatched(now, request, endpoint, &route.name);
         let retry_allowed = route.retry.allows_retry() && request.executions + 1 < route.attempts;
         let timeout = if route.retry.is_stream() {
             route.latency_target * FIRST_EVENT_TIMEOUT_HALF_TARGETS / 2
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -133,6 +133,10 @@
         (self.endpoints.len(), draining.count())
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
     pub(crate) fn get_mut(&mut self, id: EndpointId) -> Option<&mut Endpoint> {
         self.endpoints.get_mut(id)
     }
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -9,6 +9,7 @@
 use step::Outbox;
 
 use crate::balance::Balancer;
+use crate::exposure::Side;
 use crate::message::{
     Attempt,
     Decision,
@@ -73,6 +74,10 @@
         let Some(request) = self.requests.get(attempt.request) else {
             return;
         };
+        let flight = request.trial.flight.as_ref();
+        if flight.is_some_and(|flight| flight.side == Side::New) {
+            out.push(Output::Event(Event::Exposed));
+        }
         out.push(Output::Event(Event::Sent {
             request: request.name.clone(),
             route: route.name.clone(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,10 +11,12 @@
 mod endpoint;
 mod endpoints;
 mod event;
+mod exposure;
 mod front_count;
 mod health;
 mod lanes;
 mod message;
+mod outcome;
 mod part_filter;
 mod rate_limit;
 mod relay;
@@ -23,8 +25,10 @@
 mod select;
 mod speed;
 mod stated;
+mod trial;
 mod typical;
 mod usage_count;
+mod version_filter;
 mod view_wait;
 
 pub use balance::{
@@ -32,6 +36,7 @@
     Estimate,
     PredictedLatency, //
 };
+pub use exposure::ExposureBounds;
 pub use message::{
     Attempt,
     Decision,
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -22,6 +22,11 @@
     Evidence,
     Quarantine, //
 };
+use rollout::{
+    Stage,
+    Stages,
+    Tally, //
+};
 use usage::Runs;
 
 /// Options of a front's decision core.
@@ -242,12 +247,16 @@
 pub enum Input {
     /// A view of the deployment arrived.
     View(Box<View>),
+    /// The stages of rollouts arrived. They precede the listing and the view of the same response.
+    Stages(Stages),
     /// An endpoint listing arrived.
     Endpoints(Vec<EndpointInfo>),
     /// A request arrived.
     Request(Ticket, Box<RequestHead>),
     /// A response started; its head may report the endpoint's load.
     ResponseStarted(RequestId, Option<Load>),
+    /// The first events of a stream are on their way to the caller.
+    StreamStarted(RequestId),
     /// A response of an endpoint contained a notice, or withdrew the endpoint's last one.
     Noticed(EndpointId, Notice),
     /// An attempt failed.
@@ -261,6 +270,8 @@
     Cancelled(RequestId),
     /// Requests the usage of unsealed windows; carries the last sealed window.
     Usage(Ticket, Option<u64>),
+    /// Requests the tallies of the rollouts.
+    Tallies(Ticket),
     /// A readiness check; the core replies with [`Output::Ready`].
     Ready(Ticket),
     /// Marks the front as not ready from now on. Requests that still arrive are served.
@@ -268,7 +279,7 @@
 }
 
 /// An event to count or log.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// An attempt is dispatched.
     Sent {
@@ -332,6 +343,12 @@
     ViewFresh(bool),
     /// The front applied this version of the quarantine with this many parts.
     QuarantineChanged(u64, usize),
+    /// An attempt is dispatched to the new version of a rollout.
+    Exposed,
+    /// The stage of a service's newest rollout changed.
+    StageChanged(Stage),
+    /// Other versions of this service count as in use, since those before are not listed any more.
+    VersionsReplaced(String),
     /// The set of endpoints changed: their number, and how many of them are draining.
     EndpointsChanged(usize, usize),
 }
@@ -343,6 +360,8 @@
     Reply(Ticket, Decision),
     /// The usage of unsealed windows, by window.
     Usage(Ticket, Vec<(u64, Runs)>),
+    /// The tallies of the rollouts.
+    Tallies(Ticket, Vec<Tally>),
     /// Whether the front is ready to serve.
     Ready(Ticket, bool),
     /// Report evidence on prompt parts to the control group.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::backlog::BacklogQueue;
 use crate::balance::Balancer;
 use crate::endpoints::Endpoints;
+use crate::exposure::Versions;
 use crate::front_count::FrontCount;
 use crate::message::{
     EndpointInfo,
@@ -40,6 +41,7 @@
     RelayOptions,
     View, //
 };
+use crate::outcome::Progress;
 use crate::part_filter::PartFilter;
 use crate::rate_limit::RateLimit;
 use crate::request::Request;
@@ -82,6 +84,7 @@
     pub(crate) view_wait: ViewWait,
     pub(crate) backlog_queue: BacklogQueue,
     pub(crate) part_filter: PartFilter,
+    pub(crate) versions: Versions,
     pub(crate) draining: bool,
 }
 
@@ -105,6 +108,7 @@
             view_wait: ViewWait::default(),
             backlog_queue: BacklogQueue::default(),
             part_filter: PartFilter::default(),
+            versions: Versions::default(),
             draining: false,
             options,
         }
@@ -121,6 +125,7 @@
 
     fn apply_view(&mut self, now: Tick, view: View, out: &mut Outbox<Output>) {
         self.apply_quarantine(now, view.wall_clock, view.quarantine, out);
+        self.renew_versions(now, out);
         if view.generation < self.generation {
             return;
         }
@@ -172,6 +177,7 @@
             self.endpoints.mark_cold(now, zone, cold_duration);
         }
         self.closed = closed;
+        self.expose();
     }
 
     fn apply_quarantine(
@@ -251,6 +257,8 @@
             let (total, draining) = self.endpoints.counts();
             out.push(Output::Event(Event::EndpointsChanged(total, draining)));
         }
+        self.versions.listed(now, &self.endpoints);
+        self.expose();
     }
 }
 
@@ -263,21 +271,37 @@
             Input::View(view) => self.apply_view(now, *view, out),
             Input::Endpoints(list) => self.update_endpoints(now, list, out),
             Input::Request(ticket, head) => self.receive(now, ticket, head, out),
-            Input::ResponseStarted(id, load) => self.response_started(now, id, load),
+            Input::Stages(stages) => self.apply_stages(now, stages, out),
+            Input::ResponseStarted(id, load) => {
+                self.observe(now, id, Progress::Started);
+                self.response_started(now, id, load);
+            }
+            Input::StreamStarted(id) => self.pin_version(id),
             Input::Noticed(id, notice) => self.record_notice(now, id, notice, out),
             Input::AttemptFailed(ticket, id, failure) => {
+                self.observe(now, id, Progress::Failed(failure));
                 self.attempt_failed(now, ticket, id, failure, out);
             }
             Input::Completed(id) => {
+                self.observe(now, id, Progress::Completed);
                 self.record_service(id);
                 self.responded(now, id);
             }
-            Input::Declined(id) => self.responded(now, id),
-            Input::Cancelled(id) => self.end(id),
+            Input::Declined(id) => {
+                self.observe(now, id, Progress::Declined);
+                self.responded(now, id);
+            }
+            Input::Cancelled(id) => {
+                self.observe(now, id, Progress::Cancelled);
+                self.end(id);
+            }
             Input::Usage(ticket, sealed) => {
                 let windows = self.usage.unsealed(now, sealed);
                 out.push(Output::Usage(ticket, windows));
             }
+            Input::Tallies(ticket) => {
+                out.push(Output::Tallies(ticket, self.versions.tallies(now)));
+            }
             Input::Ready(ticket) => out.push(Output::Ready(ticket, self.ready(now))),
             Input::Drain => self.draining = true,
         }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -13,6 +13,7 @@
 
 use plan::Plan;
 
+use crate::exposure::Trial;
 use crate::message::Prompt;
 use crate::speed::Speed;
 
@@ -76,6 +77,8 @@
     pub(crate) answering_since: Option<Tick>,
     /// Whether the request has been queued because of the engines' backlog.
     pub(crate) queued: bool,
+    /// The request's part in a rollout.
+    pub(crate) trial: Trial,
 }
 
 impl Request {
--- a/crates/relay/src/select.rs
+++ b/crates/relay/src/select.rs
@@ -69,6 +69,8 @@
         if candidates.iter().any(|(_, e)| !e.health.ejected(now)) {
             candidates.retain(|(_, endpoint)| !endpoint.health.ejected(now));
         }
+        let filter = self.versions.filter(&service.name, request, fronts);
+        filter.prefer(&mut candidates);
         let congestion = self.congestion(now);
         let typical = self
             .endpoints
@@ -149,9 +151,12 @@
                 || cold_rate.is_none_or(|rate| endpoint.bucket.has_token(now, rate));
             within_rate && !endpoint.leaves() && !self.closed.contains(&endpoint.info.zone)
         };
+        let fronts = self.fronts.get();
+        let filter = self.versions.filter(&service.name, request, fronts);
         self.endpoints
             .of_service(&service.name)
             .filter(move |(id, endpoint)| usable(endpoint) && !request.tried.contains(id))
+            .filter(move |(id, endpoint)| filter.admits(*id, endpoint))
     }
 
     /// How long a request's current attempt has waited beyond what an idle endpoint needs, in
