Let stated shares use the slack, and expect empty caches of new engines

A service with few requests never got enough of them to its new version: fronts cut the stated share to the bound, although the slack allows more. The share now sets the probability alone; the bound still limits the sum. Starts at new engines looked slow, because the expected time assumed that shared parts of prompts were cached, as they are at old engines.

--- a/crates/relay/src/exposure.rs
+++ b/crates/relay/src/exposure.rs
@@ -122,18 +122,20 @@
         !self.moot && (stepping || now.since(self.changed_at) < COUNT_SPAN)
     }
 
-    /// The share of the requests; none unless requests are split between the sides.
-    pub(crate) fn share(&self, bounds: ExposureBounds) -> Option<f64> {
+    /// The share of the requests that the stage states; none unless requests are split between the
+    /// sides. It may exceed the bound where a service has so few requests that the slack covers the
+    /// rest.
+    pub(crate) fn share(&self) -> Option<f64> {
         match self.stage.exposure {
-            Exposure::Share(share) if !self.moot && share > 0.0 => Some(share.min(bounds.share)),
+            Exposure::Share(share) if !self.moot && share > 0.0 => Some(share.min(1.0)),
             _ => None,
         }
     }
 
-    /// Requests that the new side may still get if the next one adds `share` to its entitlement,
-    /// without and with this front's part of the slack.
+    /// Requests that the new side may still get if the next one adds `share` to its entitlement, or
+    /// what the bound allows; without and with this front's part of the slack.
     pub(crate) fn credit(&self, share: f64, bounds: ExposureBounds, fronts: usize) -> (f64, f64) {
-        let credit = self.earned + share - self.sent as f64;
+        let credit = self.earned + share.min(bounds.share) - self.sent as f64;
         let slack = if self.witnessed {
             bounds.slack / (SLACK_DIVISOR * fronts.max(1) as f64)
         } else {
@@ -228,13 +230,7 @@
 
     /// Chooses the endpoints of the new version that get a share of the requests: so many that each
     /// gets about the load of an old one. All fronts choose the same, from the listing.
-    fn expose(
-        &mut self,
-        service: &str,
-        bounds: ExposureBounds,
-        endpoints: &Endpoints,
-        closed: &BTreeSet<String>,
-    ) {
+    fn expose(&mut self, service: &str, endpoints: &Endpoints, closed: &BTreeSet<String>) {
         let Some(rollout) = &mut self.rollout else {
             return;
         };
@@ -251,7 +247,7 @@
             }
         }
         new.sort_unstable();
-        let share = rollout.share(bounds);
+        let share = rollout.share();
         let count = share.map_or(0, |share| exposed_count(share, old));
         rollout.exposed = new.into_iter().take(count).map(|(_, id)| id).collect();
     }
@@ -339,11 +335,8 @@
 
     /// Chooses the endpoints of the new versions that get a share of the requests.
     pub(crate) fn expose(&mut self, endpoints: &Endpoints, closed: &BTreeSet<String>) {
-        let Some(bounds) = self.bounds else {
-            return;
-        };
         for (service, versions) in &mut self.services {
-            versions.expose(service, bounds, endpoints, closed);
+            versions.expose(service, endpoints, closed);
         }
     }
 
@@ -352,7 +345,7 @@
     pub(crate) fn draw(&self, service: &str, trial: &Trial, fronts: usize) -> Option<(u64, f64)> {
         let rollout = self.services.get(service)?.rollout.as_ref()?;
         let bounds = self.bounds?;
-        let share = rollout.share(bounds)?;
+        let share = rollout.share()?;
         let id = rollout.stage.id;
         if trial.drawn.is_some_and(|(order, _)| order == id) {
             return None;
@@ -379,17 +372,20 @@
         let Some(versions) = self.services.get_mut(&endpoint.info.service) else {
             return;
         };
-        let mut flight = Flight::new(endpoint, request);
+        let version = &endpoint.info.version;
+        let rollout = versions.rollout.as_ref();
+        let side = rollout.map_or(Side::Old, |rollout| rollout.side(version));
+        let mut flight = Flight::new(version, side, request);
         if let Some(rollout) = &mut versions.rollout {
-            flight.side = rollout.side(&flight.version);
-            if let Some(share) = rollout.share(bounds).filter(|_| request.attempts == 1) {
+            if let Some(share) = rollout.share().filter(|_| request.attempts == 1) {
                 let limit = rollout.sent as f64 + MAX_CREDIT;
-                rollout.earned = (rollout.earned + share).min(limit);
+                let earned = rollout.earned + share.min(bounds.share);
+                rollout.earned = earned.min(limit);
             }
-            rollout.sent += u64::from(flight.side == Side::New);
+            rollout.sent += u64::from(side == Side::New);
             flight.order = Some(rollout.stage.id);
             if rollout.counts(now) {
-                rollout.tallies.outcomes(route, flight.side).sent += 1;
+                rollout.tallies.outcomes(route, side).sent += 1;
             }
         }
         request.trial.flight = Some(flight);
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -9,12 +9,14 @@
     Tally, //
 };
 
-use crate::endpoint::Endpoint;
 use crate::exposure::{
     ServiceVersions,
     Side, //
 };
-use crate::message::Failure;
+use crate::message::{
+    Failure,
+    Prompt, //
+};
 use crate::request::Request;
 use crate::speed::Speed;
 
@@ -49,7 +51,8 @@
     /// The order in whose tally the outcome counts.
     pub(crate) order: Option<u64>,
     pub(crate) side: Side,
-    /// Prompt tokens that the endpoint had to prefill.
+    /// Prompt tokens that the endpoint is expected to prefill. An old endpoint's cache holds what
+    /// other prompts share, also by requests of other fronts; a new one starts with an empty cache.
     tokens: u64,
     started: bool,
     /// Whether the attempt has been counted as slow.
@@ -59,12 +62,16 @@
 }
 
 impl Flight {
-    pub(crate) fn new(endpoint: &Endpoint, request: &Request) -> Self {
+    pub(crate) fn new(version: &str, side: Side, request: &Request) -> Self {
+        let unique = request.prompt.as_ref().map_or(0, Prompt::unique_tokens);
         Self {
-            version: endpoint.info.version.clone(),
+            version: version.to_owned(),
             order: None,
-            side: Side::Old,
-            tokens: request.pending_tokens,
+            side,
+            tokens: match side {
+                Side::Old => unique,
+                Side::New => request.pending_tokens,
+            },
             started: false,
             slow: false,
             resumed: request.trial.pinned.is_some(),
--- a/crates/relay/src/version_filter.rs
+++ b/crates/relay/src/version_filter.rs
@@ -35,7 +35,7 @@
         if self.stage.exposure == Exposure::All {
             return Admission::All;
         }
-        let Some(share) = self.share(bounds) else {
+        let Some(share) = self.share() else {
             return Admission::None;
         };
         let first = request.attempts == 0;
