Send requests to the old version while the new engines in use are busy

A long prompt that was drawn for the new version waited in the queue, and was rejected at the end of its wait, if the only new engine in use had a long backlog, although old engines were free. It goes to the old side now. A front without bounds starts no reporter of tallies.

--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -68,7 +68,8 @@
     listing_fetcher: Worker,
     usage_reporter: Worker,
     evidence_reporter: Worker,
-    rollout_reporter: Worker,
+    /// None without rollouts.
+    rollout_reporter: Option<Worker>,
     /// Sends the last usage report.
     final_reporter: UsageReporter,
     control: step::ControlThread<Input, Attachment>,
@@ -190,7 +191,9 @@
         acknowledged: None,
         reachable: true,
     };
-    let rollout_reporter = Worker::start("front-rollout", move || rollout_reporter.step());
+    let rollout_reporter = settings
+        .exposure
+        .map(|_| Worker::start("front-rollout", move || rollout_reporter.step()));
     let draining = Arc::new(AtomicBool::new(false));
     let context = Context {
         inbox,
@@ -227,7 +230,7 @@
         listing_fetcher: listing_fetcher.map_err(EdgeError::Thread)?,
         usage_reporter: usage_reporter.map_err(EdgeError::Thread)?,
         evidence_reporter: evidence_reporter.map_err(EdgeError::Thread)?,
-        rollout_reporter: rollout_reporter.map_err(EdgeError::Thread)?,
+        rollout_reporter: rollout_reporter.transpose().map_err(EdgeError::Thread)?,
         final_reporter,
         control,
         draining,
@@ -260,7 +263,9 @@
         self.listing_fetcher.stop();
         self.usage_reporter.stop();
         self.evidence_reporter.stop();
-        self.rollout_reporter.stop();
+        if let Some(reporter) = self.rollout_reporter {
+            reporter.stop();
+        }
         let _ = self.control.close();
         event!(self.log, Stopped);
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -71,7 +71,11 @@
             return Some(self.reject_unserved(id, rejection, out));
         }
         self.draw_side(id, &service.name);
-        let Some((endpoint, backlog_ms)) = self.select(now, id, service) else {
+        let mut selected = self.select(now, id, service);
+        if wait.exceeded_by(selected) && self.redraw_old(id) {
+            selected = self.select(now, id, service);
+        }
+        let Some((endpoint, backlog_ms)) = selected else {
             return match self.next_accept(now, id, service) {
                 Some(_) if wait.for_accept => None,
                 Some(delay) => Some(self.reject_unserved(id, (Kind::Overloaded, delay), out)),
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ids::{
+    EndpointId,
     RequestId,
     ServiceId,
     Tick,
@@ -57,6 +58,16 @@
     pub(crate) for_accept: bool,
 }
 
+impl WaitPolicy {
+    /// Whether the backlog of the selected endpoint is too long.
+    pub(crate) fn exceeded_by(&self, selected: Option<(EndpointId, f64)>) -> bool {
+        let backlog_ms = selected.map(|(_, backlog_ms)| backlog_ms);
+        self.limit_ms
+            .zip(backlog_ms)
+            .is_some_and(|(limit_ms, backlog_ms)| backlog_ms > limit_ms)
+    }
+}
+
 /// A queued request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Queued {
--- a/crates/relay/src/trial.rs
+++ b/crates/relay/src/trial.rs
@@ -70,6 +70,16 @@
         request.trial.drawn = Some((order, side));
     }
 
+    /// Sends a request that was drawn for the new side to the old one, since the engines of the new
+    /// side have too long a backlog. Returns whether the request was drawn for the new side.
+    pub(crate) fn redraw_old(&mut self, id: RequestId) -> bool {
+        let request = self.requests.get_mut(id);
+        match request.and_then(|request| request.trial.drawn.as_mut()) {
+            Some((_, side)) => std::mem::replace(side, Side::Old) == Side::New,
+            None => false,
+        }
+    }
+
     /// Records that a request's events reach the caller: only the same version may resume the stream.
     pub(crate) fn pin_version(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(id) {
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -26,6 +26,7 @@
     Input,
     Output,
     PredictedLatency,
+    Prompt,
     Relay,
     RelayOptions,
     RequestHead,
@@ -58,7 +59,7 @@
 }
 
 fn plan() -> Arc<Plan> {
-    let route = |prefix: &str, retry| RouteSpec {
+    let route = |prefix: &str, retry, rank| RouteSpec {
         name: prefix.to_owned(),
         host: "h".to_owned(),
         prefix: prefix.to_owned(),
@@ -66,7 +67,7 @@
         timeout: 60 * SECOND,
         latency_target: SECOND,
         event_gap: Duration::from_millis(100),
-        rank: 0,
+        rank,
         shares: vec![Share {
             service: "m".to_owned(),
             weight: 1,
@@ -83,9 +84,10 @@
     let spec = PlanSpec {
         version: 1,
         routes: vec![
-            route("/a/", RetryPolicy::Idempotent),
-            route("/b/", RetryPolicy::Idempotent),
-            route("/stream/", RetryPolicy::ResumableStream),
+            route("/a/", RetryPolicy::Idempotent, 0),
+            route("/b/", RetryPolicy::Idempotent, 0),
+            route("/stream/", RetryPolicy::ResumableStream, 0),
+            route("/patient/", RetryPolicy::Idempotent, 2),
         ],
         services: vec![service],
         accounts: None,
@@ -206,6 +208,10 @@
         let head = RequestHead {
             host: "h".to_owned(),
             path: path.to_owned(),
+            prompt: (path == "/patient/").then(|| Prompt {
+                input_tokens: 10_000,
+                ..Prompt::default()
+            }),
             ..RequestHead::default()
         };
         let decision = self.decision(|ticket| Input::Request(ticket, Box::new(head)));
@@ -334,6 +340,14 @@
             assert_eq!(front.exposed(100), 0);
         }
     };
+    // A request must not wait, and be rejected, because the only new engine in use is busy.
+    old_version_serves_while_the_new_engines_have_a_long_backlog: {
+        let mut front = Front::new(7, 1);
+        front.stage(1, Exposure::Share(0.5));
+        front.list(&[("v1", OLD), ("v2", 1)]);
+        let new = (0..30).filter(|_| is_new(&front.send("/patient/"))).count();
+        assert!((2..10).contains(&new), "{new}");
+    };
     // A version that fails under load only must get the load of an old engine on each that is used.
     used_new_endpoints_get_the_load_of_an_old_one_and_are_the_same_at_all_fronts: {
         let mut loads: BTreeMap<String, usize> = BTreeMap::new();
