--- a/crates/relay/src/exposure.rs
+++ b/crates/relay/src/exposure.rs
@@ -40,6 +40,9 @@
 /// Factor on the share while the front owes the new side a request. Without it, the bound cuts off the
 /// random excess but not the random lack, and the new side gets less than its share.
 const CATCH_UP_FACTOR: f64 = 2.0;
+/// Load of an old endpoint that new ones may get in addition, over all of them. Less use of many hides
+/// faults under load; more load on few makes a good version look slow.
+const MAX_EXCESS_LOAD: f64 = 0.25;
 /// Time after which the listed versions count as in use if no version in use is listed any more. A
 /// view, without which the front sends nothing, expires sooner, so an order for them would be known.
 const ADOPT_DELAY: Duration = Duration::from_secs(5);
@@ -155,6 +158,8 @@
     /// Since when no version in use is listed.
     missing_since: Option<Tick>,
     pub(crate) rollout: Option<Rollout>,
+    /// Whether requests have prompts, so that the endpoints are divided into lanes.
+    prompts: bool,
     /// Typical times of the old side, by route.
     pub(crate) times: HashMap<String, RouteTimes>,
 }
@@ -228,8 +233,8 @@
         }
     }
 
-    /// Chooses the endpoints of the new version that get a share of the requests: so many that each
-    /// gets about the load of an old one. All fronts choose the same, from the listing.
+    /// Chooses the endpoints of the new version that get a share of the requests: so many in each lane
+    /// that each gets about the load of an old one. All fronts choose the same, from the listing.
     fn expose(&mut self, service: &str, endpoints: &Endpoints, closed: &BTreeSet<String>) {
         let Some(rollout) = &mut self.rollout else {
             return;
@@ -237,19 +242,26 @@
         let open = endpoints.of_service(service).filter(|(_, endpoint)| {
             !endpoint.info.draining && !closed.contains(&endpoint.info.zone)
         });
-        let mut new = Vec::new();
-        let mut old = 0;
+        // Plain requests have no lanes.
+        let lanes = endpoints.lanes(service).filter(|_| self.prompts);
+        let lane = |id| usize::from(lanes.is_some_and(|lanes| lanes.is_short(id)));
+        let mut new = [Vec::new(), Vec::new()];
+        let mut old = [0, 0];
         for (id, endpoint) in open {
             if rollout.side(&endpoint.info.version) == Side::New {
-                new.push((&endpoint.info.instance, id));
+                new[lane(id)].push((&endpoint.info.instance, id));
             } else if self.in_use.contains(&endpoint.info.version) {
-                old += 1;
+                old[lane(id)] += 1;
             }
         }
-        new.sort_unstable();
         let share = rollout.share();
-        let count = share.map_or(0, |share| exposed_count(share, old));
-        rollout.exposed = new.into_iter().take(count).map(|(_, id)| id).collect();
+        let counts = old.map(|old| share.map_or(0, |share| exposed_count(share, old)));
+        new.iter_mut().for_each(|lane| lane.sort_unstable());
+        let chosen = new
+            .iter()
+            .zip(counts)
+            .flat_map(|(lane, count)| lane.iter().take(count));
+        rollout.exposed = chosen.map(|(_, id)| *id).collect();
     }
 }
 
@@ -259,7 +271,7 @@
     let share = share.clamp(0.0, 1.0);
     let count = old as f64 * share / (1.0 - share);
     // The conversion saturates, also for a share of 1.
-    (count.round() as usize).max(1)
+    ((count - MAX_EXCESS_LOAD).ceil() as usize).max(1)
 }
 
 /// The versions of all services, and the bound that a rollout keeps.
@@ -376,6 +388,7 @@
         let rollout = versions.rollout.as_ref();
         let side = rollout.map_or(Side::Old, |rollout| rollout.side(version));
         let mut flight = Flight::new(version, side, request);
+        versions.prompts |= request.prompt.is_some();
         if let Some(rollout) = &mut versions.rollout {
             if let Some(share) = rollout.share().filter(|_| request.attempts == 1) {
                 let limit = rollout.sent as f64 + MAX_CREDIT;
--- a/crates/relay/src/lanes.rs
+++ b/crates/relay/src/lanes.rs
@@ -57,9 +57,11 @@
 impl Lanes {
     /// Divides a service's endpoints into lanes.
     pub(crate) fn new<'a>(endpoints: impl Iterator<Item = (EndpointId, &'a Endpoint)>) -> Self {
-        let mut zones: BTreeMap<&str, Vec<(&str, EndpointId)>> = BTreeMap::new();
+        // Each version has its own lanes, since a rollout splits requests by version first.
+        let mut zones: BTreeMap<_, Vec<(&str, EndpointId)>> = BTreeMap::new();
         for (id, endpoint) in endpoints.filter(|(_, e)| !e.leaves()) {
-            let zone = zones.entry(&endpoint.info.zone).or_default();
+            let key = (&endpoint.info.zone, &endpoint.info.version);
+            let zone = zones.entry(key).or_default();
             zone.push((&endpoint.info.instance, id));
         }
         let mut short = HashSet::new();
@@ -80,6 +82,11 @@
         }
     }
 
+    /// Whether an endpoint is in the lane of short prompts.
+    pub(crate) fn is_short(&self, endpoint: EndpointId) -> bool {
+        self.0.contains(&endpoint)
+    }
+
     /// Whether an endpoint is in the lane of a prompt.
     pub(crate) fn matches(&self, endpoint: EndpointId, prompt: &Prompt) -> bool {
         self.0.contains(&endpoint) != is_long(prompt)
