--- a/crates/front/src/deployment.rs
+++ b/crates/front/src/deployment.rs
@@ -87,6 +87,8 @@
     /// Version of the quarantine last received; 0 if there is none.
     pub(crate) quarantine_version: u64,
     pub(crate) listing_times: ListingTimes,
+    /// Version of the stages of rollouts last received; 0 if there is none.
+    pub(crate) rollout_version: u64,
     /// Maximum size of a request's body in bytes, according to the plan.
     pub(crate) body_limit: Arc<AtomicUsize>,
     /// The availability zone of this front.
@@ -155,7 +157,7 @@
             directory_version: self.directory_version,
             max_wait: wait,
             quarantine_version: self.quarantine_version,
-            rollout_version: 0,
+            rollout_version: self.rollout_version,
         };
         self.control
             .call_host(host, paths::DEPLOYMENT, &request, timeout)
@@ -178,6 +180,11 @@
             .set_hosts(std::iter::once(host).chain(others).collect());
         self.usage_control.prefer(host);
         self.control.set_hosts(response.control_hosts);
+        // The core must know an order before it sees the endpoints of the new version.
+        if let Some(stages) = response.rollouts {
+            self.rollout_version = stages.version;
+            self.inbox.send(Input::Stages(stages)).ok()?;
+        }
         let readable = match response.directory {
             Some(directory) => {
                 self.send_endpoints(&directory, response.directory_age.unwrap_or_default())?
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -50,6 +50,7 @@
     ListingTimes, //
 };
 use crate::metrics::Metrics;
+use crate::rollout_report::RolloutReporter;
 use crate::serve::{
     Context,
     service, //
@@ -68,6 +69,8 @@
     listing_fetcher: Worker,
     usage_reporter: Worker,
     evidence_reporter: Worker,
+    /// None without rollouts.
+    rollout_reporter: Option<Worker>,
     /// Sends the last usage report.
     final_reporter: UsageReporter,
     control: step::ControlThread<Input, Attachment>,
@@ -109,7 +112,7 @@
         counters.clone(),
         log.clone(),
     );
-    let core = Relay::new(options, PredictedLatency);
+    let core = Relay::new(options, PredictedLatency).with_bounds(settings.exposure);
     let control = step::ControlThread::start("front-control", core, effects, clock);
     let control = control.map_err(EdgeError::Thread)?;
     let inbox = control.inbox();
@@ -142,6 +145,7 @@
         directory_version: 0,
         quarantine_version: 0,
         listing_times: listing_times.clone(),
+        rollout_version: 0,
         body_limit: Arc::clone(&body_limit),
         reachable: true,
     };
@@ -179,6 +183,19 @@
         unacknowledged: None,
     };
     let evidence_reporter = Worker::start("front-evidence", move || evidence_reporter.step());
+    let mut rollout_reporter = RolloutReporter {
+        host: common.host.clone(),
+        incarnation,
+        control: usage_peers.clone(),
+        inbox: inbox.clone(),
+        clock,
+        log: log.clone(),
+        acknowledged: None,
+        reachable: true,
+    };
+    let rollout_reporter = settings
+        .exposure
+        .map(|_| Worker::start("front-rollout", move || rollout_reporter.step()));
     let draining = Arc::new(AtomicBool::new(false));
     let context = Context {
         inbox,
@@ -215,6 +232,7 @@
         listing_fetcher: listing_fetcher.map_err(EdgeError::Thread)?,
         usage_reporter: usage_reporter.map_err(EdgeError::Thread)?,
         evidence_reporter: evidence_reporter.map_err(EdgeError::Thread)?,
+        rollout_reporter: rollout_reporter.transpose().map_err(EdgeError::Thread)?,
         final_reporter,
         control,
         draining,
@@ -247,6 +265,9 @@
         self.listing_fetcher.stop();
         self.usage_reporter.stop();
         self.evidence_reporter.stop();
+        if let Some(reporter) = self.rollout_reporter {
+            reporter.stop();
+        }
         let _ = self.control.close();
         event!(self.log, Stopped);
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -77,7 +77,12 @@
         if let Some(rejection) = self.quarantined(now, id) {
             return Some(self.reject_unserved(id, rejection, out));
         }
-        let Some((endpoint, backlog_ms)) = self.select(now, id, service) else {
+        self.draw_side(id, &service.name);
+        let mut selected = self.select(now, id, service);
+        if wait.exceeded_by(selected) && self.redraw_old(id) {
+            selected = self.select(now, id, service);
+        }
+        let Some((endpoint, backlog_ms)) = selected else {
             return match self.next_accept(now, id, service) {
                 Some(_) if wait.for_accept => None,
                 Some(delay) => Some(self.reject_unserved(id, (Kind::Overloaded, delay), out)),
@@ -140,6 +145,8 @@
             endpoint.pending_tokens += request.pending_tokens;
             endpoint.record_prompt(now, prompt);
         }
+        self.versions
+            .dispatched(now, request, endpoint, &route.name);
         let retry_allowed = route.retry.allows_retry() && request.executions + 1 < route.attempts;
         let timeout = if route.retry.is_stream() {
             route.latency_target * FIRST_EVENT_TIMEOUT_HALF_TARGETS / 2
--- a/crates/relay/src/lanes.rs
+++ b/crates/relay/src/lanes.rs
@@ -58,9 +58,11 @@
         size: LaneSize,
         endpoints: impl Iterator<Item = (EndpointId, &'a Endpoint)>,
     ) -> Self {
-        let mut zones: BTreeMap<&str, Vec<(&str, EndpointId)>> = BTreeMap::new();
+        // Each version has its own lanes, since a rollout splits requests by version first.
+        let mut zones: BTreeMap<_, Vec<(&str, EndpointId)>> = BTreeMap::new();
         for (id, endpoint) in endpoints.filter(|(_, e)| !e.leaves()) {
-            let zone = zones.entry(&endpoint.info.zone).or_default();
+            let key = (&endpoint.info.zone, &endpoint.info.version);
+            let zone = zones.entry(key).or_default();
             zone.push((&endpoint.info.instance, id));
         }
         let mut short = HashSet::new();
