--- a/crates/rollout/tests/orders.rs
+++ b/crates/rollout/tests/orders.rs
@@ -1,5 +1,7 @@
 //! Orders must be accepted once, and no change may follow the verdict on them.
 
+use std::time::Duration;
+
 use assert_matches::assert_matches;
 use ids::Tick;
 use rollout::{
@@ -19,7 +21,6 @@
     State,
     Tally, //
 };
-use std::time::Duration;
 
 fn raw(service: &str, version: &str, duration_s: f64) -> RawOrder {
     RawOrder {
