--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -28,6 +28,13 @@
 const DEFAULT_RETRY_WINDOW_S: u64 = 10;
 /// Default number of retries allowed per request.
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
+/// Default memory of the process in MB.
+const DEFAULT_MEMORY_MB: f64 = 96.0;
+/// Bytes of a MB. The platform's documentation does not say whether it means MiB; this is the smaller unit.
+const BYTES_PER_MB: u64 = 1_000_000;
+/// Smallest and largest memory that the settings may grant, in MB. Less than the smallest leaves no room for
+/// a single body of the usual size limit beside the process itself.
+const MEMORY_RANGE_MB: (u64, u64) = (32, 1 << 20);
 /// Default number of retries allowed in a retry window in addition to the ratio.
 const DEFAULT_RETRY_EXTRA: f64 = 10.0;
 
@@ -54,6 +61,8 @@
         retry_ratio: f64,
         #[serde(default = "default_retry_extra")]
         retry_extra: f64,
+        #[serde(default = "default_memory")]
+        memory_mb: f64,
     }
 }
 
@@ -85,6 +94,10 @@
     DEFAULT_RETRY_EXTRA
 }
 
+fn default_memory() -> f64 {
+    DEFAULT_MEMORY_MB
+}
+
 /// The validated settings of a front.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -116,6 +129,8 @@
     pub retry_ratio: f64,
     /// Retries allowed in a retry window in addition to the ratio, over all fronts.
     pub retry_extra: f64,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
 }
 
 impl TryFrom<&Path> for Settings {
@@ -145,6 +160,9 @@
                 validator.report(field, value, "must be a number of at least 0");
             }
         }
+        let (least, most) = MEMORY_RANGE_MB;
+        // The conversion turns a negative number into 0, which is out of range.
+        let memory_mb = validator.in_range("memory_mb", raw.memory_mb as u64, least, most);
         let common = Common::check(&raw.common(), &mut validator);
         let required = common.zip(ready).zip(listing);
         let settings = required.map(|((common, ready), listing)| Self {
@@ -162,6 +180,7 @@
             retry_window: Duration::from_secs(retry_window_s),
             retry_ratio: raw.retry_ratio,
             retry_extra: raw.retry_extra,
+            memory: usize::try_from(memory_mb * BYTES_PER_MB).unwrap_or(usize::MAX),
         });
         validator.finish(settings)
     }
