Bound the memory of a front by a budget

16 bodies of 4 MB took a front over 110 MB: each body was collected, copied into one piece and copied again into the write buffer, and nothing bounded the total. A front now derives a budget from memory_mb. A body is received only when its memory has been granted, in one allocation that all attempts share, and is passed to the HTTP library in slices of 16 KiB; until then its bytes stay in a socket whose buffer is limited. A request that gets no memory within 2 s is rejected with memory_short (503, not run, Retry-After 1) before its body is read, and its connection is kept for a second so that the caller can read the response. A body that stops for 5 s, or 1 s while others wait, or arrives below 4096 bytes a second loses its connection. Connections, long heads, buffered responses and events are charged too.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -22,6 +22,8 @@
 use smol::future::FutureExt;
 use std::future::Future;
 
+use crate::payload::next_slice;
+
 /// Capacity of the buffer for a slow client, in chunks.
 pub(crate) const STREAM_BUFFER_CHUNKS: usize = 64;
 
@@ -86,7 +88,7 @@
         use smol::stream::Stream as _;
         let this = self.get_mut();
         match this {
-            Self::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Full(bytes) => Poll::Ready(next_slice(bytes).map(|b| Ok(Frame::data(b)))),
             Self::Streamed(chunks, _) => match ready!(chunks.as_mut().poll_next(cx)) {
                 Some(Chunk::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
                 Some(Chunk::End) => Poll::Ready(None),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,10 +9,14 @@
 mod client;
 mod exchange;
 mod framing;
+mod memory;
+mod payload;
 mod pool;
 mod reader;
+mod receive;
 mod reserve;
 mod server;
+mod socket;
 
 pub use body::{
     Aborted,
@@ -31,6 +35,15 @@
     Head, //
 };
 pub use framing::Framing;
+pub use memory::{
+    Memory,
+    OutOfMemory,
+    Share, //
+};
+pub use payload::{
+    Charged,
+    Payload, //
+};
 pub use pool::Pool;
 pub use reader::{
     HOP_BY_HOP_HEADERS,
@@ -38,6 +51,10 @@
     Target,
     build_request, //
 };
+pub use receive::{
+    Refusal,
+    receive, //
+};
 pub use reserve::reserve_address;
 pub use server::{
     EdgeError,
@@ -50,3 +67,7 @@
     Service,
     read_body, //
 };
+pub use socket::{
+    Linger,
+    SOCKET_BUFFER_BYTES, //
+};
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -27,6 +27,7 @@
     Request,
     Response, //
 };
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use smol::channel::{
     Receiver,
     Sender,
@@ -51,6 +52,13 @@
     Exchange,
     Head, //
 };
+use crate::memory::Memory;
+use crate::socket::{
+    Linger,
+    Meter,
+    SOCKET_BUFFER_BYTES,
+    Socket, //
+};
 
 /// Interval at which [`Server::close_within`] checks whether the server has ended.
 const CLOSE_POLL: Duration = Duration::from_millis(20);
@@ -153,6 +161,7 @@
 struct Shared<S> {
     service: S,
     limits: Limits,
+    memory: Option<Memory>,
     connections: Cell<usize>,
     stop: Receiver<()>,
 }
@@ -188,6 +197,27 @@
         limits: Limits,
         make: F,
     ) -> Result<Self, EdgeError>
+    where
+        S: Service,
+        F: FnOnce(&EventLoop) -> S + Send + 'static,
+    {
+        Self::start_bounded(name, listen, limits, None, make)
+    }
+
+    /// As [`Server::start_service`], with a memory budget to which connections are charged. The service
+    /// charges requests by [`receive`](crate::receive). Connections on the first address only are charged,
+    /// so that probes and metrics are served when the budget is used up.
+    ///
+    /// # Errors
+    ///
+    /// As [`Server::start_service`].
+    pub fn start_bounded<S, F>(
+        name: &str,
+        listen: &[SocketAddr],
+        limits: Limits,
+        memory: Option<Memory>,
+        make: F,
+    ) -> Result<Self, EdgeError>
     where
         S: Service,
         F: FnOnce(&EventLoop) -> S + Send + 'static,
@@ -197,13 +227,18 @@
         for address in listen {
             let listen_error = |error| EdgeError::Listen(*address, error);
             let listener = smol::block_on(TcpListener::bind(address)).map_err(listen_error)?;
+            if memory.is_some() {
+                // Accepted connections inherit the size.
+                set_socket_recv_buffer_size(&listener, SOCKET_BUFFER_BYTES)
+                    .map_err(|error| listen_error(error.into()))?;
+            }
             addresses.push(listener.local_addr().map_err(listen_error)?);
             listeners.push(listener);
         }
         let (stop, stopped) = bounded(1);
         let thread = thread::Builder::new()
             .name(name.to_owned())
-            .spawn(move || serve(listeners, limits, stopped, make))
+            .spawn(move || serve(listeners, limits, memory, stopped, make))
             .map_err(EdgeError::Thread)?;
         Ok(Self {
             addresses,
@@ -242,6 +277,7 @@
 fn serve<S: Service>(
     listeners: Vec<TcpListener>,
     limits: Limits,
+    memory: Option<Memory>,
     stop: Receiver<()>,
     make: impl FnOnce(&EventLoop) -> S,
 ) {
@@ -249,6 +285,7 @@
     let shared = Rc::new(Shared {
         service: make(&executor),
         limits,
+        memory,
         connections: Cell::new(0),
         stop,
     });
@@ -303,24 +340,41 @@
     if shared.connections.get() >= shared.limits.max_connections {
         return;
     }
+    let memory = shared.memory.as_ref().filter(|_| id == ListenerId(0));
+    let Some(meter) = Meter::open(memory) else {
+        return;
+    };
     shared.connections.set(shared.connections.get() + 1);
     let shared = Rc::clone(shared);
     let task = async move {
         let _ = stream.set_nodelay(true);
-        connection(&shared, stream, id).await;
+        connection(&shared, Socket::new(stream, Rc::clone(&meter)), &meter, id).await;
         shared.connections.set(shared.connections.get() - 1);
     };
     executor.spawn(task).detach();
 }
 
 /// Serves a connection until it is closed, or the server stops.
-async fn connection<S: Service>(shared: &Rc<Shared<S>>, stream: TcpStream, id: ListenerId) {
-    let service = service_fn(|request| shared.service.call(request, id));
+async fn connection<S: Service>(
+    shared: &Rc<Shared<S>>,
+    socket: Socket,
+    meter: &Meter,
+    id: ListenerId,
+) {
+    let service = service_fn(|request| async {
+        meter.begin();
+        let result = shared.service.call(request, id).await;
+        let linger = result
+            .as_ref()
+            .is_ok_and(|response| response.extensions().get::<Linger>().is_some());
+        meter.end(linger);
+        result
+    });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(shared.limits.idle_timeout)
         .max_buf_size(shared.limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
     let stop = async {
         let _ = shared.stop.recv().await;
--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -106,6 +106,8 @@
     ViewStale, "view_stale", 503, NotExecuted, 2, "the configuration may be out of date here";
     /// The process is shutting down and accepts no new requests.
     Draining, "draining", 503, NotExecuted, 1, "this host is stopping";
+    /// The process has no memory for the request.
+    MemoryShort, "memory_short", 503, NotExecuted, 1, "this host has no memory for the request at the moment";
     /// The availability zone is closed to new requests.
     ZoneClosed, "zone_closed", 503, NotExecuted, 1, "the availability zone takes no new work";
     /// A message from another process failed authentication or belongs to another cluster.
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -1,13 +1,18 @@
 //! One attempt: sends a request to one endpoint and reads the head of the response or the complete
 //! response.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use edge::Head;
-use http_body_util::{
-    BodyExt,
-    Full, //
+use budget::Class;
+use edge::{
+    Charged,
+    Head,
+    Memory,
+    OutOfMemory,
+    Payload, //
 };
+use http_body_util::BodyExt;
 use hyper::body::{
     Body as _,
     Bytes,
@@ -52,6 +57,9 @@
 /// Maximum size of a response that is read completely. Responses of engines take a few kilobytes.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Size up to which a response is covered by the share of its request.
+const FREE_BODY_BYTES: usize = 16 * 1024;
+
 /// The head of a response whose body has not been read yet.
 pub(crate) struct OpenResponse {
     pub(crate) status: u16,
@@ -87,6 +95,7 @@
     pub(crate) inbox: FrontInbox,
     pub(crate) connections: Connections,
     pub(crate) clock: Monotonic,
+    pub(crate) memory: Memory,
 }
 
 impl<A: ProtocolAdapter> AttemptClient<A> {
@@ -97,7 +106,7 @@
         outgoing: &OutgoingRequest<'_>,
     ) -> Result<OpenResponse, Failure> {
         let remaining = attempt.deadline.since(self.clock.now());
-        let mut request = Request::new(Full::new(outgoing.body.clone()));
+        let mut request = Request::new(Payload::from(outgoing.body.clone()));
         *request.method_mut() = outgoing.head.method.clone();
         *request.uri_mut() = outgoing.head.uri.clone();
         *request.headers_mut() =
@@ -175,18 +184,33 @@
             ..
         } = response;
         let deadline = self.deadline(attempt);
+        let length = body.size_hint().exact();
+        let length = length.and_then(|length| usize::try_from(length).ok());
+        let share = Arc::new(self.memory.open());
         let mut bytes = Vec::new();
         while let Some(chunk) = self.with_deadline(deadline, next_chunk(&mut body)).await? {
+            let charged = bytes.len() > FREE_BODY_BYTES;
+            if !charged && bytes.len() + chunk.len() > FREE_BODY_BYTES {
+                let needed = length.unwrap_or(MAX_BODY_BYTES).min(MAX_BODY_BYTES);
+                let charge = async {
+                    let granted = share.ask(Class::Response, needed).await;
+                    granted.map_err(|OutOfMemory| Failure::Silent)
+                };
+                self.with_deadline(deadline, charge).await?;
+                bytes.reserve_exact(needed.saturating_sub(bytes.len()));
+            }
             bytes.extend_from_slice(&chunk);
             if bytes.len() > MAX_BODY_BYTES {
                 return Err(Failure::Garbled);
             }
         }
         self.connections.keep(connection, keep_alive);
+        bytes.shrink_to_fit();
+        share.complete(bytes.len());
         Ok(CompleteResponse {
             status,
             headers,
-            body: bytes.into(),
+            body: Charged::bytes(bytes, share),
         })
     }
 
--- a/crates/front/src/connection.rs
+++ b/crates/front/src/connection.rs
@@ -7,12 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use edge::EventLoop;
-use http_body_util::Full;
-use hyper::body::{
-    Bytes,
-    Incoming, //
+use edge::{
+    EventLoop,
+    Payload,
+    SOCKET_BUFFER_BYTES, //
 };
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{
     self,
     SendRequest, //
@@ -27,7 +27,11 @@
     Tick, //
 };
 use relay::Failure;
-use rustix::net::sockopt::set_socket_linger;
+use rustix::net::sockopt::{
+    set_socket_linger,
+    set_socket_recv_buffer_size,
+    set_socket_send_buffer_size, //
+};
 use smol::future::FutureExt;
 use smol::net::TcpStream;
 use smol::{
@@ -53,6 +57,9 @@
 /// How long a connection may take to be ready for its next request after the end of a response. A
 /// connection that takes longer is closed.
 const REUSE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Limit on the buffers of a connection, and so on the head of a response. Heads of engines take less
+/// than a kilobyte.
+const BUFFER_BYTES: usize = 64 * 1024;
 /// Maximum number of idle connections for each endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
 
@@ -60,7 +67,7 @@
 /// request immediately and delayed bytes of the request never reach it.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Payload>,
     _driver: Task<()>,
     address: SocketAddr,
     instance: String,
@@ -106,7 +113,7 @@
     pub(crate) async fn send(
         &self,
         target: &Target<'_>,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
     ) -> Result<(Response<Incoming>, Connection, bool), Failure> {
         let mut request = request;
         while let Some(mut connection) = self.take(target) {
@@ -204,7 +211,12 @@
         let stream = TcpStream::connect(target.address).or(timeout).await?;
         stream.set_nodelay(true)?;
         set_socket_linger(&stream, Some(Duration::ZERO))?;
-        let handshake = http1::handshake(FuturesIo::new(stream)).await;
+        // By default, the kernel would buffer megabytes for an endpoint or a caller that reads slowly.
+        set_socket_recv_buffer_size(&stream, SOCKET_BUFFER_BYTES)?;
+        set_socket_send_buffer_size(&stream, SOCKET_BUFFER_BYTES)?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(BUFFER_BYTES);
+        let handshake = builder.handshake(FuturesIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(io::Error::other)?;
         let driver = self.tasks.spawn(async move {
             // Requests on the connection report its errors, so the result is not needed here.
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -13,6 +13,7 @@
 
 use edge::{
     EdgeError,
+    Memory,
     Server, //
 };
 use ids::{
@@ -178,8 +179,10 @@
     };
     let evidence_reporter = Worker::start("front-evidence", move || evidence_reporter.step());
     let draining = Arc::new(AtomicBool::new(false));
+    let memory = Memory::new(budget::Limits::of_memory(settings.memory));
     let context = Context {
         inbox,
+        memory: memory.clone(),
         tickets: Arc::new(AtomicU64::new(0)),
         counters,
         metrics: Metrics::default(),
@@ -191,21 +194,29 @@
     let inbox = control.inbox();
     let mut listeners = vec![common.listen, settings.ready];
     listeners.extend(settings.metrics);
-    let server = Server::start_service("front-edge", &listeners, common.limits, move |tasks| {
-        let forward_cancelled = async move {
-            while let Ok(request) = cancelled_rx.recv().await {
-                let _ = inbox.send(Input::Cancelled(request));
-            }
-        };
-        tasks.spawn(forward_cancelled).detach();
-        let attempts = AttemptClient {
-            adapter,
-            inbox: context.inbox.clone(),
-            connections: Connections::new(tasks.clone(), clock),
-            clock,
-        };
-        service(context, attempts, tasks)
-    })?;
+    let charged = Some(memory.clone());
+    let server = Server::start_bounded(
+        "front-edge",
+        &listeners,
+        common.limits,
+        charged,
+        move |tasks| {
+            let forward_cancelled = async move {
+                while let Ok(request) = cancelled_rx.recv().await {
+                    let _ = inbox.send(Input::Cancelled(request));
+                }
+            };
+            tasks.spawn(forward_cancelled).detach();
+            let attempts = AttemptClient {
+                adapter,
+                inbox: context.inbox.clone(),
+                connections: Connections::new(tasks.clone(), clock),
+                clock,
+                memory,
+            };
+            service(context, attempts, tasks)
+        },
+    )?;
     event!(log, Started, "listen" => server.address().to_string());
     Ok(Handle {
         server,
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -17,10 +17,14 @@
     EventLoop,
     Head,
     Limits,
+    Linger,
     ListenerId,
+    Memory,
     NoResponse,
+    Refusal,
     Service,
-    read_body, //
+    Share,
+    receive, //
 };
 use fault::Kind;
 use hyper::body::{
@@ -201,6 +205,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) log: Logger,
     pub(crate) limits: Limits,
+    pub(crate) memory: Memory,
     /// Maximum size of a request's body in bytes, according to the plan.
     pub(crate) body_limit: Arc<AtomicUsize>,
     /// Set when the front starts to stop.
@@ -221,6 +226,8 @@
     received_at: Tick,
     /// The request's identifier in logs.
     name: String,
+    /// The request's share of the memory budget.
+    share: Arc<Share>,
 }
 
 impl<A: ProtocolAdapter> Service for FrontService<A> {
@@ -232,7 +239,7 @@
         listener: ListenerId,
     ) -> Result<Response<ResponseBody>, NoResponse> {
         let mut response = match listener {
-            CALLERS => self.serve(request).await,
+            CALLERS => self.serve(request).await?,
             PROBES => self.probe().await,
             _ => self.metrics(),
         };
@@ -254,7 +261,9 @@
     }
 
     fn metrics(&self) -> Response<ResponseBody> {
-        let text = self.context.metrics.text(&self.context.counters);
+        let mut text = self.context.metrics.text(&self.context.counters);
+        let (used, waiting) = self.context.memory.usage();
+        text += &format!("berg_memory_bytes {used}\nberg_memory_waiting {waiting}\n");
         complete_response(200, Default::default(), text.into())
     }
 
@@ -268,7 +277,10 @@
     }
 
     /// Reads a caller's request and responds to it.
-    async fn serve(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, NoResponse> {
         let received_at = self.attempts.clock.now();
         self.context.counters.count(Counter::Received);
         let (parts, body) = request.into_parts();
@@ -279,21 +291,30 @@
         };
         let mut request = match self.attempts.adapter.parse_request(&head) {
             Ok(request) => request,
-            Err(kind) => return self.fail("", kind, Duration::ZERO, received_at),
+            Err(kind) => return Ok(self.refuse("", kind, received_at)),
         };
         let mut limits = self.context.limits;
         limits.body_bytes = limits
             .body_bytes
             .min(self.context.body_limit.load(Ordering::Acquire));
-        let body = match read_body(body, limits).await {
-            Ok(body) => body,
-            Err(kind) => return self.fail(&request.name, kind, Duration::ZERO, received_at),
+        let (body, share) = match receive(body, limits, &self.context.memory).await {
+            Ok(received) => received,
+            Err(Refusal::Rejected(kind)) => {
+                return Ok(self.refuse(&request.name, kind, received_at));
+            }
+            Err(Refusal::TooSlow) => {
+                self.context.counters.count(Counter::UploadsStalled);
+                event!(self.context.log, UploadStalled, "request" => request.name,
+                    "ms" => millis(self.elapsed(received_at)));
+                return Err(NoResponse);
+            }
         };
         let received = ReceivedRequest {
             head,
             body,
             received_at,
             name: request.name.clone(),
+            share,
         };
         request.body_bytes = received.body.len();
         let (method, uri) = (&received.head.method, &received.head.uri);
@@ -303,7 +324,7 @@
         // the request is subtracted.
         let read_time = self.attempts.clock.now().since(received_at);
         request.timeout = request.timeout.map(|time| time.saturating_sub(read_time));
-        self.dispatch(received, request).await
+        Ok(self.dispatch(received, request).await)
     }
 
     /// Sends attempts until one succeeds or the core ends the request.
@@ -414,6 +435,7 @@
             body: received.body,
             events,
             chunks: tx,
+            _share: received.share,
         };
         let (metrics, clock) = (self.context.metrics.clone(), self.attempts.clock);
         let (log, received_at, name) = (
@@ -462,6 +484,15 @@
         )
     }
 
+    /// Rejects a request whose body has not been read, and closes its connection.
+    fn refuse(&self, name: &str, kind: Kind, received_at: Tick) -> Response<ResponseBody> {
+        let retry_after = Duration::from_secs(kind.response().retry_after.into());
+        let mut response = self.fail(name, kind, retry_after, received_at);
+        close_after(&mut response);
+        response.extensions_mut().insert(Linger);
+        response
+    }
+
     /// Logs and counts an error of the front's own and responds with it.
     fn fail(
         &self,
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -1,11 +1,16 @@
 //! Forwards a stream of events to a caller. If the endpoint fails and the route allows it, another
 //! endpoint resumes the stream.
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use budget::Class;
 use edge::{
+    Charged,
     Chunk,
-    Head, //
+    Head,
+    OutOfMemory,
+    Share, //
 };
 use hyper::body::Bytes;
 use ids::{
@@ -40,6 +45,10 @@
 /// How long the front waits for space in the buffer of a slow caller before it aborts the stream.
 const SLOW_CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Size up to which buffered events are covered by the share of their request, for each chunk that is
+/// buffered.
+const FREE_EVENT_BYTES: usize = 1024;
+
 /// Forwards the remainder of one stream, after its first events.
 pub(crate) struct StreamForwarder<A> {
     pub(crate) attempts: AttemptClient<A>,
@@ -48,6 +57,8 @@
     pub(crate) body: Bytes,
     pub(crate) events: EventBuffer,
     pub(crate) chunks: Sender<Chunk>,
+    /// The request's share of the memory budget, which covers `body` and small events.
+    pub(crate) _share: Arc<Share>,
 }
 
 impl<A: ProtocolAdapter> StreamForwarder<A> {
@@ -93,8 +104,8 @@
             let events = self.events.push(&bytes);
             let events = events.map_err(|EventTooLarge| Failure::Garbled)?;
             if !events.is_empty() {
-                self.send(attempt.deadline, Chunk::Data(events.into()))
-                    .await?;
+                let events = self.charge(attempt.deadline, events).await?;
+                self.send(attempt.deadline, Chunk::Data(events)).await?;
                 deadline = self.gap_deadline(attempt);
             }
         }
@@ -147,6 +158,22 @@
         }
     }
 
+    /// Attaches memory of the budget to events that are buffered for the caller. Until it is granted,
+    /// no more of the response is read.
+    async fn charge(&self, deadline: Tick, events: Vec<u8>) -> Result<Bytes, Option<Failure>> {
+        if events.len() <= FREE_EVENT_BYTES {
+            return Ok(events.into());
+        }
+        let share = Arc::new(self.attempts.memory.open());
+        let granted = async {
+            let granted = share.ask(Class::Response, events.len()).await;
+            granted.map_err(|OutOfMemory| Failure::Silent)
+        };
+        let granted = self.attempts.with_deadline(deadline, granted).await;
+        granted.map_err(|_| None)?;
+        Ok(Charged::bytes(events, share))
+    }
+
     /// Queues a chunk for the caller until the deadline at most.
     async fn send(&self, deadline: Tick, chunk: Chunk) -> Result<(), Option<Failure>> {
         let deadline = deadline.min(self.attempts.clock.now() + SLOW_CALLER_TIMEOUT);
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -43,6 +43,7 @@
     Answered "request.answered" "requests answered by an endpoint";
     QueuedInFront "request.waited" "requests queued until an endpoint's backlog was short enough";
     Replayed "request.replayed" "repeated requests answered with the stored response of their claim";
+    UploadsStalled "request.stalled" "requests whose body arrived too slowly";
     Attempted "attempt.sent" "attempts sent to an agent or endpoint";
     RetriedRejected "retry.bounced" "attempts retried because an agent or endpoint lacked capacity";
     RetriedUnreached "retry.unreached" "attempts retried because an agent or endpoint could not be reached";
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -79,6 +79,7 @@
     2015 EndpointLimited Info "an endpoint stated another limit on its rate of requests, or that it has none";
     2016 EndpointLeaving Info "an endpoint stated that it is about to leave";
     2017 EndpointPaused Info "an endpoint rejected a request and wants no more for a time";
+    2018 UploadStalled Warning "a request's body arrived too slowly, and its connection was closed";
     3001 EngineFailed Warning "the agent's engine failed";
     3002 EngineCold Info "the engine became cold";
     3003 UsageDeferred Warning "a usage report was not acknowledged and will be retried";
