--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -29,6 +29,13 @@
 const DEFAULT_RETRY_WINDOW_S: u64 = 10;
 /// Default number of retries allowed per request.
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
+/// Default memory of the process in MB.
+const DEFAULT_MEMORY_MB: f64 = 96.0;
+/// Bytes of a MB. The platform's documentation does not say whether it means MiB; this is the smaller unit.
+const BYTES_PER_MB: u64 = 1_000_000;
+/// Smallest and largest memory that the settings may grant, in MB. Less than the smallest leaves no room for
+/// a single body of the usual size limit beside the process itself.
+const MEMORY_RANGE_MB: (u64, u64) = (32, 1 << 20);
 /// Default number of retries allowed in a retry window in addition to the ratio.
 const DEFAULT_RETRY_EXTRA: f64 = 10.0;
 
@@ -59,6 +66,8 @@
         expose_share: Option<f64>,
         #[serde(default)]
         expose_slack: f64,
+        #[serde(default = "default_memory")]
+        memory_mb: f64,
     }
 }
 
@@ -90,6 +99,10 @@
     DEFAULT_RETRY_EXTRA
 }
 
+fn default_memory() -> f64 {
+    DEFAULT_MEMORY_MB
+}
+
 /// The validated settings of a front.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -124,6 +137,8 @@
     /// The bound on the requests that a version gets before its rollout has ended, over all fronts;
     /// `None` if there are no rollouts.
     pub exposure: Option<ExposureBounds>,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
 }
 
 impl TryFrom<&Path> for Settings {
@@ -158,6 +173,9 @@
         if let Some(share) = share.filter(|share| !(0.0..=1.0).contains(share)) {
             validator.report("expose_share", share, "must be a number from 0 to 1");
         }
+        let (least, most) = MEMORY_RANGE_MB;
+        // The conversion turns a negative number into 0, which is out of range.
+        let memory_mb = validator.in_range("memory_mb", raw.memory_mb as u64, least, most);
         let common = Common::check(&raw.common(), &mut validator);
         let required = common.zip(ready).zip(listing);
         let settings = required.map(|((common, ready), listing)| Self {
@@ -179,6 +197,7 @@
                 share,
                 slack: raw.expose_slack,
             }),
+            memory: usize::try_from(memory_mb * BYTES_PER_MB).unwrap_or(usize::MAX),
         });
         validator.finish(settings)
     }
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -83,7 +83,8 @@
     2018 StageChanged Info "the part of a service's requests that a new version gets changed";
     2019 VersionsReplaced Warning "no version in use of a service was listed any more, so the listed versions count as in use";
     2020 TallyDeferred Warning "a report on the responses of a new version was not acknowledged and will be retried";
-    2030 LaneResized Info "the share of engines for short prompts changed with their load";
+    2021 UploadStalled Warning "a request's body arrived too slowly, and its connection was closed";
+    2022 LaneResized Info "the share of engines for short prompts changed with their load";
     3001 EngineFailed Warning "the agent's engine failed";
     3002 EngineCold Info "the engine became cold";
     3003 UsageDeferred Warning "a usage report was not acknowledged and will be retried";
--- a/crates/relay/tests/duplicates.rs
+++ b/crates/relay/tests/duplicates.rs
@@ -128,6 +128,7 @@
         service: service.to_owned(),
         address: ([10, 0, 0, 1], port).into(),
         zone: "a".to_owned(),
+        version: String::new(),
         slots: 8,
         draining: false,
         cold_remaining: Duration::ZERO,
--- a/crates/relay/tests/lanes.rs
+++ b/crates/relay/tests/lanes.rs
@@ -112,6 +112,7 @@
             service: "m".to_owned(),
             address: ([10, 0, 0, 1], 1000 + n).into(),
             zone: "a".to_owned(),
+            version: String::new(),
             slots: SLOTS,
             draining: false,
             cold_remaining: Duration::ZERO,
