--- a/crates/enginesim/src/engine.rs
+++ b/crates/enginesim/src/engine.rs
@@ -149,6 +149,7 @@
             running: count(&self.running),
             waiting: count(&self.queue),
             slots: u32::try_from(self.spec.slots).unwrap_or(u32::MAX),
+            slowdown: 1.0,
         }
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -341,6 +341,7 @@
                     running: slots,
                     waiting: slots,
                     slots,
+                    slowdown: 1.0,
                 };
                 endpoint.record_load(now, full);
             }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -112,7 +112,7 @@
 }
 
 /// The load that an endpoint reports in a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
     /// Requests in execution.
     pub running: u32,
@@ -120,6 +120,20 @@
     pub waiting: u32,
     /// Requests that the endpoint executes concurrently.
     pub slots: u32,
+    /// Current duration of work on the endpoint's machine, relative to the usual one; 1 is usual.
+    /// It varies with the other workloads of the machine.
+    pub slowdown: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            running: 0,
+            waiting: 0,
+            slots: 0,
+            slowdown: 1.0,
+        }
+    }
 }
 
 /// What an endpoint states about itself in the head of a response, beyond its load.
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -344,6 +344,7 @@
             running: 1,
             waiting: 0,
             slots: 64,
+            slowdown: 1.0,
         };
         self.step(n, Input::ResponseStarted(response.request, Some(load)));
         self.step(n, Input::Completed(response.request));
