Model unequal engines, memory in tokens and pauses of streams in enginesim

The model could not show the users' faults: engines of different speeds that share their machines with other workloads, streams late by a pause, work on requests that reach their timeout. New workloads uneven (46 engines, 27 fronts with one to four times the callers) and mixed (38 engines at 0.6, 1 and 1.6 of the speed) follow the users' sheets. Engines there vary their speed several times a second and state it, and take memory token by token, with preemption of the newest of the least urgent requests.

--- a/cmd/berg-bench/src/engines.rs
+++ b/cmd/berg-bench/src/engines.rs
@@ -18,7 +18,7 @@
 /// Loads of the simulation, as multiples of the first users' workload.
 const LOADS: [f64; 4] = [0.5, 1.0, 1.5, 2.0];
 /// Widths of the table's columns, in characters.
-const WIDTHS: [usize; 12] = [8, 4, 7, 13, 6, 5, 7, 6, 6, 6, 9, 10];
+const WIDTHS: [usize; 19] = [8, 4, 11, 13, 6, 5, 7, 6, 6, 6, 9, 10, 8, 7, 9, 6, 7, 5, 9];
 
 /// Simulates every policy under every load and disturbance, and writes the report.
 pub(crate) fn compare(flags: &Flags) -> ExitCode {
@@ -37,8 +37,10 @@
 fn run_all(flags: &Flags) -> Result<(), String> {
     print(Row::HEADS);
     let mut rows = Vec::new();
-    for workload in Workload::ALL {
-        for disturbance in Disturbance::ALL {
+    let only = flags.only.as_deref();
+    let selected = |workload: &Workload| only.is_none_or(|only| only == workload.name());
+    for workload in Workload::ALL.into_iter().filter(selected) {
+        for disturbance in workload.disturbances() {
             for load in LOADS {
                 run_policies(flags, workload, disturbance, load, &mut rows)?;
             }
@@ -76,7 +78,7 @@
     Ok(())
 }
 
-fn print(cells: [impl Display; 12]) {
+fn print(cells: [impl Display; 19]) {
     let pad = |(cell, width)| format!("{cell:>width$}");
     let line: Vec<_> = cells.into_iter().zip(WIDTHS).map(pad).collect();
     println!("{}", line.join(" "));
--- a/cmd/berg-bench/src/flags.rs
+++ b/cmd/berg-bench/src/flags.rs
@@ -46,7 +46,8 @@
     let flags = xflags::parse_or_exit! {
         /// Benchmark: `policy` (the default), `engines`, `capacity` or `soak`.
         optional what: String
-        /// With `capacity`: run only the measurement with this name.
+        /// With `capacity`: run only the measurement with this name. With `engines`: simulate only
+        /// the workload with this name.
         optional --only name: String
         /// Directory for the report; target/bench if not given.
         optional --out folder: PathBuf
--- a/crates/enginesim/src/disturbance.rs
+++ b/crates/enginesim/src/disturbance.rs
@@ -7,6 +7,8 @@
     None,
     /// The class with the longest prompts sends four times as many requests.
     Burst,
+    /// The class with the shortest prompts sends as many times more requests as in a burst.
+    ShortBurst,
     /// One engine of each zone crashes, and restarts with an empty cache.
     Crash,
     /// Each step of one engine takes four times as long; its load report does not show this.
@@ -14,7 +16,7 @@
 }
 
 impl Disturbance {
-    /// Every disturbance.
+    /// The disturbances that all workloads have.
     pub const ALL: [Self; 4] = [Self::None, Self::Burst, Self::Crash, Self::Slow];
 
     /// The name in reports.
@@ -22,6 +24,7 @@
         match self {
             Self::None => "none",
             Self::Burst => "burst",
+            Self::ShortBurst => "burst-short",
             Self::Crash => "crash",
             Self::Slow => "slow",
         }
--- a/crates/enginesim/src/lib.rs
+++ b/crates/enginesim/src/lib.rs
@@ -5,14 +5,18 @@
 //! the responses. Two runs with the same seed differ only in their balancing policy.
 
 mod balancers;
+mod call;
+mod class_metrics;
 mod deployment;
 mod disturbance;
 mod engine;
+mod machines;
 mod metrics;
 mod options;
 mod report;
 mod simulate;
 mod simulation;
+mod spread;
 mod traffic;
 mod workload;
 
@@ -21,6 +25,7 @@
     LeastInflight,
     RoundRobin, //
 };
+pub use class_metrics::ClassMetrics;
 pub use disturbance::Disturbance;
 pub use engine::{
     Engine,
@@ -38,4 +43,5 @@
 };
 pub use report::write_report;
 pub use simulate::simulate;
+pub use spread::Spread;
 pub use workload::Workload;
--- a/crates/enginesim/src/metrics.rs
+++ b/crates/enginesim/src/metrics.rs
@@ -4,7 +4,9 @@
 
 use serde::Serialize;
 
+use crate::class_metrics::ClassMetrics;
 use crate::options::RunOptions;
+use crate::spread::Spread;
 
 /// The results of one run. Every request counts in one of `on_time`, `late`, `rejected` and
 /// `failed`.
@@ -29,6 +31,12 @@
     pub recomputed: u64,
     /// Bytes of request bodies sent to engines in other zones.
     pub transferred_bytes: u64,
+    /// Times that an engine returned a running request to its queue because its memory was full.
+    pub preempted: usize,
+    /// Results by class, the least urgent one first.
+    pub classes: [ClassMetrics; 3],
+    /// Distribution of in-flight requests over the engines, for each second of the run.
+    pub spread: Vec<Spread>,
 }
 
 impl Metrics {
@@ -42,6 +50,17 @@
             .map_or(0.0, |time| time.as_secs_f64() * 1000.0)
     }
 
+    /// Returns the share of the engines' time that was spent on requests not served on time.
+    pub fn wasted_share(&self) -> f64 {
+        let sum = |value: fn(&ClassMetrics) -> f64| self.classes.iter().map(value).sum::<f64>();
+        sum(|class| class.wasted_ms) / sum(|class| class.work_ms).max(1.0)
+    }
+
+    /// Returns the mean over all seconds of a value of the distribution over the engines.
+    pub fn mean_spread(&self, value: fn(&Spread) -> f64) -> f64 {
+        self.spread.iter().map(value).sum::<f64>() / self.spread.len().max(1) as f64
+    }
+
     /// Divides a count by the number of requests.
     pub fn share(&self, count: usize) -> f64 {
         count as f64 / self.requests.max(1) as f64
@@ -81,11 +100,25 @@
     /// Request bodies sent to engines in other zones, in megabytes per second.
     #[serde(rename = "between_mb_s")]
     pub transfer_rate: f64,
+    /// Share of the streams of the least urgent class that are late by a pause.
+    pub pause_long: f64,
+    /// The same of the middle class.
+    pub pause_middle: f64,
+    /// The same of the most urgent class.
+    pub pause_short: f64,
+    /// Share of the engines' time spent on requests not served on time.
+    pub wasted: f64,
+    /// In-flight requests of the busiest engine over the mean of all engines, mean of all seconds.
+    pub busiest: f64,
+    /// Share of engines idle while requests wait at others, mean of all seconds.
+    pub idle: f64,
+    /// Preempted requests per second.
+    pub preempted_s: f64,
 }
 
 impl Row {
     /// The column headings of [`Row::cells`].
-    pub const HEADS: [&str; 12] = [
+    pub const HEADS: [&str; 19] = [
         "workload",
         "load",
         "trouble",
@@ -98,6 +131,13 @@
         "p99 ms",
         "again k/s",
         "zones MB/s",
+        "gap long",
+        "gap mid",
+        "gap short",
+        "wasted",
+        "busiest",
+        "idle",
+        "preempt/s",
     ];
 
     /// Computes the row of a run.
@@ -116,11 +156,18 @@
             p99_ms: metrics.first_event_ms(99),
             recomputed_rate: metrics.recomputed as f64 / 1000.0 / seconds,
             transfer_rate: metrics.transferred_bytes as f64 / 1_000_000.0 / seconds,
+            pause_long: metrics.classes[0].pause_share(),
+            pause_middle: metrics.classes[1].pause_share(),
+            pause_short: metrics.classes[2].pause_share(),
+            wasted: metrics.wasted_share(),
+            busiest: metrics.mean_spread(|spread| spread.busiest),
+            idle: metrics.mean_spread(|spread| spread.idle),
+            preempted_s: metrics.preempted as f64 / seconds,
         }
     }
 
     /// Formats the fields, in their order.
-    pub fn cells(&self) -> [String; 12] {
+    pub fn cells(&self) -> [String; 19] {
         [
             self.workload.clone(),
             self.load.to_string(),
@@ -134,6 +181,13 @@
             format!("{:.0}", self.p99_ms),
             format!("{:.1}", self.recomputed_rate),
             format!("{:.2}", self.transfer_rate),
+            format!("{:.3}", self.pause_long),
+            format!("{:.3}", self.pause_middle),
+            format!("{:.3}", self.pause_short),
+            format!("{:.3}", self.wasted),
+            format!("{:.2}", self.busiest),
+            format!("{:.3}", self.idle),
+            format!("{:.2}", self.preempted_s),
         ]
     }
 }
--- a/crates/enginesim/src/simulation.rs
+++ b/crates/enginesim/src/simulation.rs
@@ -28,7 +28,6 @@
     Input,
     Load,
     Output,
-    Prompt,
     Relay,
     RelayOptions,
     RequestHead,
@@ -39,10 +38,12 @@
     Outbox, //
 };
 
+use crate::call::{
+    Call,
+    Outcome, //
+};
 use crate::deployment::{
     START_TIME,
-    ZONES,
-    endpoint_info,
     network_delay,
     zone_name, //
 };
@@ -53,16 +54,11 @@
 };
 use crate::metrics::Metrics;
 use crate::options::RunOptions;
+use crate::spread::Sampler;
 use crate::traffic::Class;
 
-/// Delay until fronts receive the endpoint list that shows a crash or a restart.
-const LIST_DELAY: Duration = Duration::from_millis(1400);
-/// Response tokens in one event of a stream.
-const EVENT_TOKENS: u64 = 6;
-/// Factor on the step duration of a slow engine.
-const SLOWDOWN: f64 = 4.0;
 /// A scheduled event. Its `usize` values are indices of a class, a call, an engine or a front.
-enum Event {
+pub(crate) enum Event {
     /// A client sends a request of a class.
     Arrival(usize),
     /// A dispatched request arrives at an engine.
@@ -83,49 +79,35 @@
     Disturbance(bool),
     /// The fronts receive a new endpoint list.
     EndpointsChanged,
-}
-
-/// A client's request and its state.
-struct Call {
-    class: usize,
-    prompt: Prompt,
-    front: usize,
-    sent_at: Tick,
-    /// The front's request identity and the engine of the current attempt.
-    attempt: Option<(RequestId, usize)>,
-    /// Arrival times of the first and the latest event of the response.
-    event_times: Option<(Tick, Tick)>,
-    /// Whether a pause between two events exceeded the limit of the class.
-    gap_exceeded: bool,
-    tokens: u64,
-    /// Whether the outcome is counted.
-    finished: bool,
+    /// The load of the other workloads of an engine's machine changes.
+    NeighborsChanged(usize),
 }
 
 /// The state of one run.
 pub(crate) struct Simulation<C> {
-    options: RunOptions,
+    pub(crate) options: RunOptions,
     classes: [Class; 3],
-    rng: Pcg32,
-    now: Tick,
+    pub(crate) rng: Pcg32,
+    pub(crate) now: Tick,
     /// Number of the latest scheduled event; events of the same time run in this order.
     serial: u64,
     queue: BinaryHeap<Reverse<(Tick, u64)>>,
     events: HashMap<u64, Event>,
-    fronts: Vec<Relay<C>>,
+    pub(crate) fronts: Vec<Relay<C>>,
     /// The earliest scheduled timer of each front.
     timers: Vec<Option<Tick>>,
-    engines: Vec<Engine>,
+    pub(crate) engines: Vec<Engine>,
     /// Which engines accept requests; a crashed engine does not.
-    available: Vec<bool>,
+    pub(crate) available: Vec<bool>,
     /// Which engines have a scheduled step.
     stepping: Vec<bool>,
-    calls: Vec<Call>,
-    /// Current factor on the request rate of the class with the longest prompts.
-    burst_factor: f64,
+    pub(crate) calls: Vec<Call>,
+    /// Current factor on the request rate of the class that a burst applies to.
+    pub(crate) burst_factor: f64,
     /// Prompt parts that at least one engine has prefilled.
     prefilled: HashSet<u64>,
-    metrics: Metrics,
+    pub(crate) sampler: Sampler,
+    pub(crate) metrics: Metrics,
 }
 
 impl<C: Balancer + Copy> Simulation<C> {
@@ -143,6 +125,10 @@
         };
         let workload = options.workload;
         let (fronts, engines) = (workload.fronts(), workload.engines());
+        let engine = |n| {
+            let speed = options.speed * workload.engine_speed(n);
+            Engine::new(workload.engine().at_speed(speed))
+        };
         Self {
             options,
             classes: workload.classes(options.speed),
@@ -153,12 +139,13 @@
             events: HashMap::new(),
             fronts: (0..fronts).map(front).collect(),
             timers: vec![None; fronts],
-            engines: vec![Engine::new(workload.engine().at_speed(options.speed)); engines],
+            engines: (0..engines).map(engine).collect(),
             available: vec![true; engines],
             stepping: vec![false; engines],
             calls: Vec::new(),
             burst_factor: 1.0,
             prefilled: HashSet::new(),
+            sampler: Sampler::new(START_TIME),
             metrics: Metrics::default(),
         }
     }
@@ -178,19 +165,25 @@
             self.step_front(n, Input::View(Box::new(view)));
         }
         self.publish_endpoints();
+        self.start_neighbors();
         (0..self.classes.len()).for_each(|class| self.next_arrival(class));
         self.schedule(self.options.duration / 3, Event::Disturbance(true));
         self.schedule(self.options.duration * 2 / 3, Event::Disturbance(false));
         while let Some(Reverse((at, serial))) = self.queue.pop() {
+            self.sample_until(at);
             self.now = at;
             if let Some(event) = self.events.remove(&serial) {
                 self.handle(event);
             }
         }
+        for call in &self.calls {
+            let class = &self.classes[call.class];
+            self.metrics.classes[call.class].record(class, call);
+        }
         self.metrics
     }
 
-    fn schedule(&mut self, after: Duration, event: Event) {
+    pub(crate) fn schedule(&mut self, after: Duration, event: Event) {
         self.serial += 1;
         self.queue.push(Reverse((self.now + after, self.serial)));
         self.events.insert(self.serial, event);
@@ -199,7 +192,15 @@
     /// Schedules the next request of a class by a Poisson process, until the run's duration is
     /// over.
     fn next_arrival(&mut self, class: usize) {
-        let factor = if class == 0 { self.burst_factor } else { 1.0 };
+        let bursting = match self.options.disturbance {
+            Disturbance::ShortBurst => self.classes.len() - 1,
+            _ => 0,
+        };
+        let factor = if class == bursting {
+            self.burst_factor
+        } else {
+            1.0
+        };
         let rate = self.classes[class].rate * self.options.load * factor;
         let interval_s = -self.rng.random_range(f64::EPSILON..1.0).ln() / rate;
         if self.now.since(START_TIME).as_secs_f64() + interval_s
@@ -234,9 +235,8 @@
                 }
             }
             Event::ClientTimeout(call) => {
-                if !self.calls[call].finished {
-                    self.metrics.failed += 1;
-                    self.finish(call, Input::Cancelled);
+                if !self.calls[call].finished() {
+                    self.finish(call, Outcome::Failed, Input::Cancelled);
                 }
             }
             Event::FrontTimer(front) => {
@@ -247,6 +247,7 @@
             }
             Event::Disturbance(active) => self.set_disturbance(active),
             Event::EndpointsChanged => self.publish_endpoints(),
+            Event::NeighborsChanged(engine) => self.change_neighbors(engine),
         }
     }
 
@@ -264,26 +265,24 @@
             content: ContentDigest::new("POST", spec.path, &self.calls.len().to_le_bytes()),
             prompt: Some(prompt.clone()),
         };
-        let front = self.rng.random_range(0..self.fronts.len());
+        let front = self.draw_front();
         let call = self.calls.len();
-        self.calls.push(Call {
-            class,
-            prompt,
-            front,
-            sent_at: self.now,
-            attempt: None,
-            event_times: None,
-            gap_exceeded: false,
-            tokens: 0,
-            finished: false,
-        });
+        self.calls.push(Call::new(class, prompt, front, self.now));
         self.metrics.requests += 1;
         self.schedule(spec.timeout, Event::ClientTimeout(call));
         self.step_front(front, Input::Request(ticket(call), Box::new(head)));
     }
 
+    /// Draws the front that a client sends its request to.
+    fn draw_front(&mut self) -> usize {
+        let workload = self.options.workload;
+        let callers = (0..self.fronts.len()).flat_map(|n| vec![n; workload.callers(n)]);
+        let callers: Vec<_> = callers.collect();
+        callers[self.rng.random_range(0..callers.len())]
+    }
+
     /// Passes an input to a front and applies the outputs.
-    fn step_front(&mut self, front: usize, input: Input) {
+    pub(crate) fn step_front(&mut self, front: usize, input: Input) {
         let mut out = Outbox::default();
         self.fronts[front].step(self.now, input, &mut out);
         self.apply_outputs(front, out);
@@ -300,19 +299,17 @@
                 Decision::Dispatch(attempt) => {
                     let engine = usize::from(attempt.address.port());
                     self.calls[call].attempt = Some((attempt.request, engine));
-                    if self.calls[call].finished {
+                    if self.calls[call].finished() {
                         self.step_front(front, Input::Cancelled(attempt.request));
                         continue;
                     }
                     self.dispatch(front, call, engine, attempt.rank);
                 }
-                Decision::Reject(..) if !self.calls[call].finished => {
-                    self.metrics.rejected += 1;
-                    self.calls[call].finished = true;
+                Decision::Reject(..) if !self.calls[call].finished() => {
+                    self.end(call, Outcome::Rejected);
                 }
-                Decision::PassThrough if !self.calls[call].finished => {
-                    self.metrics.failed += 1;
-                    self.calls[call].finished = true;
+                Decision::PassThrough if !self.calls[call].finished() => {
+                    self.end(call, Outcome::Failed);
                 }
                 Decision::Reject(..) | Decision::PassThrough => {}
             }
@@ -352,7 +349,7 @@
         let Some((request, target)) = self.calls[call].attempt else {
             return;
         };
-        if self.calls[call].finished || target != engine {
+        if self.calls[call].finished() || target != engine {
             return;
         }
         let delay = network_delay(self.calls[call].front, engine);
@@ -381,6 +378,11 @@
             return;
         }
         let result = self.engines[engine].step();
+        self.metrics.preempted += result.preempted;
+        for (call, work_ms) in result.work {
+            self.calls[call].work_ms += work_ms;
+        }
+        let event_tokens = self.options.workload.event_tokens();
         for (part, tokens) in result.prefilled {
             if !self.prefilled.insert(part) {
                 self.metrics.recomputed += tokens;
@@ -393,12 +395,12 @@
             let after = result.duration + network_delay(self.calls[call].front, engine);
             self.calls[call].tokens += 1;
             let tokens = self.calls[call].tokens;
-            let first = tokens == EVENT_TOKENS || last && tokens < EVENT_TOKENS;
+            let first = tokens == event_tokens || last && tokens < event_tokens;
             if first {
                 let load = self.engines[engine].load();
                 self.schedule(after, Event::ResponseStarted(call, request, load));
             }
-            if last || !first && tokens.is_multiple_of(EVENT_TOKENS) {
+            if last || !first && tokens.is_multiple_of(event_tokens) {
                 self.schedule(after, Event::ResponseContinued(call, request, last));
             }
         }
@@ -409,7 +411,7 @@
     /// Whether a call is unfinished and `request` identifies its current attempt.
     fn is_current(&self, call: usize, request: RequestId) -> bool {
         let call = &self.calls[call];
-        !call.finished && call.attempt.is_some_and(|(id, _)| id == request)
+        !call.finished() && call.attempt.is_some_and(|(id, _)| id == request)
     }
 
     fn response_event(&mut self, index: usize, request: RequestId, is_last: bool) {
@@ -417,29 +419,27 @@
             return;
         }
         let now = self.now;
-        let classes = self.classes;
         let call = &mut self.calls[index];
-        let class = &classes[call.class];
-        let Some((first_at, last_at)) = call.event_times else {
+        let class = &self.classes[call.class];
+        call.record_event(now);
+        let Some((first_at, _)) = call.event_times else {
             return;
         };
-        call.gap_exceeded |= now.since(last_at) > class.event_gap;
-        call.event_times = Some((first_at, now));
         if !is_last {
             return;
         }
-        if first_at.since(call.sent_at) <= class.latency_target && !call.gap_exceeded {
-            self.metrics.on_time += 1;
+        let started_on_time = first_at.since(call.sent_at) <= class.latency_target;
+        let outcome = if started_on_time && call.longest_pause <= class.event_gap {
+            Outcome::OnTime
         } else {
-            self.metrics.late += 1;
-        }
-        self.finish(index, Input::Completed);
+            Outcome::Late
+        };
+        self.finish(index, outcome, Input::Completed);
     }
 
     fn attempt_failed(&mut self, call: usize, request: RequestId, failure: Failure) {
         if self.calls[call].event_times.is_some() {
-            self.metrics.failed += 1;
-            self.finish(call, Input::Cancelled);
+            self.finish(call, Outcome::Failed, Input::Cancelled);
             return;
         }
         let front = self.calls[call].front;
@@ -447,50 +447,24 @@
     }
 
     /// Ends a call: cancels it at its engine and passes the input to its front.
-    fn finish(&mut self, call: usize, input: impl Fn(RequestId) -> Input) {
-        self.calls[call].finished = true;
+    fn finish(&mut self, call: usize, outcome: Outcome, input: impl Fn(RequestId) -> Input) {
+        self.end(call, outcome);
         if let Some((request, engine)) = self.calls[call].attempt {
             self.engines[engine].cancel(call);
             self.step_front(self.calls[call].front, input(request));
         }
     }
 
-    fn set_disturbance(&mut self, active: bool) {
-        let factor = self.options.workload.burst_factor();
-        match self.options.disturbance {
-            Disturbance::None => {}
-            Disturbance::Burst => self.burst_factor = if active { factor } else { 1.0 },
-            Disturbance::Slow => self.engines[0].slowdown = if active { SLOWDOWN } else { 1.0 },
-            Disturbance::Crash => {
-                for engine in 0..ZONES {
-                    self.available[engine] = !active;
-                    self.crash(engine);
-                }
-                self.schedule(LIST_DELAY, Event::EndpointsChanged);
-            }
-        }
-    }
-
-    /// Crashes an engine; its requests fail at their fronts.
-    fn crash(&mut self, engine: usize) {
-        for call in self.engines[engine].crash() {
-            let Some((request, _)) = self.calls[call].attempt else {
-                continue;
-            };
-            let delay = network_delay(self.calls[call].front, engine);
-            self.schedule(delay, Event::AttemptFailed(call, request, Failure::Broken));
+    /// Records the outcome of a call.
+    fn end(&mut self, call: usize, outcome: Outcome) {
+        self.calls[call].end(self.now, outcome);
+        match outcome {
+            Outcome::OnTime => self.metrics.on_time += 1,
+            Outcome::Late => self.metrics.late += 1,
+            Outcome::Rejected => self.metrics.rejected += 1,
+            Outcome::Failed => self.metrics.failed += 1,
         }
     }
-
-    /// Sends the list of available engines to all fronts.
-    fn publish_endpoints(&mut self) {
-        let endpoints: Vec<_> = (0..self.engines.len())
-            .filter(|n| self.available[*n])
-            .map(|n| endpoint_info(self.options.workload, n, self.now))
-            .collect();
-        (0..self.fronts.len())
-            .for_each(|front| self.step_front(front, Input::Endpoints(endpoints.clone())));
-    }
 }
 
 fn ticket(call: usize) -> Ticket {
--- a/crates/enginesim/src/traffic.rs
+++ b/crates/enginesim/src/traffic.rs
@@ -104,6 +104,82 @@
     },
 ];
 
+/// The classes of the workload with uneven fronts. Only the short streams state a limit for pauses;
+/// the others use their latency target. Prompts are divided as in [`CLASSES`], with sessions in
+/// proportion to the rates.
+pub(crate) const UNEVEN_CLASSES: [Class; 3] = [
+    Class {
+        path: "/long/",
+        rate: 133.0,
+        shared_parts: (4, 2520),
+        session_parts: (1411, 3780),
+        unique_tokens: 2890,
+        output_tokens: 52,
+        latency_target: Duration::from_millis(1500),
+        event_gap: Duration::from_millis(1500),
+        timeout: Duration::from_millis(6000),
+    },
+    Class {
+        path: "/middle/",
+        rate: 68.5,
+        shared_parts: (40, 341),
+        session_parts: (321, 227),
+        unique_tokens: 1800,
+        output_tokens: 24,
+        latency_target: Duration::from_millis(500),
+        event_gap: Duration::from_millis(500),
+        timeout: Duration::from_millis(4000),
+    },
+    Class {
+        path: "/short/",
+        rate: 60.1,
+        shared_parts: (8, 103),
+        session_parts: (423, 69),
+        unique_tokens: 543,
+        output_tokens: 280,
+        latency_target: Duration::from_millis(300),
+        event_gap: Duration::from_millis(200),
+        timeout: Duration::from_millis(15_000),
+    },
+];
+
+/// The classes of the workload with engines of three speeds, divided in the same way.
+pub(crate) const MIXED_CLASSES: [Class; 3] = [
+    Class {
+        path: "/long/",
+        rate: 132.0,
+        shared_parts: (4, 2520),
+        session_parts: (1401, 3780),
+        unique_tokens: 2890,
+        output_tokens: 52,
+        latency_target: Duration::from_millis(1500),
+        event_gap: Duration::from_millis(1500),
+        timeout: Duration::from_millis(4000),
+    },
+    Class {
+        path: "/middle/",
+        rate: 124.0,
+        shared_parts: (40, 341),
+        session_parts: (582, 227),
+        unique_tokens: 1800,
+        output_tokens: 24,
+        latency_target: Duration::from_millis(500),
+        event_gap: Duration::from_millis(500),
+        timeout: Duration::from_millis(3000),
+    },
+    Class {
+        path: "/short/",
+        rate: 42.3,
+        shared_parts: (8, 103),
+        session_parts: (298, 69),
+        unique_tokens: 543,
+        output_tokens: 280,
+        latency_target: Duration::from_millis(400),
+        event_gap: Duration::from_millis(250),
+        timeout: Duration::from_millis(12_000),
+    },
+];
+
 impl Class {
     /// The class at engines of another speed: the same work in less or more time.
     pub(crate) fn at_speed(&self, speed: f64) -> Self {
