--- a/crates/relay/src/exposure.rs
+++ b/crates/relay/src/exposure.rs
@@ -40,9 +40,6 @@
 /// Factor on the share while the front owes the new side a request. Without it, the bound cuts off the
 /// random excess but not the random lack, and the new side gets less than its share.
 const CATCH_UP_FACTOR: f64 = 2.0;
-/// Load of an old endpoint that new ones may get in addition, over all of them. Less use of many hides
-/// faults under load; more load on few makes a good version look slow.
-const MAX_EXCESS_LOAD: f64 = 0.25;
 /// Time after which the listed versions count as in use if no version in use is listed any more. A
 /// view, without which the front sends nothing, expires sooner, so an order for them would be known.
 const ADOPT_DELAY: Duration = Duration::from_secs(5);
@@ -266,12 +263,12 @@
 }
 
 /// The number of new endpoints among which a share of the requests gives each the load of one of the
-/// old endpoints.
+/// old endpoints, or somewhat less: with more load, a good version looks slow.
 fn exposed_count(share: f64, old: usize) -> usize {
     let share = share.clamp(0.0, 1.0);
     let count = old as f64 * share / (1.0 - share);
     // The conversion saturates, also for a share of 1.
-    ((count - MAX_EXCESS_LOAD).ceil() as usize).max(1)
+    (count.ceil() as usize).max(1)
 }
 
 /// The versions of all services, and the bound that a rollout keeps.
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -24,9 +24,13 @@
 const SLOW_FACTOR: f64 = 3.0;
 /// Observations before a typical time is known.
 const MIN_OBSERVATIONS: u32 = 5;
+/// The quantiles of the times of the old side that count as typical. Starts vary more: a short prompt
+/// may wait for the prefill of a long one, which is more frequent on the few engines of a new version.
+const START_QUANTILE: f64 = 0.98;
+const COMPLETE_QUANTILE: f64 = 0.9;
 /// Smallest step of the typical time for one observation, as a share of it. Larger steps make it
 /// follow a short burst.
-const MIN_STEP: f64 = 0.02;
+const MIN_STEP: f64 = 0.1;
 
 /// What happened to the current attempt of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,27 +83,30 @@
     }
 }
 
-/// A running estimate of the median.
+/// A running estimate of the upper end of the usual times.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Median {
+pub(crate) struct Usual {
     value: f64,
     observations: u32,
 }
 
-impl Median {
-    fn record(&mut self, value: f64) {
+impl Usual {
+    fn record(&mut self, value: f64, quantile: f64) {
         self.observations = self.observations.saturating_add(1);
-        let step = 1.0 + MIN_STEP.max(1.0 / f64::from(self.observations));
-        self.value = if self.observations == 1 {
-            value
-        } else if value > self.value {
-            (self.value * step).min(value)
+        if self.observations == 1 {
+            self.value = value;
+            return;
+        }
+        let step = MIN_STEP.max(1.0 / f64::from(self.observations));
+        let direction = if value > self.value {
+            quantile
         } else {
-            (self.value / step).max(value)
+            quantile - 1.0
         };
+        self.value *= (step * direction).exp();
     }
 
-    /// Whether a time is slow compared with the typical one.
+    /// Whether a time is slow compared with the usual ones.
     fn exceeded_by(&self, value: f64) -> bool {
         self.observations >= MIN_OBSERVATIONS && value > self.value * SLOW_FACTOR
     }
@@ -109,9 +116,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RouteTimes {
     /// Time to the start of the response, as a multiple of the expected one.
-    start: Median,
+    start: Usual,
     /// Time to the end of the response, in milliseconds.
-    complete: Median,
+    complete: Usual,
 }
 
 /// The outcomes of one order by route: those of the old and of the new side.
@@ -187,8 +194,10 @@
         }
         if flight.side == Side::Old {
             match progress {
-                Progress::Started => times.start.record(ratio),
-                Progress::Completed if !flight.resumed => times.complete.record(elapsed_ms),
+                Progress::Started => times.start.record(ratio, START_QUANTILE),
+                Progress::Completed if !flight.resumed => {
+                    times.complete.record(elapsed_ms, COMPLETE_QUANTILE)
+                }
                 _ => {}
             }
         }
