--- a/crates/enginesim/tests/pauses.rs
+++ b/crates/enginesim/tests/pauses.rs
@@ -16,7 +16,7 @@
 /// The same share as a limit for requests on which work is started that their timeouts do not allow
 /// to finish; the users state none.
 const MAX_UNFINISHED: f64 = 0.05;
-/// In a burst, the share of late streams differs by a factor of ten between seeds.
+/// Several, as the share of late streams in a burst differs by a factor of nine and more between them.
 const SEEDS: [u64; 3] = [1, 2, 3];
 
 fn run(workload: Workload, disturbance: Disturbance, seed: u64) -> Metrics {
