--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -13,6 +13,7 @@
 
 use edge::{
     EdgeError,
+    Memory,
     Server, //
 };
 use ids::{
@@ -46,9 +47,11 @@
 use crate::evidence_report::EvidenceReporter;
 use crate::listing::{
     ListingDecoder,
-    ListingFetcher, //
+    ListingFetcher,
+    ListingTimes, //
 };
 use crate::metrics::Metrics;
+use crate::rollout_report::RolloutReporter;
 use crate::serve::{
     Context,
     service, //
@@ -67,6 +70,8 @@
     listing_fetcher: Worker,
     usage_reporter: Worker,
     evidence_reporter: Worker,
+    /// None without rollouts.
+    rollout_reporter: Option<Worker>,
     /// Sends the last usage report.
     final_reporter: UsageReporter,
     control: step::ControlThread<Input, Attachment>,
@@ -108,7 +113,7 @@
         counters.clone(),
         log.clone(),
     );
-    let core = Relay::new(options, PredictedLatency);
+    let core = Relay::new(options, PredictedLatency).with_bounds(settings.exposure);
     let control = step::ControlThread::start("front-control", core, effects, clock);
     let control = control.map_err(EdgeError::Thread)?;
     let inbox = control.inbox();
@@ -116,7 +121,7 @@
     let peers = ControlClient::new(sealer.clone(), settings.control.clone());
     peers.rotate(incarnation.0);
     let usage_peers = ControlClient::new(sealer, settings.control.clone());
-    let listing_read = Arc::new(AtomicU64::new(0));
+    let listing_times = ListingTimes::default();
     let body_limit = Arc::new(AtomicUsize::new(common.limits.body_bytes));
     let decoder = || ListingDecoder {
         adapter: adapter.clone(),
@@ -140,7 +145,8 @@
         generation: 0,
         directory_version: 0,
         quarantine_version: 0,
-        listing_read: Arc::clone(&listing_read),
+        listing_times: listing_times.clone(),
+        rollout_version: 0,
         body_limit: Arc::clone(&body_limit),
         reachable: true,
     };
@@ -151,9 +157,10 @@
         inbox: inbox.clone(),
         log: log.clone(),
         clock,
-        listing_read,
+        times: listing_times.clone(),
         max_age: settings.listing_age,
         reachable: true,
+        incomplete: false,
     };
     let listing_fetcher = Worker::start("front-list", move || fetcher.step());
     let reporter = || UsageReporter {
@@ -177,12 +184,27 @@
         unacknowledged: None,
     };
     let evidence_reporter = Worker::start("front-evidence", move || evidence_reporter.step());
+    let mut rollout_reporter = RolloutReporter {
+        host: common.host.clone(),
+        incarnation,
+        control: usage_peers.clone(),
+        inbox: inbox.clone(),
+        clock,
+        log: log.clone(),
+        acknowledged: None,
+        reachable: true,
+    };
+    let rollout_reporter = settings
+        .exposure
+        .map(|_| Worker::start("front-rollout", move || rollout_reporter.step()));
     let draining = Arc::new(AtomicBool::new(false));
+    let memory = Memory::new(budget::Limits::of_memory(settings.memory));
     let context = Context {
         inbox,
+        memory: memory.clone(),
         tickets: Arc::new(AtomicU64::new(0)),
         counters,
-        metrics: Metrics::default(),
+        metrics: Metrics::new(listing_times, clock),
         log: log.clone(),
         limits: common.limits,
         body_limit,
@@ -191,21 +213,29 @@
     let inbox = control.inbox();
     let mut listeners = vec![common.listen, settings.ready];
     listeners.extend(settings.metrics);
-    let server = Server::start_service("front-edge", &listeners, common.limits, move |tasks| {
-        let forward_cancelled = async move {
-            while let Ok(request) = cancelled_rx.recv().await {
-                let _ = inbox.send(Input::Cancelled(request));
-            }
-        };
-        tasks.spawn(forward_cancelled).detach();
-        let attempts = AttemptClient {
-            adapter,
-            inbox: context.inbox.clone(),
-            connections: Connections::new(tasks.clone(), clock),
-            clock,
-        };
-        service(context, attempts, tasks)
-    })?;
+    let charged = Some(memory.clone());
+    let server = Server::start_bounded(
+        "front-edge",
+        &listeners,
+        common.limits,
+        charged,
+        move |tasks| {
+            let forward_cancelled = async move {
+                while let Ok(request) = cancelled_rx.recv().await {
+                    let _ = inbox.send(Input::Cancelled(request));
+                }
+            };
+            tasks.spawn(forward_cancelled).detach();
+            let attempts = AttemptClient {
+                adapter,
+                inbox: context.inbox.clone(),
+                connections: Connections::new(tasks.clone(), clock),
+                clock,
+                memory,
+            };
+            service(context, attempts, tasks)
+        },
+    )?;
     event!(log, Started, "listen" => server.address().to_string());
     Ok(Handle {
         server,
@@ -213,6 +243,7 @@
         listing_fetcher: listing_fetcher.map_err(EdgeError::Thread)?,
         usage_reporter: usage_reporter.map_err(EdgeError::Thread)?,
         evidence_reporter: evidence_reporter.map_err(EdgeError::Thread)?,
+        rollout_reporter: rollout_reporter.transpose().map_err(EdgeError::Thread)?,
         final_reporter,
         control,
         draining,
@@ -245,6 +276,9 @@
         self.listing_fetcher.stop();
         self.usage_reporter.stop();
         self.evidence_reporter.stop();
+        if let Some(reporter) = self.rollout_reporter {
+            reporter.stop();
+        }
         let _ = self.control.close();
         event!(self.log, Stopped);
     }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -7,6 +7,7 @@
 };
 use std::time::Duration;
 
+use relay::ExposureBounds;
 use setting::{
     Common,
     SettingsError,
@@ -28,6 +29,13 @@
 const DEFAULT_RETRY_WINDOW_S: u64 = 10;
 /// Default number of retries allowed per request.
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
+/// Default memory of the process in MB.
+const DEFAULT_MEMORY_MB: f64 = 96.0;
+/// Bytes of a MB. The platform's documentation does not say whether it means MiB; this is the smaller unit.
+const BYTES_PER_MB: u64 = 1_000_000;
+/// Smallest and largest memory that the settings may grant, in MB. Less than the smallest leaves no room for
+/// a single body of the usual size limit beside the process itself.
+const MEMORY_RANGE_MB: (u64, u64) = (32, 1 << 20);
 /// Default number of retries allowed in a retry window in addition to the ratio.
 const DEFAULT_RETRY_EXTRA: f64 = 10.0;
 
@@ -54,6 +62,12 @@
         retry_ratio: f64,
         #[serde(default = "default_retry_extra")]
         retry_extra: f64,
+        #[serde(default)]
+        expose_share: Option<f64>,
+        #[serde(default)]
+        expose_slack: f64,
+        #[serde(default = "default_memory")]
+        memory_mb: f64,
     }
 }
 
@@ -85,6 +99,10 @@
     DEFAULT_RETRY_EXTRA
 }
 
+fn default_memory() -> f64 {
+    DEFAULT_MEMORY_MB
+}
+
 /// The validated settings of a front.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -116,6 +134,11 @@
     pub retry_ratio: f64,
     /// Retries allowed in a retry window in addition to the ratio, over all fronts.
     pub retry_extra: f64,
+    /// The bound on the requests that a version gets before its rollout has ended, over all fronts;
+    /// `None` if there are no rollouts.
+    pub exposure: Option<ExposureBounds>,
+    /// Memory that the process may use, in bytes.
+    pub memory: usize,
 }
 
 impl TryFrom<&Path> for Settings {
@@ -140,11 +163,19 @@
         for (field, value) in [
             ("retry_ratio", raw.retry_ratio),
             ("retry_extra", raw.retry_extra),
+            ("expose_slack", raw.expose_slack),
         ] {
             if !value.is_finite() || value < 0.0 {
                 validator.report(field, value, "must be a number of at least 0");
             }
         }
+        let share = raw.expose_share;
+        if let Some(share) = share.filter(|share| !(0.0..=1.0).contains(share)) {
+            validator.report("expose_share", share, "must be a number from 0 to 1");
+        }
+        let (least, most) = MEMORY_RANGE_MB;
+        // The conversion turns a negative number into 0, which is out of range.
+        let memory_mb = validator.in_range("memory_mb", raw.memory_mb as u64, least, most);
         let common = Common::check(&raw.common(), &mut validator);
         let required = common.zip(ready).zip(listing);
         let settings = required.map(|((common, ready), listing)| Self {
@@ -162,6 +193,11 @@
             retry_window: Duration::from_secs(retry_window_s),
             retry_ratio: raw.retry_ratio,
             retry_extra: raw.retry_extra,
+            exposure: share.map(|share| ExposureBounds {
+                share,
+                slack: raw.expose_slack,
+            }),
+            memory: usize::try_from(memory_mb * BYTES_PER_MB).unwrap_or(usize::MAX),
         });
         validator.finish(settings)
     }
--- a/crates/govern/tests/quarantine.rs
+++ b/crates/govern/tests/quarantine.rs
@@ -75,6 +75,7 @@
         instance: format!("i{n}"),
         age: Duration::from_millis(*age),
         parts: Suspect::of_request(parts.iter().copied(), Duration::ZERO).collect(),
+        attempts: Vec::new(),
     };
     Evidence {
         crashes: list.iter().enumerate().map(crash).collect(),
@@ -130,6 +131,7 @@
         generation,
         directory: u64::MAX,
         quarantine: version,
+        rollouts: 0,
     };
     let wait = Duration::from_millis(WAIT_MS);
     group.request(n, Request::Deployment(front("poll"), held, wait))
--- a/crates/obs/src/counter.rs
+++ b/crates/obs/src/counter.rs
@@ -43,6 +43,7 @@
     Answered "request.answered" "requests answered by an endpoint";
     QueuedInFront "request.waited" "requests queued until an endpoint's backlog was short enough";
     Replayed "request.replayed" "repeated requests answered with the stored response of their claim";
+    UploadsStalled "request.stalled" "requests whose body arrived too slowly";
     Attempted "attempt.sent" "attempts sent to an agent or endpoint";
     RetriedRejected "retry.bounced" "attempts retried because an agent or endpoint lacked capacity";
     RetriedUnreached "retry.unreached" "attempts retried because an agent or endpoint could not be reached";
@@ -55,6 +56,7 @@
     RetryBudgetExhausted "retry.budget" "retries not made because the retry budget was exhausted";
     EndpointConnected "endpoint.connected" "requests for which a connection to an endpoint was opened";
     Ejected "endpoint.ejected" "endpoints ejected after repeated failures";
+    Exposed "rollout.exposed" "attempts sent to the new version of a rollout";
     Admitted "admit.started" "requests dispatched to the engine";
     Queued "admit.queued" "requests queued in the agent";
     Preempted "admit.preempted" "running requests preempted by a higher tier";
@@ -74,6 +76,9 @@
     UsageSealed "usage.sealed" "usage windows sealed";
     PartQuarantined "quarantine.imposed" "prompt parts put into quarantine";
     PartReleased "quarantine.lifted" "prompt parts released from quarantine";
+    RolloutOrdered "rollout.ordered" "orders for rollouts accepted";
+    RolloutDone "rollout.done" "rollouts ended with all requests at the new version";
+    RolloutRolledBack "rollout.rolled_back" "rollouts ended with no requests at the new version";
 }
 
 /// The counters of one process. Clones share their values.
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -62,6 +62,7 @@
     1202 ListingAvailable Info "the endpoint listing can be read again";
     1203 ListingEntriesSkipped Warning "the process skipped invalid entries in the endpoint listing";
     1204 EndpointsChanged Info "endpoints were added, were removed or started to drain";
+    1205 ListingIncomplete Warning "the endpoint listing refers to a page that was read before, or to too many pages";
     2001 RequestFailed Info "a request ended with an error response";
     2002 AttemptFailed Warning "an attempt failed at an endpoint";
     2003 StreamAborted Warning "a response was aborted before its end";
@@ -79,7 +80,11 @@
     2015 EndpointLimited Info "an endpoint stated another limit on its rate of requests, or that it has none";
     2016 EndpointLeaving Info "an endpoint stated that it is about to leave";
     2017 EndpointPaused Info "an endpoint rejected a request and wants no more for a time";
-    2030 LaneResized Info "the share of engines for short prompts changed with their load";
+    2018 StageChanged Info "the part of a service's requests that a new version gets changed";
+    2019 VersionsReplaced Warning "no version in use of a service was listed any more, so the listed versions count as in use";
+    2020 TallyDeferred Warning "a report on the responses of a new version was not acknowledged and will be retried";
+    2021 UploadStalled Warning "a request's body arrived too slowly, and its connection was closed";
+    2022 LaneResized Info "the share of engines for short prompts changed with their load";
     3001 EngineFailed Warning "the agent's engine failed";
     3002 EngineCold Info "the engine became cold";
     3003 UsageDeferred Warning "a usage report was not acknowledged and will be retried";
@@ -100,6 +105,9 @@
     4014 PeerQueueFull Warning "messages to another host were dropped because its queue was full";
     4015 GroupLeft Info "the stopping host has left the control group, or stays because its vote is needed";
     4016 LeaveFailed Warning "no leader decided the stopping host's request to leave the control group";
+    4017 RolloutOrdered Info "an order for a rollout was accepted";
+    4018 RolloutStepped Info "a rollout changed the part of the requests that the new version gets";
+    4019 RolloutEnded Info "a rollout ended";
     4101 ProposalAccepted Info "a change of the configuration was accepted";
     4102 ProposalRejected Info "a change of the configuration was rejected";
     4103 CommandDecided Info "an operator's command was accepted or rejected";
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -12,9 +12,11 @@
 mod identity;
 mod list;
 mod local;
+mod order;
 mod suspects;
 
 pub use evidence::{
+    Attempt,
     Crash,
     Evidence,
     Served,
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -13,11 +13,17 @@
 };
 
 use crate::evidence::{
+    Attempt,
     Crash,
     Evidence,
     Served,
     Suspect, //
 };
+use crate::order::{
+    Dated,
+    Reported,
+    in_order, //
+};
 
 /// Observations of the same instance within this time are of the same crash.
 const SAME_CRASH: Duration = Duration::from_secs(1);
@@ -30,7 +36,8 @@
 /// held on its way for [`REPORT_DELAY`] and for the interval at which control processes request the
 /// feed.
 const SETTLE: Duration = Duration::from_millis(700);
-/// How long a front collects observations before it reports them.
+/// Interval between reports of a front while it observes crashes, and so the longest time for which it
+/// collects observations.
 pub(crate) const REPORT_DELAY: Duration = Duration::from_millis(100);
 /// How long fronts repeat an observation with later reports. With clocks that drift by 5 percent, the
 /// age of a repeated crash is off by less than [`SAME_CRASH`].
@@ -51,6 +58,8 @@
     at: Tick,
     /// The suspects by part, each with its greatest depth and shortest time.
     suspects: BTreeMap<PartId, Suspect>,
+    /// The attempts that ended with the crash, by request.
+    attempts: BTreeMap<u64, Attempt>,
 }
 
 impl Observed {
@@ -62,11 +71,32 @@
         }
     }
 
+    /// Adds attempts. Of two of one request, such as one that was sent to an endpoint that had just
+    /// crashed, the later one counts.
+    fn add_attempts(&mut self, attempts: &[Attempt]) {
+        for attempt in attempts {
+            let held = self.attempts.entry(attempt.request).or_insert(*attempt);
+            if held.number < attempt.number {
+                *held = *attempt;
+            }
+        }
+    }
+
     fn has_any(&self, parts: &BTreeSet<PartId>) -> bool {
         self.suspects.keys().any(|part| parts.contains(part))
     }
 }
 
+impl Reported for Observed {
+    fn at(&self) -> Tick {
+        self.at
+    }
+
+    fn attempts(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.values()
+    }
+}
+
 /// The crashes that count against a part.
 #[derive(Clone, Debug, Default)]
 struct Count {
@@ -115,7 +145,7 @@
 }
 
 impl Suspects {
-    /// How long a front collects observations before it reports them.
+    /// Interval between reports of a front while it observes crashes.
     pub const REPORT_DELAY: Duration = REPORT_DELAY;
 
     /// Records the crash of an engine and the suspects of a request that was in progress there.
@@ -125,7 +155,18 @@
         instance: &str,
         suspects: impl IntoIterator<Item = Suspect>,
     ) {
-        self.observe(at, instance, suspects);
+        self.observe(at, instance, suspects, &[]);
+    }
+
+    /// As [`Self::crashed`], with the attempt of the request that ended with the crash.
+    pub fn attempt_crashed(
+        &mut self,
+        at: Tick,
+        instance: &str,
+        attempt: Attempt,
+        suspects: impl IntoIterator<Item = Suspect>,
+    ) {
+        self.observe(at, instance, suspects, &[attempt]);
     }
 
     /// Returns whether the crash or one of the suspects is new.
@@ -134,6 +175,7 @@
         at: Tick,
         instance: &str,
         suspects: impl IntoIterator<Item = Suspect>,
+        attempts: &[Attempt],
     ) -> bool {
         let same = self.crashes.iter_mut().find(|crash| {
             let apart = crash.at.since(at).max(at.since(crash.at));
@@ -141,17 +183,20 @@
         });
         let new = match same {
             Some(crash) => {
-                let before = crash.suspects.len();
+                let before = (crash.suspects.len(), crash.attempts.len());
                 crash.add(suspects);
-                crash.suspects.len() > before
+                crash.add_attempts(attempts);
+                (crash.suspects.len(), crash.attempts.len()) != before
             }
             None => {
                 let mut crash = Observed {
                     instance: instance.to_owned(),
                     at,
                     suspects: BTreeMap::new(),
+                    attempts: BTreeMap::new(),
                 };
                 crash.add(suspects);
+                crash.add_attempts(attempts);
                 let after = self.crashes.partition_point(|earlier| earlier.at <= at);
                 self.crashes.insert(after, crash);
                 true
@@ -195,7 +240,8 @@
         let mut new = false;
         for crash in &evidence.crashes {
             let suspects = crash.parts.iter().copied();
-            new |= self.observe(now - crash.age, &crash.instance, suspects);
+            let at = now - crash.age;
+            new |= self.observe(at, &crash.instance, suspects, &crash.attempts);
         }
         for served in &evidence.served {
             let at = now - served.age;
@@ -227,6 +273,7 @@
                     instance: crash.instance.clone(),
                     age: now.since(crash.at),
                     parts: crash.suspects.values().copied().collect(),
+                    attempts: crash.attempts.values().copied().collect(),
                 })
                 .collect(),
         }
@@ -263,9 +310,9 @@
         suspected && !causes.iter().any(|cause| cause.part == part)
     }
 
-    fn current(&self, now: Tick) -> Vec<&Observed> {
+    fn current(&self, now: Tick) -> Vec<Dated<'_, Observed>> {
         let current = |crash: &&Observed| now.since(crash.at) < MAX_AGE;
-        self.crashes.iter().filter(current).collect()
+        in_order(self.crashes.iter().filter(current))
     }
 
     /// The causes of crashes.
@@ -275,13 +322,18 @@
     /// of several, such as parts never served, the one present in the most crashes, then the one with
     /// the most parts before it, which the fewest prompts share. It explains all crashes in which it
     /// was present.
-    fn causes(&self, crashes: &[&Observed], mut explaining: BTreeSet<PartId>) -> Vec<Cause> {
+    fn causes(
+        &self,
+        crashes: &[Dated<'_, Observed>],
+        mut explaining: BTreeSet<PartId>,
+    ) -> Vec<Cause> {
         let mut causes = Vec::new();
         loop {
             let mut counts = self.counts(crashes, &explaining);
             counts.retain(|part, count| count.deciding(*part).len() >= MIN_CRASHES);
             let depth = |part: PartId| {
-                let open = crashes.iter().filter(|crash| !crash.has_any(&explaining));
+                let open = crashes.iter().map(|dated| dated.crash);
+                let open = open.filter(|crash| !crash.has_any(&explaining));
                 let suspects = open.filter_map(|crash| crash.suspects.get(&part));
                 suspects.map(|suspect| suspect.depth).max()
             };
@@ -313,7 +365,7 @@
     /// present in most of these crashes: otherwise they have another cause.
     fn counts(
         &self,
-        crashes: &[&Observed],
+        crashes: &[Dated<'_, Observed>],
         explaining: &BTreeSet<PartId>,
     ) -> BTreeMap<PartId, Count> {
         let mut counts: BTreeMap<PartId, Count> = BTreeMap::new();
@@ -323,8 +375,11 @@
             let (moment, later) = rest.split_at(end.max(1));
             rest = later;
             let mut present: BTreeMap<PartId, usize> = BTreeMap::new();
-            let open = moment.iter().filter(|crash| !crash.has_any(explaining));
-            let suspects = open.flat_map(|crash| crash.suspects.values().map(|s| (s, crash.at)));
+            let open = moment
+                .iter()
+                .filter(|dated| !dated.crash.has_any(explaining));
+            let suspects =
+                open.flat_map(|dated| dated.crash.suspects.values().map(|s| (s, dated.at)));
             for (suspect, at) in suspects {
                 *present.entry(suspect.part).or_default() += 1;
                 if suspect.part.is_request() && self.served_at(suspect.part) < Some(first.at) {
@@ -348,9 +403,9 @@
 }
 
 /// The parts of crashes for which a condition holds.
-fn parts_that(crashes: &[&Observed], holds: impl Fn(PartId) -> bool) -> BTreeSet<PartId> {
+fn parts_that(crashes: &[Dated<'_, Observed>], holds: impl Fn(PartId) -> bool) -> BTreeSet<PartId> {
     let parts = crashes
         .iter()
-        .flat_map(|crash| crash.suspects.keys().copied());
+        .flat_map(|dated| dated.crash.suspects.keys().copied());
     parts.filter(|part| holds(*part)).collect()
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,14 +8,17 @@
 mod attempt;
 mod backlog;
 mod balance;
+mod duplicates;
 mod endpoint;
 mod endpoints;
 mod event;
+mod exposure;
 mod front_count;
 mod health;
 mod lane_size;
 mod lanes;
 mod message;
+mod outcome;
 mod part_filter;
 mod rate_limit;
 mod relay;
@@ -24,8 +27,10 @@
 mod select;
 mod speed;
 mod stated;
+mod trial;
 mod typical;
 mod usage_count;
+mod version_filter;
 mod view_wait;
 
 pub use balance::{
@@ -33,6 +38,7 @@
     Estimate,
     PredictedLatency, //
 };
+pub use exposure::ExposureBounds;
 pub use message::{
     Attempt,
     Decision,
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -22,6 +22,11 @@
     Evidence,
     Quarantine, //
 };
+use rollout::{
+    Stage,
+    Stages,
+    Tally, //
+};
 use usage::Runs;
 
 /// Options of a front's decision core.
@@ -136,6 +141,13 @@
     }
 }
 
+impl Load {
+    /// Requests at the endpoint. An endpoint may state any numbers.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// What an endpoint states about itself in the head of a response, beyond its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
@@ -178,6 +190,8 @@
     pub cold_remaining: Duration,
     /// When this incarnation started, in milliseconds of Unix time; 0 if the listing omits it.
     pub started_ms: u64,
+    /// The version of the service that the endpoint runs; empty if the listing omits it.
+    pub version: String,
 }
 
 /// Why an attempt produced no response to pass through.
@@ -254,12 +268,16 @@
 pub enum Input {
     /// A view of the deployment arrived.
     View(Box<View>),
+    /// The stages of rollouts arrived. They precede the listing and the view of the same response.
+    Stages(Stages),
     /// An endpoint listing arrived.
     Endpoints(Vec<EndpointInfo>),
     /// A request arrived.
     Request(Ticket, Box<RequestHead>),
     /// A response started; its head may report the endpoint's load.
     ResponseStarted(RequestId, Option<Load>),
+    /// The first events of a stream are on their way to the caller.
+    StreamStarted(RequestId),
     /// A response of an endpoint contained a notice, or withdrew the endpoint's last one.
     Noticed(EndpointId, Notice),
     /// An attempt failed.
@@ -273,6 +291,8 @@
     Cancelled(RequestId),
     /// Requests the usage of unsealed windows; carries the last sealed window.
     Usage(Ticket, Option<u64>),
+    /// Requests the tallies of the rollouts.
+    Tallies(Ticket),
     /// A readiness check; the core replies with [`Output::Ready`].
     Ready(Ticket),
     /// Marks the front as not ready from now on. Requests that still arrive are served.
@@ -346,6 +366,12 @@
     QuarantineChanged(u64, usize),
     /// The lane for short prompts has another share of its service's engines.
     LaneResized(f64),
+    /// An attempt is dispatched to the new version of a rollout.
+    Exposed,
+    /// The stage of a service's newest rollout changed.
+    StageChanged(Stage),
+    /// Other versions of this service count as in use, since those before are not listed any more.
+    VersionsReplaced(String),
     /// The set of endpoints changed: their number, and how many of them are draining.
     EndpointsChanged(usize, usize),
 }
@@ -357,6 +383,8 @@
     Reply(Ticket, Decision),
     /// The usage of unsealed windows, by window.
     Usage(Ticket, Vec<(u64, Runs)>),
+    /// The tallies of the rollouts.
+    Tallies(Ticket, Vec<Tally>),
     /// Whether the front is ready to serve.
     Ready(Ticket, bool),
     /// Report evidence on prompt parts to the control group.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -29,7 +29,9 @@
 
 use crate::backlog::BacklogQueue;
 use crate::balance::Balancer;
+use crate::duplicates::Duplicates;
 use crate::endpoints::Endpoints;
+use crate::exposure::Versions;
 use crate::front_count::FrontCount;
 use crate::message::{
     EndpointInfo,
@@ -40,6 +42,7 @@
     RelayOptions,
     View, //
 };
+use crate::outcome::Progress;
 use crate::part_filter::PartFilter;
 use crate::rate_limit::RateLimit;
 use crate::request::Request;
@@ -75,6 +78,7 @@
     /// Number of fronts that subscribe to the deployment.
     pub(crate) fronts: FrontCount,
     pub(crate) endpoints: Endpoints,
+    pub(crate) duplicates: Duplicates,
     pub(crate) requests: SlotMap<RequestId, Request>,
     /// Retry budgets by service.
     pub(crate) retry_budgets: HashMap<String, RetryBudget>,
@@ -82,6 +86,7 @@
     pub(crate) view_wait: ViewWait,
     pub(crate) backlog_queue: BacklogQueue,
     pub(crate) part_filter: PartFilter,
+    pub(crate) versions: Versions,
     pub(crate) draining: bool,
 }
 
@@ -99,12 +104,14 @@
             view_requested: Tick::default(),
             fronts: FrontCount::default(),
             endpoints: Endpoints::default(),
+            duplicates: Duplicates::default(),
             requests: SlotMap::with_key(),
             retry_budgets: HashMap::new(),
             usage: UsageCount::new(options.usage_window),
             view_wait: ViewWait::default(),
             backlog_queue: BacklogQueue::default(),
             part_filter: PartFilter::default(),
+            versions: Versions::default(),
             draining: false,
             options,
         }
@@ -121,6 +128,7 @@
 
     fn apply_view(&mut self, now: Tick, view: View, out: &mut Outbox<Output>) {
         self.apply_quarantine(now, view.wall_clock, view.quarantine, out);
+        self.renew_versions(now, out);
         if view.generation < self.generation {
             return;
         }
@@ -133,6 +141,9 @@
             self.generation = view.generation;
             self.plan = plan;
             self.close_zones(now, closed);
+            if let Some(list) = self.duplicates.take_ambiguous(now) {
+                self.update_endpoints(now, list, out);
+            }
             out.push(Output::Event(Event::Advanced(self.generation)));
         }
         if view.generation == self.generation {
@@ -172,6 +183,7 @@
             self.endpoints.mark_cold(now, zone, cold_duration);
         }
         self.closed = closed;
+        self.expose();
     }
 
     fn apply_quarantine(
@@ -247,10 +259,17 @@
     }
 
     fn update_endpoints(&mut self, now: Tick, list: Vec<EndpointInfo>, out: &mut Outbox<Output>) {
+        let plan = self.plan.as_ref();
+        let known = |name: &str| {
+            plan.is_some_and(|plan| plan.services().any(|service| service.name == name))
+        };
+        let list = self.duplicates.resolve(now, list, known);
         if self.endpoints.update(now, list, &mut self.rng) {
             let (total, draining) = self.endpoints.counts();
             out.push(Output::Event(Event::EndpointsChanged(total, draining)));
         }
+        self.versions.listed(now, &self.endpoints);
+        self.expose();
     }
 }
 
@@ -263,21 +282,37 @@
             Input::View(view) => self.apply_view(now, *view, out),
             Input::Endpoints(list) => self.update_endpoints(now, list, out),
             Input::Request(ticket, head) => self.receive(now, ticket, head, out),
-            Input::ResponseStarted(id, load) => self.response_started(now, id, load, out),
+            Input::Stages(stages) => self.apply_stages(now, stages, out),
+            Input::ResponseStarted(id, load) => {
+                self.observe(now, id, Progress::Started);
+                self.response_started(now, id, load, out);
+            }
+            Input::StreamStarted(id) => self.pin_version(id),
             Input::Noticed(id, notice) => self.record_notice(now, id, notice, out),
             Input::AttemptFailed(ticket, id, failure) => {
+                self.observe(now, id, Progress::Failed(failure));
                 self.attempt_failed(now, ticket, id, failure, out);
             }
             Input::Completed(id) => {
+                self.observe(now, id, Progress::Completed);
                 self.record_service(id);
                 self.responded(now, id);
             }
-            Input::Declined(id) => self.responded(now, id),
-            Input::Cancelled(id) => self.end(id),
+            Input::Declined(id) => {
+                self.observe(now, id, Progress::Declined);
+                self.responded(now, id);
+            }
+            Input::Cancelled(id) => {
+                self.observe(now, id, Progress::Cancelled);
+                self.end(id);
+            }
             Input::Usage(ticket, sealed) => {
                 let windows = self.usage.unsealed(now, sealed);
                 out.push(Output::Usage(ticket, windows));
             }
+            Input::Tallies(ticket) => {
+                out.push(Output::Tallies(ticket, self.versions.tallies(now)));
+            }
             Input::Ready(ticket) => out.push(Output::Ready(ticket, self.ready(now))),
             Input::Drain => self.draining = true,
         }
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -158,6 +158,7 @@
             draining: false,
             cold_remaining: Duration::ZERO,
             started_ms: 0,
+            version: String::new(),
         });
         front.step(Input::Endpoints(engines.collect()));
         front
@@ -372,14 +373,40 @@
         front.fail(attempt.request, Failure::Crashed);
         let evidence = front.evidence().unwrap();
         let parts = [PartId(1), PartId(DEADLY), identity(&prompt(&[1, DEADLY], 100))];
+        let attempts = evidence.crashes[0].attempts.clone();
         let crash = Crash {
             instance: attempt.instance,
             age: SECOND,
             parts: Suspect::of_request(parts, Duration::from_millis(20)).collect(),
+            attempts: attempts.clone(),
         };
         assert_eq!(evidence.crashes, [crash]);
+        assert_eq!(attempts.len(), 1);
+        assert_eq!((attempts[0].number, attempts[0].elapsed), (1, Duration::from_millis(20)));
         assert_eq!(front.evidence(), None);
     };
+    // The control group dates both crashes by reports of different delays.
+    crashes_of_a_request_are_reported_with_the_numbers_of_its_attempts: {
+        let mut front = Front::new();
+        let first = front.dispatched(prompt(&[DEADLY], 100));
+        let other = front.dispatched(prompt(&[1], 101));
+        let second = assert_matches!(front.fail(first.request, Failure::Crashed), Decision::Dispatch(a) => *a);
+        assert_ne!(first.instance, second.instance);
+        front.wait(Duration::from_millis(30));
+        front.fail(second.request, Failure::Crashed);
+        front.fail(other.request, Failure::Crashed);
+        let crashes = front.evidence().unwrap().crashes;
+        let attempts = |instance: &str| {
+            let crash = crashes.iter().find(|crash| crash.instance == instance).unwrap();
+            crash.attempts.clone()
+        };
+        let earlier = attempts(&first.instance).into_iter().find(|a| a.elapsed.is_zero()).unwrap();
+        let later = attempts(&second.instance).into_iter().find(|a| a.request == earlier.request).unwrap();
+        assert_eq!((earlier.number, later.number), (1, 2));
+        assert_eq!(later.elapsed, Duration::from_millis(30));
+        let others = attempts(&other.instance);
+        assert!(others.iter().any(|a| a.request != earlier.request && a.number == 1));
+    };
     // Guards against evidence that is lost with the leader that received it.
     evidence_is_repeated_for_ten_seconds: {
         let mut front = Front::new();
@@ -387,6 +414,33 @@
         let reports = (0..20).filter(|_| front.evidence().is_some()).count();
         assert_eq!(reports, 5);
     };
+    // A front that ends between a crash and its report loses the crash. These two cases bound the loss.
+    first_crash_is_reported_within_five_milliseconds: {
+        let mut front = Front::new();
+        front.crash(prompt(&[DEADLY], 100));
+        let evidence = evidence(front.wait(Duration::from_millis(5))).unwrap();
+        assert_eq!(evidence.crashes.len(), 1);
+        for n in 0..3 {
+            front.wait(Duration::from_millis(100));
+            front.crash(prompt(&[DEADLY], 200 + n));
+            assert_matches!(self::evidence(front.wait(Duration::from_millis(5))), Some(_), "{n}");
+        }
+    };
+    crashes_in_a_row_are_reported_within_a_hundred_milliseconds: {
+        let mut front = Front::new();
+        let (mut unreported, mut reports) = (Vec::new(), 0);
+        for n in 0..500 {
+            front.crash_plain(&[7, u8::try_from(n % 250).unwrap(), u8::from(n < 250)]);
+            unreported.push(front.now);
+            if evidence(front.wait(Duration::from_millis(1))).is_some() {
+                reports += 1;
+                unreported.clear();
+            }
+            let oldest = unreported.first().copied().unwrap_or(front.now);
+            assert!(front.now.since(oldest) <= Duration::from_millis(100), "{n}");
+        }
+        assert!((5..=6).contains(&reports), "{reports}");
+    };
     lost_connection_is_no_evidence: for failure in [Failure::Broken, Failure::Silent, Failure::Errored] {
         let mut front = Front::new();
         let request = front.dispatched(prompt(&[1, 2], 100)).request;
