Grow the lane of short prompts when it is nearly full, and limit backlogs by the engines' memory

Change: the lane grows above 60 percent of its slots instead of 30. Short prompts spill over at half of the latency target.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -110,9 +110,12 @@
     pub(crate) fn backlog_limit_ms(&self, id: RequestId) -> Option<f64> {
         let request = self.requests.get(id)?;
         let route = request.plan.route(request.route)?;
-        let long = is_long(request.prompt.as_ref()?);
-        let limit_ms = backlog::limit_ms(request.priority.route, route.latency_target);
-        limit_ms.filter(|_| long)
+        let prompt = request.prompt.as_ref().filter(|prompt| is_long(prompt))?;
+        let engine = request.plan.service(request.service)?.engine;
+        let fit = engine.map_or(1.0, |engine| {
+            backlog::memory_fit(engine, prompt.input_tokens)
+        });
+        backlog::limit_ms(request.priority.route, route.latency_target, fit)
     }
 
     /// Reconsiders the queued requests in order of priority. Dispatches those below the limit and
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -13,16 +13,16 @@
     Tick,
     Ticket, //
 };
+use plan::EngineLimits;
 
 use crate::request::Priority;
 
 /// Backlog of the best engine above which prompts of the lowest ranks wait, as a share of the
-/// latency target of their route. An engine that always has prompts to prefill generates tokens so
-/// slowly that long responses miss their deadline, so the limit is far below the target.
-const LOW_RANK_LIMIT: f64 = 0.15;
+/// latency target of their route.
+const LOW_RANK_LIMIT: f64 = 1.0 / 3.0;
 /// Backlog of the best engine above which prompts of rank 1 wait, as a multiple of the latency
-/// target of their route. Beyond the target, the response is late in any case.
-const RANK_1_LIMIT: f64 = 1.0;
+/// target of their route.
+const RANK_1_LIMIT: f64 = 3.0;
 /// Factor on the limit for a request at the end of its wait. Below the raised limit the request is
 /// dispatched, above it rejected.
 const FINAL_FACTOR: f64 = 1.6;
@@ -34,13 +34,26 @@
 const MAX_QUEUED: usize = 128;
 
 /// The backlog above which a long prompt waits, in milliseconds, by the rank and the latency target
-/// of its route; none if the prompt never waits.
-pub(crate) fn limit_ms(rank: u8, target: Duration) -> Option<f64> {
+/// of its route; none if the prompt never waits. `memory_fit` is the share of an engine's slots that
+/// its memory can serve with such prompts. Where memory is short, an engine with a backlog keeps its
+/// memory occupied with responses that it generates slowly beside the prefill, so that they miss
+/// their deadline; the limit is lower by this share.
+pub(crate) fn limit_ms(rank: u8, target: Duration, memory_fit: f64) -> Option<f64> {
     let target_ms = target.as_secs_f64() * 1000.0;
     match rank {
         0 => None,
-        1 => Some(target_ms * RANK_1_LIMIT),
-        _ => Some(target_ms * LOW_RANK_LIMIT),
+        1 => Some(target_ms * RANK_1_LIMIT * memory_fit),
+        _ => Some(target_ms * LOW_RANK_LIMIT * memory_fit),
+    }
+}
+
+/// The share of an engine's slots that its memory can serve with prompts of this length.
+pub(crate) fn memory_fit(engine: EngineLimits, tokens: u64) -> f64 {
+    let needed = f64::from(engine.slots) * tokens as f64;
+    if needed > 0.0 {
+        (engine.kv_tokens as f64 / needed).min(1.0)
+    } else {
+        1.0
     }
 }
 
--- a/crates/relay/src/lane_size.rs
+++ b/crates/relay/src/lane_size.rs
@@ -13,9 +13,10 @@
 
 /// The lane's share of a service's engines without a burst, and its largest share.
 const SHARE: (f64, f64) = (0.2, 0.5);
-/// Share of the lane's slots in use above which the lane grows. The remainder takes a burst of about
-/// three times the load while the lane grows.
-const GROW_OCCUPANCY: f64 = 0.3;
+/// Share of the lane's slots in use above which the lane grows. The remainder takes the requests that
+/// arrive while the lane grows; a lower value takes engines, and what their caches hold, from long
+/// prompts before short ones need them.
+const GROW_OCCUPANCY: f64 = 0.6;
 /// Share of the lane's slots in use below which the lane shrinks. It is half of the share above which
 /// the lane grows, so that a change of size does not cause the opposite change.
 const SHRINK_OCCUPANCY: f64 = GROW_OCCUPANCY / 2.0;
--- a/crates/relay/src/lanes.rs
+++ b/crates/relay/src/lanes.rs
@@ -22,11 +22,14 @@
 /// Maximum number of tokens in a short prompt. Such a prompt fits, with room to spare, into one
 /// prefill chunk, which engines commonly limit to 2,048 tokens.
 const SHORT_PROMPT_TOKENS: u64 = 1500;
+/// Queueing delay in the lane for short prompts at which they spill over into the other lane, as a
+/// share of the latency target of their route. Up to there the response still starts in time, and in
+/// the other lane its stream would pause.
+const SPILL_SHARE: f64 = 0.5;
 /// Cost of a long prompt in the lane for short ones, in milliseconds per square millisecond of
 /// prefill. The cost is quadratic because prefill time lengthens both the pause and the number of
-/// streams for which the pause is too long. At a tenth of this value, half of the prompts of medium
-/// length spill over in a burst of long ones, and the streams in the lane take three times as long.
-const LONG_PROMPT_PENALTY: f64 = 2.0;
+/// streams for which the pause is too long.
+const LONG_PROMPT_PENALTY: f64 = 0.2;
 
 /// The part of a service's endpoints that a request prefers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -74,9 +77,7 @@
         Self(short)
     }
 
-    /// Cost of an endpoint's lane for a prompt, in milliseconds. A short prompt spills over once its
-    /// delay would exceed the route's latency target: until then the response starts in time, and
-    /// in the other lane its stream would pause.
+    /// Cost of an endpoint's lane for a prompt, in milliseconds, by the latency target of its route.
     pub(crate) fn cost(
         &self,
         endpoint: EndpointId,
@@ -86,7 +87,7 @@
     ) -> f64 {
         match (self.0.contains(&endpoint), is_long(prompt)) {
             (true, false) | (false, true) => 0.0,
-            (false, false) => target.as_secs_f64() * 1000.0,
+            (false, false) => target.as_secs_f64() * 1000.0 * SPILL_SHARE,
             (true, true) => speed.prefill_ms(prompt.input_tokens).powi(2) * LONG_PROMPT_PENALTY,
         }
     }
