--- a/crates/enginesim/src/class_metrics.rs
+++ b/crates/enginesim/src/class_metrics.rs
@@ -22,7 +22,7 @@
     /// Requests whose response started.
     pub streams: usize,
     /// Streams with a pause above the limit of the class.
-    pub late_by_pause: usize,
+    pub paused: usize,
     /// The longest pause of each stream.
     pub longest_pauses: Vec<Duration>,
     /// Time that engines spent on the requests, in milliseconds.
@@ -46,14 +46,14 @@
         }
         if call.event_times.is_some() {
             self.streams += 1;
-            self.late_by_pause += usize::from(call.longest_pause > class.event_gap);
+            self.paused += usize::from(call.longest_pause > class.event_gap);
             self.longest_pauses.push(call.longest_pause);
         }
     }
 
     /// Returns the share of streams that are late by a pause.
     pub fn pause_share(&self) -> f64 {
-        self.late_by_pause as f64 / self.streams.max(1) as f64
+        self.paused as f64 / self.streams.max(1) as f64
     }
 
     /// Divides a count by the number of requests.
--- a/crates/enginesim/tests/pauses.rs
+++ b/crates/enginesim/tests/pauses.rs
@@ -36,7 +36,7 @@
 fn assert_short_streams_flow(workload: Workload, disturbance: Disturbance) {
     for seed in SEEDS {
         let [.., short] = run(workload, disturbance, seed).classes;
-        let (late, streams) = (short.late_by_pause, short.streams);
+        let (late, streams) = (short.paused, short.streams);
         assert!(
             short.pause_share() <= MAX_PAUSED,
             "seed {seed}: {late} of {streams}"
