--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -23,6 +23,8 @@
 /// Backlog of the best engine above which prompts of rank 1 wait, as a multiple of the latency
 /// target of their route.
 const RANK_1_LIMIT: f64 = 3.0;
+/// Share of an engine's slots that a backlog can fill; the last ones only hold requests that end.
+const USED_SLOTS: f64 = 0.85;
 /// Factor on the limit for a request at the end of its wait. Below the raised limit the request is
 /// dispatched, above it rejected.
 const FINAL_FACTOR: f64 = 1.6;
@@ -47,9 +49,9 @@
     }
 }
 
-/// The share of an engine's slots that its memory can serve with prompts of this length.
+/// The share of an engine's slots in use that its memory can serve with prompts of this length.
 pub(crate) fn memory_fit(engine: EngineLimits, tokens: u64) -> f64 {
-    let needed = f64::from(engine.slots) * tokens as f64;
+    let needed = f64::from(engine.slots) * USED_SLOTS * tokens as f64;
     if needed > 0.0 {
         (engine.kv_tokens as f64 / needed).min(1.0)
     } else {
