--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -54,6 +54,8 @@
         linger_ms: u64,
         #[serde(default = "default_shutdown_timeout")]
         grace_ms: u64,
+        #[serde(default)]
+        grace_s: Option<f64>,
         #[serde(default = "default_usage_window")]
         window_s: u64,
         #[serde(default = "default_retry_window")]
@@ -157,7 +159,11 @@
         let listing = validator.address("list", &raw.list);
         let drain_ms = validator.in_range("drain_ms", raw.drain_ms, 1500, 600_000);
         let shutdown_delay_ms = validator.in_range("linger_ms", raw.linger_ms, 0, 600_000);
-        let shutdown_timeout_ms = validator.in_range("grace_ms", raw.grace_ms, 0, 600_000);
+        if let Some(seconds) = raw.grace_s.filter(|s| !s.is_finite() || *s < 0.0) {
+            validator.report("grace_s", seconds, "must be a number of at least 0");
+        }
+        let grace_ms = raw.grace_s.map_or(raw.grace_ms, |s| (s * 1000.0) as u64);
+        let shutdown_timeout_ms = validator.in_range("grace_ms", grace_ms, 0, 600_000);
         let usage_window_s = validator.in_range("window_s", raw.window_s, 1, 86_400);
         let retry_window_s = validator.in_range("retry_s", raw.retry_s, 1, 3_600);
         for (field, value) in [
