review: case 6, clients that leave early stop a kind of request for good

Rule: Starved, a kind of request is served less than a quarter as often as all. Disruption: a fifth of the clients leave within 10 ms, for 5 s at a time.

--- a/review/stand-2/cases/leavers.rs
+++ b/review/stand-2/cases/leavers.rs
@@ -1,6 +1,6 @@
-//! Part of the clients leave before their deadline; afterwards all is calm.
+//! Part of the clients leave before their deadline for a while; afterwards all is calm.
 //!
-//! The engines answer each request 60 ms after they have received it, and are idle in calm.
+//! The engines answer each request 60 ms after they have received it.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -17,17 +17,17 @@
 /// Clients, of which one in five leaves, and how often each one sends a request.
 const CLIENTS: u64 = 100;
 const LEAVING: u64 = 5;
-const EVERY: Duration = Duration::from_millis(500);
+const EVERY: Duration = Duration::from_millis(250);
 /// The clients that leave do so within this time after they have sent their request.
-const LEAVE_WITHIN_US: u64 = 20_000;
+const LEAVE_WITHIN_US: u64 = 10_000;
 /// They leave for some seconds, and then stay for a while.
 const EPISODE: Duration = Duration::from_millis(5000);
 const PAUSE: Duration = Duration::from_millis(1500);
-/// How long there are such clients, and how long none.
-const PRESSURE: Duration = Duration::from_secs(70);
-const REST: Duration = Duration::from_secs(5);
-/// Requests of each kind that are sent in calm, before and after.
-const CALM: u32 = 20;
+/// How long there are such clients, and how long there are none afterwards.
+const PRESSURE: Duration = Duration::from_secs(60);
+const CALM: Duration = Duration::from_secs(35);
+/// How often a request with a long prompt is sent, all the time.
+const HISTORY_EVERY: Duration = Duration::from_millis(250);
 
 /// Paths and prompts like those of `pipe-history` and of `repair-note`.
 const HISTORY: &str = "/history/x";
@@ -65,70 +65,95 @@
     world.operate("PUT", "/config", configuration(1).as_bytes())?;
     world.start_fronts(1)?;
     let front = world.fronts[0];
-    let calm = ordinary(front, &record, "calm", (HISTORY, LONG));
     let stop = Arc::new(AtomicBool::new(false));
-    let (left, stayed) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-    let mut threads = Vec::new();
-    // One client in five leaves.
+    let notes = Arc::new(Tally::default());
     for n in 0..CLIENTS {
-        let (stop, left, stayed) = (Arc::clone(&stop), Arc::clone(&left), Arc::clone(&stayed));
-        threads.push(std::thread::spawn(move || {
-            client(front, n, trouble && n % LEAVING == 0, &stop, &left, &stayed)
-        }));
+        let (stop, notes, record) = (Arc::clone(&stop), Arc::clone(&notes), record.clone());
+        std::thread::spawn(move || {
+            client(
+                front,
+                n,
+                trouble && n % LEAVING == 0,
+                &stop,
+                &notes,
+                &record,
+            )
+        });
     }
-    sleep(PRESSURE);
+    let (during, afterwards) = (Arc::new(Tally::default()), Arc::new(Tally::default()));
+    histories(front, &record, "pressed", PRESSURE, &during);
     stop.store(true, Ordering::Relaxed);
-    for thread in threads {
-        let _ = thread.join();
-    }
-    sleep(REST);
-    let short = ordinary(front, &record, "short", (NOTE, SHORT));
-    let after = ordinary(front, &record, "after", (HISTORY, LONG));
-    let (left, stayed) = (left.load(Ordering::Relaxed), stayed.load(Ordering::Relaxed));
-    record.say(&format!(
-        "requests whose client left: {left}; other requests served meanwhile: {stayed}"
-    ));
-    record.say(&format!(
-        "long prompts in calm: {calm} of {CALM} served before, {after} of {CALM} afterwards"
-    ));
+    histories(front, &record, "calm", CALM, &afterwards);
+    sleep(Duration::from_secs(4));
+    let left = notes.left.load(Ordering::Relaxed);
+    record.say(&format!("requests whose client left: {left}"));
+    let [(notes_served, notes_sent), (served, sent), (calm_served, calm_sent)] =
+        [&notes, &during, &afterwards].map(|tally| tally.get());
     record.say(&format!(
-        "short prompts in calm: {short} of {CALM} served afterwards"
+        "`note`, without those: {notes_served} of {notes_sent} served"
     ));
-    if calm * 10 < CALM * 9 || short * 10 < CALM * 9 {
-        return Err("too few requests were served in calm".to_owned());
+    record.say(&format!("`history`: {served} of {sent} served meanwhile, {calm_served} of {calm_sent} in the calm after it"));
+    let (history_served, history_sent) = (served + calm_served, sent + calm_sent);
+    let (all_served, all_sent) = (notes_served + history_served, notes_sent + history_sent);
+    if all_served * 2 < all_sent {
+        return Err("too few requests were served".to_owned());
     }
-    // Less than a quarter as often as all requests: after / CALM < (after + short) / (2 * CALM) / 4.
-    Ok(after * 8 < after + short)
+    // The share of the kind is less than a quarter of the share of all.
+    Ok(history_served * 4 * all_sent < all_served * history_sent)
 }
 
-fn in_episode(at: Duration) -> bool {
-    at.as_millis() % (EPISODE + PAUSE).as_millis() < EPISODE.as_millis()
+/// Requests of one kind.
+#[derive(Default)]
+struct Tally {
+    sent: AtomicUsize,
+    served: AtomicUsize,
+    left: AtomicUsize,
 }
 
-fn ordinary(front: SocketAddr, record: &Record, phase: &str, (path, fields): (&str, &str)) -> u32 {
-    let mut served = 0;
-    for n in 0..CALM {
-        let attempt = format!("{phase}{n:06x}");
-        let bytes = format!(
-            "{}{fields}Content-Length: 2\r\n\r\nhi",
-            head("POST", path, &attempt, 4000)
-        );
-        let answer = http::call(front, bytes.as_bytes(), Duration::from_secs(4));
-        let text = answer.map_or_else(|error| error, |response| response.status.to_string());
-        served += u32::from(text == "200");
-        record.line(&format!("client: {attempt}: {text}"));
-        sleep(Duration::from_millis(100));
+impl Tally {
+    fn get(&self) -> (usize, usize) {
+        (
+            self.served.load(Ordering::Relaxed),
+            self.sent.load(Ordering::Relaxed),
+        )
+    }
+}
+
+/// Sends requests with long prompts at a fixed rate for a time.
+fn histories(front: SocketAddr, record: &Record, phase: &str, time: Duration, tally: &Arc<Tally>) {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        let n = tally.sent.fetch_add(1, Ordering::Relaxed);
+        let (attempt, tally, record) =
+            (format!("{phase}{n:06x}"), Arc::clone(tally), record.clone());
+        std::thread::spawn(move || {
+            let bytes = format!(
+                "{}{LONG}Content-Length: 2\r\n\r\nhi",
+                head("POST", HISTORY, &attempt, 4000)
+            );
+            let answer = http::call(front, bytes.as_bytes(), Duration::from_secs(4));
+            let text = answer.map_or_else(|error| error, |response| response.status.to_string());
+            tally
+                .served
+                .fetch_add(usize::from(text == "200"), Ordering::Relaxed);
+            record.line(&format!("client: {attempt}: {text}"));
+        });
+        sleep(HISTORY_EVERY);
     }
-    served
 }
 
+fn in_episode(at: Duration) -> bool {
+    at.as_millis() % (EPISODE + PAUSE).as_millis() < EPISODE.as_millis()
+}
+
+/// Sends one request after the other, and leaves before the answer if it is to.
 fn client(
     front: SocketAddr,
     n: u64,
     leaves: bool,
     stop: &AtomicBool,
-    left: &AtomicUsize,
-    stayed: &AtomicUsize,
+    tally: &Tally,
+    record: &Record,
 ) {
     let started = Instant::now();
     let (mut random, mut round) = (0x9e37_79b9_7f4a_7c15 ^ (n + 1), 0u64);
@@ -139,23 +164,30 @@
         random ^= random << 13;
         random ^= random >> 7;
         random ^= random << 17;
-        let attempt = format!("l{n:02x}{round:08x}");
+        let attempt = format!("n{n:02x}{round:08x}");
         let bytes = format!(
             "{}{SHORT}Content-Length: 2\r\n\r\nhi",
             head("POST", NOTE, &attempt, 10_000)
         );
-        if let Ok(mut stream) = TcpStream::connect(front) {
-            let _ = stream.set_nodelay(true);
-            let _ = stream.write_all(bytes.as_bytes());
-            if leaves && in_episode(started.elapsed()) {
-                sleep(Duration::from_micros(random % LEAVE_WITHIN_US));
-                left.fetch_add(1, Ordering::Relaxed);
-            } else {
-                let _ = stream.set_read_timeout(Some(Duration::from_secs(4)));
-                let mut reader = http::Reader::new(stream);
-                let served = reader.response().is_some_and(|r| r.status == 200);
-                stayed.fetch_add(usize::from(served), Ordering::Relaxed);
+        if leaves && in_episode(started.elapsed()) {
+            if let Ok(mut stream) = TcpStream::connect(front) {
+                let _ = stream.set_nodelay(true);
+                let _ = stream.write_all(bytes.as_bytes());
+                let stays = Duration::from_micros(random % LEAVE_WITHIN_US);
+                sleep(stays);
+                tally.left.fetch_add(1, Ordering::Relaxed);
+                record.line(&format!(
+                    "client: {attempt}: leaves after {} us",
+                    stays.as_micros()
+                ));
             }
+        } else {
+            tally.sent.fetch_add(1, Ordering::Relaxed);
+            let answer = http::call(front, bytes.as_bytes(), Duration::from_secs(10));
+            let served = answer.is_ok_and(|response| response.status == 200);
+            tally
+                .served
+                .fetch_add(usize::from(served), Ordering::Relaxed);
         }
         sleep(EVERY.saturating_sub(begun.elapsed()));
     }
