--- a/review/stand-2/cases/leavers.rs
+++ b/review/stand-2/cases/leavers.rs
@@ -19,7 +19,7 @@
 const LEAVING: u64 = 5;
 const EVERY: Duration = Duration::from_millis(250);
 /// The clients that leave do so within this time after they have sent their request.
-const LEAVE_WITHIN_US: u64 = 10_000;
+const LEAVE_WITHIN_US: u64 = 5_000;
 /// They leave for some seconds, and then stay for a while.
 const EPISODE: Duration = Duration::from_millis(5000);
 const PAUSE: Duration = Duration::from_millis(1500);
