--- a/review/stand-2/engine.rs
+++ b/review/stand-2/engine.rs
@@ -137,7 +137,8 @@
     let mut id = list(&listing, born);
     std::thread::spawn(move || loop {
         let program = std::env::current_exe().unwrap();
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        let child = world::ends_with_parent(&mut command)
             .args(["server", &id, &address.to_string()])
             .stdout(Stdio::piped())
             .spawn();
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -14,8 +15,12 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: usize, ...) -> i32;
 }
 
+/// The option of `prctl` that names the signal which a process gets as its parent ends.
+const PARENT_ENDS: i32 = 1;
+
 const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -34,6 +39,17 @@
     }
 }
 
+/// Lets the processes of a command end with this one, also if it is killed.
+pub fn ends_with_parent(command: &mut Command) -> &mut Command {
+    // SAFETY: one system call without memory, between fork and exec.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PARENT_ENDS, SIGKILL as usize);
+            Ok(())
+        })
+    }
+}
+
 /// Notes a process that was started.
 pub fn started(pid: u32) {
     STARTED.lock().unwrap().push(pid as i32);
@@ -120,7 +136,7 @@
     pub fn start(folder: &Path) -> Result<Self, String> {
         let record = Record::create(folder)?;
         let [_, _, a, b] = std::process::id().to_be_bytes();
-        let base = [a | 1, b];
+        let base = [a, b];
         let port = free_ports(base)?;
         let temp = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&temp).map_err(|error| error.to_string())?;
@@ -182,7 +198,8 @@
         fs::write(&path, settings).map_err(|error| error.to_string())?;
         let log =
             File::create(self.folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
-        let child = Command::new(format!("target/release/{program}"))
+        let mut command = Command::new(format!("target/release/{program}"));
+        let child = ends_with_parent(&mut command)
             .arg(&path)
             .stdin(Stdio::null())
             .stdout(log)
