--- a/review/stand-2/engine.rs
+++ b/review/stand-2/engine.rs
@@ -6,7 +6,7 @@
 use std::process::{Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Request};
 use crate::world::{self, Listing, Record};
@@ -113,6 +113,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
+
 /// Keeps a server running in a process of its own: it is back some seconds after a crash, under the same
 /// identity and with another start time in the list.
 pub fn keep(
@@ -133,8 +138,7 @@
         listing.lock().unwrap()[slot] = entry.into_bytes();
         id.clone()
     };
-    let mut born = 1_765_000_000_000;
-    let mut id = list(&listing, born);
+    let mut id = list(&listing, unix_ms());
     std::thread::spawn(move || loop {
         let program = std::env::current_exe().unwrap();
         let mut command = Command::new(program);
@@ -160,8 +164,7 @@
         world::ended(child.id());
         record.line(&format!("server {id}: has crashed"));
         sleep(DOWN);
-        born += 10_000;
-        id = list(&listing, born);
+        id = list(&listing, unix_ms());
         record.line(&format!("server {id}: starts again"));
     });
 }
