Front: end requests whose caller leaves before the decision arrives

Cause: the client of the core recorded a request's key only after its task had read the core's decision. A task that is dropped between the two left the request in the core for good, as load of its endpoint that grows older.

Change: the client records the ticket before it waits, and withdraws it when it is dropped. The core ends the request wherever it is: held, queued or dispatched. The channel from the control thread back to the event loop is gone. CoreClient moves to a module of its own.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -2,11 +2,11 @@
 //! the requests, and logs and counts events.
 
 use std::collections::HashMap;
+use std::fmt;
 
 use ids::{
     Clock,
     Monotonic,
-    RequestId,
     Tick,
     Ticket,
     millis, //
@@ -21,6 +21,7 @@
 use relay::{
     Decision,
     Event,
+    Holdings,
     Input,
     Output, //
 };
@@ -45,6 +46,35 @@
     Tallies(Ticket, Sender<Vec<Tally>>),
     /// Receives whether the front is ready.
     Ready(Ticket, Sender<bool>),
+    /// Receives what is kept for requests in progress.
+    Holdings(Ticket, Sender<CoreUsage>),
+}
+
+/// What the control thread keeps for requests in progress. Everything is zero once all callers have
+/// left.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CoreUsage {
+    pub(crate) holdings: Holdings,
+    /// Reply channels of decisions that the core has not made yet.
+    pub(crate) replies: usize,
+}
+
+impl fmt::Display for CoreUsage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Holdings {
+            held,
+            queued,
+            requests,
+            attempts,
+            pending_tokens,
+        } = self.holdings;
+        writeln!(f, "berg_core_held {held}")?;
+        writeln!(f, "berg_core_queued {queued}")?;
+        writeln!(f, "berg_core_requests {requests}")?;
+        writeln!(f, "berg_core_attempts {attempts}")?;
+        writeln!(f, "berg_core_pending_tokens {pending_tokens}")?;
+        writeln!(f, "berg_core_replies {}", self.replies)
+    }
 }
 
 /// The input channel of the front's core.
@@ -56,7 +86,7 @@
     usage: HashMap<Ticket, Sender<Vec<(u64, Runs)>>>,
     tallies: HashMap<Ticket, Sender<Vec<Tally>>>,
     ready: HashMap<Ticket, Sender<bool>>,
-    cancelled: Sender<RequestId>,
+    holdings: HashMap<Ticket, Sender<CoreUsage>>,
     evidence: crossbeam::channel::Sender<(Evidence, Tick)>,
     clock: Monotonic,
     counters: Counters,
@@ -64,10 +94,8 @@
 }
 
 impl FrontEffects {
-    /// `cancelled` receives the requests whose caller disconnected before the core decided on them,
-    /// and `evidence` what is to be reported to the control group.
+    /// `evidence` receives what is to be reported to the control group.
     pub(crate) fn new(
-        cancelled: Sender<RequestId>,
         evidence: crossbeam::channel::Sender<(Evidence, Tick)>,
         clock: Monotonic,
         counters: Counters,
@@ -78,7 +106,7 @@
             usage: HashMap::new(),
             tallies: HashMap::new(),
             ready: HashMap::new(),
-            cancelled,
+            holdings: HashMap::new(),
             evidence,
             clock,
             counters,
@@ -215,20 +243,19 @@
             Attachment::Ready(ticket, reply_to) => {
                 self.ready.insert(ticket, reply_to);
             }
+            Attachment::Holdings(ticket, reply_to) => {
+                self.holdings.insert(ticket, reply_to);
+            }
         }
     }
 
     fn perform(&mut self, output: Output) {
-        // The receiver of a reply no longer exists if the caller has disconnected.
+        // The receiver of a reply no longer exists if the caller has disconnected. The request ends
+        // with its `CoreClient`.
         match output {
             Output::Reply(ticket, decision) => {
-                let Some(reply_to) = self.decisions.remove(&ticket) else {
-                    return;
-                };
-                if let Err(unsent) = reply_to.try_send(decision)
-                    && let Decision::Dispatch(attempt) = unsent.into_inner()
-                {
-                    let _ = self.cancelled.try_send(attempt.request);
+                if let Some(reply_to) = self.decisions.remove(&ticket) {
+                    let _ = reply_to.try_send(decision);
                 }
             }
             Output::Usage(ticket, windows) => {
@@ -246,6 +273,12 @@
                     let _ = reply_to.try_send(ready);
                 }
             }
+            Output::Holdings(ticket, holdings) => {
+                if let Some(reply_to) = self.holdings.remove(&ticket) {
+                    let replies = self.decisions.len();
+                    let _ = reply_to.try_send(CoreUsage { holdings, replies });
+                }
+            }
             Output::Evidence(evidence) => {
                 // The reporter ends after the core.
                 let _ = self.evidence.send((evidence, self.clock.now()));
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod content;
 mod control;
+mod core_client;
 mod deployment;
 mod event_buffer;
 mod evidence_report;
--- a/crates/front/src/role.rs
+++ b/crates/front/src/role.rs
@@ -32,7 +32,6 @@
     Relay,
     RelayOptions, //
 };
-use smol::channel::unbounded;
 use step::Worker;
 use wire::Sealer;
 
@@ -104,15 +103,8 @@
         rng_seed: incarnation.0,
     };
     let clock = Monotonic::start();
-    let (cancelled_tx, cancelled_rx) = unbounded();
     let (evidence_tx, evidence_rx) = crossbeam::channel::unbounded();
-    let effects = FrontEffects::new(
-        cancelled_tx,
-        evidence_tx,
-        clock,
-        counters.clone(),
-        log.clone(),
-    );
+    let effects = FrontEffects::new(evidence_tx, clock, counters.clone(), log.clone());
     let core = Relay::new(options, PredictedLatency).with_bounds(settings.exposure);
     let control = step::ControlThread::start("front-control", core, effects, clock);
     let control = control.map_err(EdgeError::Thread)?;
@@ -210,7 +202,6 @@
         body_limit,
         draining: Arc::clone(&draining),
     };
-    let inbox = control.inbox();
     let mut listeners = vec![common.listen, settings.ready];
     listeners.extend(settings.metrics);
     let charged = Some(memory.clone());
@@ -220,12 +211,6 @@
         common.limits,
         charged,
         move |tasks| {
-            let forward_cancelled = async move {
-                while let Ok(request) = cancelled_rx.recv().await {
-                    let _ = inbox.send(Input::Cancelled(request));
-                }
-            };
-            tasks.spawn(forward_cancelled).detach();
             let attempts = AttemptClient {
                 adapter,
                 inbox: context.inbox.clone(),
--- a/crates/front/src/serve.rs
+++ b/crates/front/src/serve.rs
@@ -1,7 +1,6 @@
 //! Serves one request: reads it, sends attempts until one succeeds or the core rejects the request,
 //! and responds to the caller.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{
@@ -38,9 +37,7 @@
 };
 use ids::{
     Clock,
-    RequestId,
     Tick,
-    Ticket,
     millis, //
 };
 use obs::{
@@ -52,10 +49,7 @@
 use quarantine::ContentDigest;
 use relay::{
     Attempt,
-    Decision,
     Failure,
-    Input,
-    Load,
     RequestHead, //
 };
 use smol::channel::bounded;
@@ -72,9 +66,10 @@
     MAX_BUFFERED_CHUNKS,
     ResponseBody, //
 };
-use crate::control::{
-    Attachment,
-    FrontInbox, //
+use crate::control::FrontInbox;
+use crate::core_client::{
+    CoreClient,
+    NextStep, //
 };
 use crate::event_buffer::{
     BrokenOff,
@@ -99,104 +94,6 @@
 /// The listener for the load balancer's readiness probes. Any other listener serves metrics.
 pub(crate) const PROBES: ListenerId = ListenerId(1);
 
-/// The next step of a request, as the core decides.
-pub(crate) enum NextStep {
-    /// Send an attempt.
-    Attempt(Box<Attempt>),
-    /// End the request: respond with an error of this kind, and state the time after which the
-    /// caller may retry. `None` forwards the endpoint's last response instead.
-    End(Option<(Kind, Duration)>),
-}
-
-/// Communicates with the core on behalf of one request. Dropping the client cancels the request if
-/// it is still in progress.
-pub(crate) struct CoreClient {
-    inbox: FrontInbox,
-    tickets: Arc<AtomicU64>,
-    pub(crate) counters: Counters,
-    /// The request in progress, after its first attempt was dispatched.
-    active: Cell<Option<RequestId>>,
-}
-
-impl CoreClient {
-    fn next_ticket(&self) -> Ticket {
-        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Submits a request to the core and waits for its decision.
-    async fn submit(&self, request: RequestHead) -> NextStep {
-        let next = self
-            .decision(|ticket| Input::Request(ticket, Box::new(request)))
-            .await;
-        if let NextStep::Attempt(attempt) = &next {
-            self.active.set(Some(attempt.request));
-        }
-        next
-    }
-
-    /// Reports a failed attempt to the core and waits for its decision.
-    pub(crate) async fn attempt_failed(&self, request: RequestId, failure: Failure) -> NextStep {
-        let next = self
-            .decision(|ticket| Input::AttemptFailed(ticket, request, failure))
-            .await;
-        if let NextStep::End(_) = &next {
-            self.active.set(None);
-        }
-        next
-    }
-
-    /// Sends an input to the core and waits for the decision on it.
-    async fn decision(&self, input: impl FnOnce(Ticket) -> Input) -> NextStep {
-        let ticket = self.next_ticket();
-        let (tx, rx) = bounded(1);
-        let sent = self
-            .inbox
-            .call(Attachment::Decision(ticket, tx), input(ticket));
-        let decision = match sent {
-            Ok(()) => rx.recv().await.ok(),
-            Err(_) => None,
-        };
-        match decision {
-            Some(Decision::Dispatch(attempt)) => NextStep::Attempt(attempt),
-            Some(Decision::Reject(kind, retry_after)) => NextStep::End(Some((kind, retry_after))),
-            Some(Decision::PassThrough) => NextStep::End(None),
-            None => NextStep::End(Some((Kind::Draining, Duration::ZERO))),
-        }
-    }
-
-    pub(crate) fn response_started(&self, request: RequestId, load: Option<Load>) {
-        let _ = self.inbox.send(Input::ResponseStarted(request, load));
-    }
-
-    pub(crate) fn completed(&self, request: RequestId) {
-        self.active.set(None);
-        let _ = self.inbox.send(Input::Completed(request));
-    }
-
-    fn declined(&self, request: RequestId) {
-        self.active.set(None);
-        let _ = self.inbox.send(Input::Declined(request));
-    }
-
-    /// Queries the core for whether the front is ready to serve.
-    async fn ready(&self) -> bool {
-        let ticket = self.next_ticket();
-        let (tx, rx) = bounded(1);
-        let sent = self
-            .inbox
-            .call(Attachment::Ready(ticket, tx), Input::Ready(ticket));
-        sent.is_ok() && rx.recv().await.unwrap_or(false)
-    }
-}
-
-impl Drop for CoreClient {
-    fn drop(&mut self) {
-        if let Some(request) = self.active.get() {
-            let _ = self.inbox.send(Input::Cancelled(request));
-        }
-    }
-}
-
 /// State that all requests share.
 #[derive(Clone)]
 pub(crate) struct Context {
@@ -242,7 +139,7 @@
         let mut response = match listener {
             CALLERS => self.serve(request).await?,
             PROBES => self.probe().await,
-            _ => self.metrics(),
+            _ => self.metrics().await,
         };
         if self.context.draining.load(Ordering::Relaxed) {
             close_after(&mut response);
@@ -261,20 +158,23 @@
         complete_response(status, Default::default(), Bytes::new())
     }
 
-    fn metrics(&self) -> Response<ResponseBody> {
+    async fn metrics(&self) -> Response<ResponseBody> {
         let mut text = self.context.metrics.text(&self.context.counters);
         let (used, waiting) = self.context.memory.usage();
         text += &format!("berg_memory_bytes {used}\nberg_memory_waiting {waiting}\n");
+        if let Some(usage) = self.client().usage().await {
+            text += &usage.to_string();
+        }
         complete_response(200, Default::default(), text.into())
     }
 
     fn client(&self) -> CoreClient {
-        CoreClient {
-            inbox: self.context.inbox.clone(),
-            tickets: Arc::clone(&self.context.tickets),
-            counters: self.context.counters.clone(),
-            active: Cell::new(None),
-        }
+        let context = &self.context;
+        CoreClient::new(
+            context.inbox.clone(),
+            Arc::clone(&context.tickets),
+            context.counters.clone(),
+        )
     }
 
     /// Reads a caller's request and responds to it.
--- a/crates/front/src/stream.rs
+++ b/crates/front/src/stream.rs
@@ -33,15 +33,15 @@
     OutgoingRequest,
     next_chunk, //
 };
+use crate::core_client::{
+    CoreClient,
+    NextStep, //
+};
 use crate::event_buffer::{
     BrokenOff,
     EventBuffer,
     EventTooLarge, //
 };
-use crate::serve::{
-    CoreClient,
-    NextStep, //
-};
 
 /// How long the front waits for space in the buffer of a slow caller before it aborts the stream.
 const SLOW_CALLER_TIMEOUT: Duration = Duration::from_secs(4);
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -71,7 +71,7 @@
         out: &mut Outbox<Output>,
     ) {
         let name = head.name.clone();
-        match self.admit(now, head) {
+        match self.admit(now, ticket, head) {
             Ok(id) => self.dispatch(now, ticket, id, out),
             Err(kind) => self.reject(now, ticket, &name, (kind, RETRY_AFTER), out),
         }
@@ -156,7 +156,12 @@
     }
 
     /// Checks a request against the plan and records it as in flight.
-    pub(crate) fn admit(&mut self, now: Tick, head: RequestHead) -> Result<RequestId, Kind> {
+    pub(crate) fn admit(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        head: RequestHead,
+    ) -> Result<RequestId, Kind> {
         let plan = match &self.plan {
             Some(plan) if now < self.view_expiry => Arc::clone(plan),
             _ => return Err(Kind::ViewStale),
@@ -187,6 +192,7 @@
         let shared = head.prompt.iter().flat_map(Prompt::shared_parts);
         let parts = shared.chain([identity]).collect();
         let request = self.requests.insert(Request {
+            ticket,
             name: head.name,
             plan: Arc::clone(&plan),
             route: id,
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -103,6 +103,11 @@
 }
 
 impl BacklogQueue {
+    /// Number of queued requests.
+    pub(crate) fn len(&self) -> usize {
+        self.queued.len()
+    }
+
     /// Whether another request may be queued.
     pub(crate) fn has_room(&self) -> bool {
         self.queued.len() < MAX_QUEUED
@@ -124,6 +129,13 @@
         self.queued.insert(after, queued);
     }
 
+    /// Removes a request. Returns whether it was queued.
+    pub(crate) fn remove(&mut self, id: RequestId) -> bool {
+        let before = self.queued.len();
+        self.queued.retain(|queued| queued.request != id);
+        self.queued.len() < before
+    }
+
     /// Removes and returns all queued requests if the poll interval has passed.
     pub(crate) fn poll(&mut self, now: Tick) -> Vec<Queued> {
         if now < self.next_poll {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod exposure;
 mod front_count;
 mod health;
+mod holdings;
 mod lane_size;
 mod lanes;
 mod message;
@@ -32,6 +33,7 @@
 mod usage_count;
 mod version_filter;
 mod view_wait;
+mod withdraw;
 
 pub use balance::{
     Balancer,
@@ -39,6 +41,7 @@
     PredictedLatency, //
 };
 pub use exposure::ExposureBounds;
+pub use holdings::Holdings;
 pub use message::{
     Attempt,
     Decision,
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -29,6 +29,8 @@
 };
 use usage::Runs;
 
+use crate::holdings::Holdings;
+
 /// Options of a front's decision core.
 #[derive(Clone, Debug)]
 pub struct RelayOptions {
@@ -286,6 +288,9 @@
     Completed(RequestId),
     /// The endpoint rejected a request with a response that was passed through.
     Declined(RequestId),
+    /// The caller of a new request disconnected before it received the decision with this ticket,
+    /// which may have been made. The core still replies once to the ticket.
+    Withdrawn(Ticket),
     /// A request ended without a complete response: the caller disconnected, or the response was
     /// aborted.
     Cancelled(RequestId),
@@ -295,6 +300,8 @@
     Tallies(Ticket),
     /// A readiness check; the core replies with [`Output::Ready`].
     Ready(Ticket),
+    /// Requests what the core keeps for requests in progress.
+    Holdings(Ticket),
     /// Marks the front as not ready from now on. Requests that still arrive are served.
     Drain,
 }
@@ -387,6 +394,8 @@
     Tallies(Ticket, Vec<Tally>),
     /// Whether the front is ready to serve.
     Ready(Ticket, bool),
+    /// What the core keeps for requests in progress.
+    Holdings(Ticket, Holdings),
     /// Report evidence on prompt parts to the control group.
     Evidence(Evidence),
     /// Log or count an event.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -302,10 +302,8 @@
                 self.observe(now, id, Progress::Declined);
                 self.responded(now, id);
             }
-            Input::Cancelled(id) => {
-                self.observe(now, id, Progress::Cancelled);
-                self.end(id);
-            }
+            Input::Withdrawn(ticket) => self.withdraw(now, ticket, out),
+            Input::Cancelled(id) => self.cancel(now, id),
             Input::Usage(ticket, sealed) => {
                 let windows = self.usage.unsealed(now, sealed);
                 out.push(Output::Usage(ticket, windows));
@@ -314,6 +312,7 @@
                 out.push(Output::Tallies(ticket, self.versions.tallies(now)));
             }
             Input::Ready(ticket) => out.push(Output::Ready(ticket, self.ready(now))),
+            Input::Holdings(ticket) => out.push(Output::Holdings(ticket, self.holdings())),
             Input::Drain => self.draining = true,
         }
     }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -8,7 +8,8 @@
     PartId,
     RouteId,
     ServiceId,
-    Tick, //
+    Tick,
+    Ticket, //
 };
 
 use plan::Plan;
@@ -45,6 +46,8 @@
 /// An admitted request that has not ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
+    /// The ticket of the decision on the first attempt.
+    pub(crate) ticket: Ticket,
     pub(crate) name: String,
     /// The plan under which the request was admitted; the keys below refer to this plan.
     pub(crate) plan: Arc<Plan>,
--- a/crates/relay/src/view_wait.rs
+++ b/crates/relay/src/view_wait.rs
@@ -79,6 +79,18 @@
         Ok(())
     }
 
+    /// Number of held requests.
+    pub(crate) fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Removes a held request. Returns whether there was one with this ticket.
+    pub(crate) fn remove(&mut self, ticket: Ticket) -> bool {
+        let before = self.held.len();
+        self.held.retain(|held| held.ticket != ticket);
+        self.held.len() < before
+    }
+
     /// Ends the hold period and returns all held requests.
     pub(crate) fn end(&mut self) -> VecDeque<Held> {
         self.started_at = None;
