--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -78,6 +78,8 @@
     /// Number of fronts that subscribe to the deployment.
     pub(crate) fronts: FrontCount,
     pub(crate) endpoints: Endpoints,
+    /// Whether a listing has arrived, an empty one included.
+    pub(crate) listed: bool,
     pub(crate) duplicates: Duplicates,
     pub(crate) requests: SlotMap<RequestId, Request>,
     /// Retry budgets by service.
@@ -104,6 +106,7 @@
             view_requested: Tick::default(),
             fronts: FrontCount::default(),
             endpoints: Endpoints::default(),
+            listed: false,
             duplicates: Duplicates::default(),
             requests: SlotMap::with_key(),
             retry_budgets: HashMap::new(),
@@ -122,8 +125,9 @@
         self.generation
     }
 
+    /// Whether the front can serve requests. Without a listing, it knows no endpoint.
     fn ready(&self, now: Tick) -> bool {
-        !self.draining && self.has_valid_view(now)
+        !self.draining && self.listed && self.has_valid_view(now)
     }
 
     fn apply_view(&mut self, now: Tick, view: View, out: &mut Outbox<Output>) {
@@ -259,6 +263,7 @@
     }
 
     fn update_endpoints(&mut self, now: Tick, list: Vec<EndpointInfo>, out: &mut Outbox<Output>) {
+        self.listed = true;
         let plan = self.plan.as_ref();
         let known = |name: &str| {
             plan.is_some_and(|plan| plan.services().any(|service| service.name == name))
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -806,6 +806,14 @@
             assert_eq!(windows[0].0, 200_000);
         });
     };
+    // The load balancer sent callers to a front that knew no endpoint.
+    front_without_a_listing_is_not_ready: {
+        let mut front = Front::new();
+        front.view(1, Some((plan(&["k"]), &[])), 4 * SECOND);
+        assert_matches!(&front.step(Input::Ready(Ticket(0)))[..], [Output::Ready(_, false)]);
+        front.step(Input::Endpoints(Vec::new()));
+        assert_matches!(&front.step(Input::Ready(Ticket(0)))[..], [Output::Ready(_, true)]);
+    };
     draining_front_serves_but_is_not_ready: {
         let mut front = Front::ready();
         front.step(Input::Drain);
