Quarantine: the count of crashes outlives the leader's term

Cause: the leader's judge started empty with each term, and fronts repeat a crash for ten seconds only.

Change: the crashes that count are a replicated record, to which the leader adds once a second at most and from which each leader starts. Times on record never go back, and attempts tell that two observations are of one crash. Fronts that were out of touch report the crashes of that time afterwards.

--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -119,6 +119,9 @@
                 self.counters.count(Counter::PartReleased);
                 event!(self.log, PartReleased, "part" => format!("{:016x}", part.0));
             }
+            Event::CrashesRecorded(crashes) => {
+                event!(self.log, CrashesRecorded, "crashes" => crashes);
+            }
             Event::RolloutChanged(progress, decision) => {
                 self.report_rollout(&progress, decision.as_deref());
             }
--- a/crates/govern/src/command.rs
+++ b/crates/govern/src/command.rs
@@ -16,7 +16,10 @@
     Settlement, //
 };
 use plan::Document;
-use quarantine::Sentence;
+use quarantine::{
+    Evidence,
+    Sentence, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -87,6 +90,14 @@
     Quarantine(Vec<(PartId, Sentence)>),
     /// Releases prompt parts from quarantine.
     Release(Vec<PartId>),
+    /// Adds evidence of crashes to the record.
+    #[serde(rename = "Crashes")]
+    RecordCrashes {
+        /// The leader's time from which the ages count, in milliseconds of Unix time.
+        at_ms: u64,
+        /// What was not on record.
+        evidence: Evidence,
+    },
     /// Changes the orders of rollouts.
     Rollout(rollout::Change),
 }
@@ -102,6 +113,8 @@
     Settled(bool),
     /// The effect on the orders of rollouts.
     Rollout(rollout::Effect),
+    /// Evidence was added to the record of crashes.
+    CrashesRecorded,
     /// The command was applied and has no result.
     Applied,
 }
--- a/crates/govern/src/govern.rs
+++ b/crates/govern/src/govern.rs
@@ -411,6 +411,7 @@
                 self.judge.imposing = false;
                 self.report_imposed(sentences, out);
             }
+            Command::RecordCrashes { .. } => self.judge.recording = false,
             Command::Release(parts) => {
                 self.judge.releasing = false;
                 self.report_released(parts, out);
@@ -427,6 +428,10 @@
                 out.push(Output::Event(Event::ClaimGranted))
             }
             Outcome::Rollout(effect) => self.rollout_changed(*effect, out),
+            Outcome::CrashesRecorded if self.node.leads() => {
+                let crashes = self.machine.crashes.crashes();
+                out.push(Output::Event(Event::CrashesRecorded(crashes)));
+            }
             _ => {}
         }
         outcome
--- a/crates/govern/src/judge.rs
+++ b/crates/govern/src/judge.rs
@@ -12,6 +12,7 @@
 use quarantine::{
     Evidence,
     Quarantine,
+    Record,
     Sentence,
     Suspects, //
 };
@@ -37,10 +38,21 @@
     pub(crate) released: Vec<PartId>,
 }
 
-/// The leader's state for judging parts. It starts empty with each term.
+/// Interval between additions to the replicated record. Fronts repeat each crash for longer, so a new
+/// leader also receives what its predecessor had not recorded.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The leader's state for judging parts. It starts from the replicated record with each term.
 #[derive(Debug, Default)]
 pub(crate) struct Judge {
     suspects: Suspects,
+    /// What is added to Unix time for the record, whose time never goes back. None before the record
+    /// was read in this term.
+    lead_ms: Option<u64>,
+    /// Since when there is evidence that may not be on record.
+    unrecorded_since: Option<Tick>,
+    /// Whether a command that adds to the record is in the log and not committed.
+    pub(crate) recording: bool,
     judged_at: Option<Tick>,
     /// When new evidence was last recorded.
     recorded_at: Option<Tick>,
@@ -55,7 +67,45 @@
     pub(crate) fn record(&mut self, now: Tick, evidence: &Evidence) {
         if self.suspects.record(now + CLOCK_LEAD, evidence) {
             self.recorded_at = Some(now);
+            self.unrecorded_since.get_or_insert(now);
+        }
+    }
+
+    /// Reads the replicated record, once in each term. Returns whether it is read for the first time.
+    /// `unix_ms` is the time now.
+    pub(crate) fn read_record(&mut self, now: Tick, unix_ms: u64, record: &Record) -> bool {
+        if self.lead_ms.is_some() {
+            return false;
+        }
+        self.lead_ms = Some(record.at_ms().saturating_sub(unix_ms));
+        let now_ms = record.at_ms().max(unix_ms);
+        if self
+            .suspects
+            .record(now + CLOCK_LEAD, &record.evidence(now_ms))
+        {
+            self.recorded_at = Some(now);
+        }
+        true
+    }
+
+    /// Returns evidence to add to the replicated record, and the time from which its ages count, if an
+    /// addition is due.
+    pub(crate) fn unrecorded(
+        &mut self,
+        now: Tick,
+        unix_ms: u64,
+        record: &Record,
+    ) -> Option<(u64, Evidence)> {
+        let since = self.unrecorded_since?;
+        if self.recording || now.since(since) < RECORD_INTERVAL {
+            return None;
         }
+        let now_ms = unix_ms.saturating_add(self.lead_ms?);
+        let evidence = self.suspects.all_evidence(now + CLOCK_LEAD);
+        let missing = record.missing(now_ms, evidence);
+        // What did not fit follows with the next addition.
+        self.unrecorded_since = (!missing.is_empty()).then_some(now);
+        (!missing.is_empty()).then_some((now_ms, missing))
     }
 
     /// Returns whether a judgement is due, and if so records that it takes place.
--- a/crates/govern/src/machine.rs
+++ b/crates/govern/src/machine.rs
@@ -8,7 +8,10 @@
 };
 use ledger::Ledger;
 use plan::Deployment;
-use quarantine::Quarantine;
+use quarantine::{
+    Quarantine,
+    Record, //
+};
 use rollout::Orders;
 use serde::ser::SerializeStruct;
 use serde::{
@@ -43,6 +46,8 @@
     pub quarantine: Quarantine,
     /// The orders of rollouts.
     pub rollouts: Orders,
+    /// The crashes that count against requests and prompt parts.
+    pub crashes: Record,
 }
 
 /// The stored form of a [`Machine`].
@@ -60,14 +65,17 @@
     quarantine: Quarantine,
     #[serde(default)]
     rollouts: Orders,
+    #[serde(default)]
+    crashes: Record,
 }
 
 impl Serialize for MachineSnapshot {
     fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
-        // The fields have no names, so the quarantine is stored with the orders.
-        let orders = self.rollouts.version() > 0;
+        // The fields have no names, so each one is stored with those behind it.
+        let crashes = self.crashes.version() > 0;
+        let orders = crashes || self.rollouts.version() > 0;
         let quarantine = orders || self.quarantine.version() > 0;
-        let count = 5 + usize::from(quarantine) + usize::from(orders);
+        let count = 5 + usize::from(quarantine) + usize::from(orders) + usize::from(crashes);
         let mut out = s.serialize_struct("MachineSnapshot", count)?;
         out.serialize_field("registry", &self.registry)?;
         out.serialize_field("ledger", &self.ledger)?;
@@ -80,6 +88,9 @@
         if orders {
             out.serialize_field("rollouts", &self.rollouts)?;
         }
+        if crashes {
+            out.serialize_field("crashes", &self.crashes)?;
+        }
         out.end()
     }
 }
@@ -142,6 +153,10 @@
                 self.quarantine.lift(&parts);
                 Outcome::Applied
             }
+            Command::RecordCrashes { at_ms, evidence } => {
+                self.crashes.add(at_ms, &evidence);
+                Outcome::CrashesRecorded
+            }
             Command::Rollout(change) => Outcome::Rollout(self.rollouts.apply(change)),
         }
     }
@@ -156,6 +171,7 @@
             statements: self.statements.clone(),
             quarantine: self.quarantine.clone(),
             rollouts: self.rollouts.clone(),
+            crashes: self.crashes.clone(),
         }
     }
 }
@@ -172,6 +188,7 @@
             statements: state.statements,
             quarantine: state.quarantine,
             rollouts: state.rollouts,
+            crashes: state.crashes,
         })
     }
 }
--- a/crates/govern/src/message.rs
+++ b/crates/govern/src/message.rs
@@ -350,6 +350,9 @@
     PartQuarantined(PartId),
     /// This host leads, and a prompt part was released from quarantine.
     PartReleased(PartId),
+    /// The leader added to the replicated record of crashes, or started its term with it; the number
+    /// of crashes on record.
+    CrashesRecorded(usize),
     /// This host leads, and an order of a rollout was accepted, changed its exposure or ended; the
     /// decision, unless the order was accepted.
     RolloutChanged(Box<Progress>, Option<Box<Decision>>),
--- a/crates/govern/src/plan.rs
+++ b/crates/govern/src/plan.rs
@@ -256,6 +256,7 @@
             }
         }
         self.judge_parts(now, out);
+        self.record_crashes(now, out);
         self.judge_rollouts(now, out);
         let unix_ms = self.unix_ms(now);
         let statements = &self.machine.statements;
@@ -277,6 +278,11 @@
 
     /// Puts prompt parts into quarantine or releases them, as leader under a valid lease.
     fn judge_parts(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        let wall_ms = self.unix_ms(now);
+        let crashes = &self.machine.crashes;
+        if self.judge.read_record(now, wall_ms, crashes) && crashes.crashes() > 0 {
+            out.push(Output::Event(Event::CrashesRecorded(crashes.crashes())));
+        }
         // What this host received before it was elected.
         if let Some(uplink) = &mut self.uplink {
             self.judge.record(now, &uplink.reports.take(now));
@@ -302,6 +308,17 @@
         }
     }
 
+    /// Adds evidence to the replicated record, as leader under a valid lease.
+    fn record_crashes(&mut self, now: Tick, out: &mut Outbox<Output>) {
+        let unix_ms = self.unix_ms(now);
+        let crashes = &self.machine.crashes;
+        let Some((at_ms, evidence)) = self.judge.unrecorded(now, unix_ms, crashes) else {
+            return;
+        };
+        let command = Command::RecordCrashes { at_ms, evidence };
+        self.judge.recording = self.propose_duty(now, &command, out);
+    }
+
     /// Reports the parts that a command is about to put into quarantine, if this host leads.
     pub(crate) fn report_imposed(
         &self,
--- a/crates/govern/tests/group/mod.rs
+++ b/crates/govern/tests/group/mod.rs
@@ -193,6 +193,8 @@
 
 /// The hosts. Host `n` has the address 10.0.0.n:1. The first three bootstrap the group.
 pub(crate) struct Group {
+    /// By how many milliseconds a host's time of day is off at its next start.
+    pub(crate) skews: BTreeMap<usize, i64>,
     /// Virtual time, in microseconds.
     now: u64,
     serial: u64,
@@ -290,6 +292,7 @@
     /// As [`Group::bootstrap`], with another time for which a new leader does not report.
     pub(crate) fn bootstrap_with(report_delay: Duration) -> Self {
         let mut group = Self {
+            skews: BTreeMap::new(),
             now: 1_000_000,
             serial: 0,
             queue: BinaryHeap::new(),
@@ -400,7 +403,8 @@
                 limits: self.limits,
                 rng_seed: disk.id * 31 + self.incarnations[n],
             },
-            unix_ms: 1_700_000_000_000 + self.now / 1000,
+            unix_ms: (1_700_000_000_000 + self.now / 1000)
+                .saturating_add_signed(self.skews.get(&n).copied().unwrap_or(0)),
             usage_window: Duration::from_secs(5),
             plan: Some(PlanOptions {
                 member: member(n, disk.id, Stage::Learner),
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -108,6 +108,7 @@
     4017 RolloutOrdered Info "an order for a rollout was accepted";
     4018 RolloutStepped Info "a rollout changed the part of the requests that the new version gets";
     4019 RolloutEnded Info "a rollout ended";
+    4020 CrashesRecorded Info "crashes that may count towards a quarantine are on the replicated record";
     4101 ProposalAccepted Info "a change of the configuration was accepted";
     4102 ProposalRejected Info "a change of the configuration was rejected";
     4103 CommandDecided Info "an operator's command was accepted or rejected";
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -1,5 +1,9 @@
 //! Reports of crashes and of served parts.
 
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::time::Duration;
 
 use ids::PartId;
@@ -12,6 +16,9 @@
     serde_as, //
 };
 
+/// Observations of the same instance within this time are of the same crash.
+pub(crate) const SAME_CRASH: Duration = Duration::from_secs(1);
+
 /// A crash of an engine, as fronts observed it.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +36,34 @@
     pub attempts: Vec<Attempt>,
 }
 
+impl Crash {
+    /// Whether this is another observation of a crash. The attempts decide where the ages cannot:
+    /// they count from clocks of different hosts after a change of the leader.
+    pub(crate) fn is_same(&self, other: &Self) -> bool {
+        let close = self.age.abs_diff(other.age) < SAME_CRASH;
+        self.instance == other.instance && (close || share_attempt(&self.attempts, &other.attempts))
+    }
+
+    pub(crate) fn part_ids(&self) -> impl Iterator<Item = PartId> + '_ {
+        self.parts.iter().map(|suspect| suspect.part)
+    }
+
+    /// Number of suspects and attempts, and one for the crash.
+    pub(crate) fn size(&self) -> usize {
+        1 + self.parts.len() + self.attempts.len()
+    }
+}
+
+/// Whether some attempt is in both lists. An attempt ends with one crash at most.
+pub(crate) fn share_attempt<'a>(
+    one: impl IntoIterator<Item = &'a Attempt>,
+    other: &[Attempt],
+) -> bool {
+    let same = |a: &Attempt, b: &Attempt| (a.request, a.number) == (b.request, b.number);
+    let mut one = one.into_iter();
+    one.any(|attempt| other.iter().any(|held| same(attempt, held)))
+}
+
 /// An attempt of a request that ended with a crash. Of two crashes, the one with the higher number of
 /// the same request is the later one, whatever times are stated: a front sends an attempt after the
 /// one before it has failed.
@@ -112,6 +147,22 @@
         self
     }
 
+    /// The suspects of all crashes.
+    pub(crate) fn parts(&self) -> BTreeSet<PartId> {
+        self.crashes.iter().flat_map(Crash::part_ids).collect()
+    }
+
+    /// Drops the suspects that were served after the crash, which therefore do not count.
+    pub(crate) fn drop_served(&mut self) {
+        let served = self.served.iter().map(|served| (served.part, served.age));
+        let served: BTreeMap<_, _> = served.collect();
+        for crash in &mut self.crashes {
+            let age = crash.age;
+            let counts = |part: PartId| served.get(&part).is_none_or(|served| *served > age);
+            crash.parts.retain(|suspect| counts(suspect.part));
+        }
+    }
+
     /// Merges a newer report of the same front, which repeats the recent crashes.
     #[must_use]
     pub fn followed_by(mut self, newer: Self) -> Self {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -4,7 +4,7 @@
 //! with or without a prompt, whenever it is repeated. A request as a whole counts as the last of its
 //! shared parts. Fronts record which requests were in progress at an engine that crashed, and which
 //! parts were served, in [`Suspects`], and report both as [`Evidence`]. The leader of the control
-//! group merges the evidence of all fronts. Parts that were present in several crashes and were not
+//! group merges the evidence of all fronts, and keeps what counts in a replicated [`Record`]. Parts that were present in several crashes and were not
 //! served since are put into the replicated [`Quarantine`], and fronts reject requests that contain
 //! them.
 
@@ -13,6 +13,7 @@
 mod list;
 mod local;
 mod order;
+mod record;
 mod suspects;
 
 pub use evidence::{
@@ -28,6 +29,7 @@
     Sentence, //
 };
 pub use local::LocalVerdicts;
+pub use record::Record;
 pub use suspects::{
     Suspects,
     Verdict, //
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -16,8 +16,10 @@
     Attempt,
     Crash,
     Evidence,
+    SAME_CRASH,
     Served,
-    Suspect, //
+    Suspect,
+    share_attempt, //
 };
 use crate::order::{
     Dated,
@@ -25,8 +27,6 @@
     in_order, //
 };
 
-/// Observations of the same instance within this time are of the same crash.
-const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Crashes within this time count as one, since one cause, such as the loss of a rack, may end
 /// several engines at once.
 const SAME_MOMENT: Duration = Duration::from_millis(100);
@@ -179,7 +179,8 @@
     ) -> bool {
         let same = self.crashes.iter_mut().find(|crash| {
             let apart = crash.at.since(at).max(at.since(crash.at));
-            crash.instance == instance && apart < SAME_CRASH
+            let known = || share_attempt(crash.attempts.values(), attempts);
+            crash.instance == instance && (apart < SAME_CRASH || known())
         });
         let new = match same {
             Some(crash) => {
@@ -254,9 +255,24 @@
 
     /// The recent crashes, and when their parts were last served.
     pub fn evidence(&self, now: Tick) -> Evidence {
-        let recent = |crash: &&Observed| now.since(crash.at) < REPEAT_SPAN;
+        self.report(now, REPEAT_SPAN, MAX_REPORTED)
+    }
+
+    /// As [`Self::evidence`], with the crashes since a time and those that were recent then.
+    pub fn evidence_since(&self, now: Tick, since: Tick) -> Evidence {
+        self.report(now, now.since(since) + REPEAT_SPAN, MAX_REPORTED)
+    }
+
+    /// All crashes that count.
+    pub fn all_evidence(&self, now: Tick) -> Evidence {
+        self.report(now, MAX_AGE, MAX_CRASHES)
+    }
+
+    /// The latest crashes, `most` at most, within a time, and when their parts were last served.
+    fn report(&self, now: Tick, span: Duration, most: usize) -> Evidence {
+        let recent = |crash: &&Observed| now.since(crash.at) < span;
         let recent: Vec<_> = self.crashes.iter().filter(recent).collect();
-        let recent = &recent[recent.len().saturating_sub(MAX_REPORTED)..];
+        let recent = &recent[recent.len().saturating_sub(most)..];
         let parts: BTreeSet<_> = recent
             .iter()
             .flat_map(|crash| crash.suspects.keys())
--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -51,6 +51,9 @@
     /// When the front's own decisions cease to hold after touch was regained.
     rejoined_until: Tick,
     suspects: Suspects,
+    /// After touch was regained: until when, and since when, crashes are reported that the control
+    /// group may not have received.
+    catch_up: Option<(Tick, Tick)>,
     /// The front's own decisions.
     local: LocalVerdicts,
     /// When to report evidence; none if there is nothing new.
@@ -70,6 +73,7 @@
     ) -> Option<Evidence> {
         if self.isolated(now) {
             self.rejoined_until = now + REJOIN_SPAN;
+            self.start_catch_up(now);
         }
         let first = self.renewed_at.replace(now).is_none();
         self.wall_clock = wall_clock;
@@ -91,6 +95,16 @@
         self.objections(now)
     }
 
+    /// Reports the crashes since touch with the control group was lost, for as long as others are
+    /// repeated.
+    fn start_catch_up(&mut self, now: Tick) {
+        let lost_at = self.renewed_at.unwrap_or_default();
+        let unfinished = self.catch_up.filter(|(until, _)| now < *until);
+        let since = unfinished.map_or(lost_at, |(_, since)| since);
+        self.catch_up = Some((now + OBJECTION_REPEAT, since));
+        self.report_at = Some(now);
+    }
+
     /// The evidence, if it contains services of parts whose quarantine was announced recently.
     fn objections(&self, now: Tick) -> Option<Evidence> {
         let recent = self
@@ -163,7 +177,11 @@
     /// Returns the evidence to report, if it is due.
     pub(crate) fn due_evidence(&mut self, now: Tick) -> Option<Evidence> {
         self.report_at.take_if(|at| *at <= now)?;
-        let evidence = self.suspects.evidence(now);
+        self.catch_up.take_if(|(until, _)| *until <= now);
+        let evidence = match self.catch_up {
+            Some((_, since)) => self.suspects.evidence_since(now, since),
+            None => self.suspects.evidence(now),
+        };
         if evidence.crashes.is_empty() {
             return None;
         }
--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -511,6 +511,27 @@
         assert_eq!(evidence(front.impose(2)), None);
     };
     // Guards against a front that keeps crashing engines while it cannot reach the control group.
+    // While the control group was down, fronts stopped to repeat crashes that it had never received.
+    crashes_while_the_control_group_is_lost_are_reported_afterwards: {
+        let mut front = Front::new();
+        front.crash(prompt(&[DEADLY], 100));
+        let reported = front.evidence().unwrap();
+        assert_eq!(reported.crashes.len(), 1);
+        front.wait(SECOND);
+        front.crash(prompt(&[DEADLY], 101));
+        for _ in 0..30 {
+            front.wait(SECOND);
+        }
+        front.renew();
+        let found: Vec<_> = (0..12).filter_map(|_| {
+            let found = front.evidence();
+            front.renew();
+            found
+        }).collect();
+        assert!(found.len() >= 4, "{}", found.len());
+        assert!(found.iter().all(|evidence| evidence.crashes.len() == 2));
+        assert_eq!(front.evidence(), None);
+    };
     isolated_front_rejects_what_crashed_its_own_requests: {
         let mut front = Front::new();
         front.crash_thrice();
--- a/crates/wire/tests/versions.rs
+++ b/crates/wire/tests/versions.rs
@@ -259,6 +259,26 @@
     machine.export()
 }
 
+fn record_crashes() -> Command {
+    let crash = Crash {
+        instance: "i".to_owned(),
+        age: Duration::from_millis(5),
+        parts: Suspect::of_request([PartId(1)], Duration::from_millis(3)).collect(),
+        attempts: vec![Attempt {
+            request: 7,
+            number: 1,
+            elapsed: Duration::from_millis(3),
+        }],
+    };
+    Command::RecordCrashes {
+        at_ms: 1_700_000_000_000,
+        evidence: Evidence {
+            crashes: vec![crash],
+            served: Vec::new(),
+        },
+    }
+}
+
 /// Encodes a message and decodes it as another type.
 fn convert<T: DeserializeOwned>(message: &impl Serialize) -> Option<T> {
     decode(&encode(message).unwrap()).ok()
@@ -400,6 +420,16 @@
             assert_eq!(MessagePack.decode_command(&bytes), Ok(command));
         }
     };
+    snapshot_with_a_record_of_crashes_is_decoded_unchanged: {
+        for quarantined in [false, true] {
+            let mut machine = Machine::try_from(snapshot(quarantined)).unwrap();
+            machine.apply(record_crashes());
+            let bytes = MessagePack.encode_snapshot(&machine.export()).unwrap();
+            let decoded = MessagePack.decode_snapshot(&bytes).unwrap();
+            assert_eq!(decoded, machine.export());
+            assert_eq!(Machine::try_from(decoded).unwrap().crashes, machine.crashes);
+        }
+    };
     // The names are in the logs of running groups.
     commands_keep_their_stored_names: {
         let sentences = quarantine().parts().collect();
@@ -408,6 +438,7 @@
         };
         assert!(stored(&Command::Quarantine(sentences)).contains("Quarantine"));
         assert!(stored(&Command::Release(vec![PartId(1)])).contains("Release"));
+        assert!(stored(&record_crashes()).contains("Crashes"));
         let rollout = stored(&Command::Rollout(open()));
         assert!(rollout.contains("Rollout") && rollout.contains("Open"));
     };
