Edge, front, agent: only final statuses end a request

Callers saw: a response with status 101 or 600 to 999 of an engine in trouble as the answer to their request. Callers of HTTP/1.0 saw the same end of the connection after an aborted stream as after a complete one.

Cause: the HTTP library passes such numbers on, and nothing checked them. A response to HTTP/1.0 ends with its connection, which an abort closed like any other.

Status 000, and a reset before, during or after a long upload in each framing (72 combinations, 6 kinds of request), were handled; the tests keep it so.

Change: a status outside 200 to 599 makes the response malformed. A connection that carries a response without length or chunks is reset when it is closed, until the response is complete.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -38,6 +38,8 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::framing::is_final;
+
 /// Why a call failed.
 #[derive(Debug)]
 pub enum CallError {
@@ -190,6 +192,9 @@
         }
         let response = sender.send_request(request).await.map_err(failed)?;
         let status = response.status().as_u16();
+        if !is_final(status) {
+            return Err(CallError::Failed(io::ErrorKind::InvalidData.into()));
+        }
         let body = read(response.into_body()).await?;
         Ok(Response { status, body })
     };
--- a/crates/edge/src/framing.rs
+++ b/crates/edge/src/framing.rs
@@ -1,8 +1,14 @@
-//! How the end of a response's body is marked.
+//! Which responses are final, and how the end of their body is marked.
 
 use hyper::HeaderMap;
 use hyper::header::TRANSFER_ENCODING;
 
+/// Whether a status is that of a final response. The HTTP library skips interim responses, but passes
+/// on a switch of protocols and numbers that mean nothing.
+pub fn is_final(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
 /// What marks the end of a body (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,7 +34,10 @@
     Exchange,
     Head, //
 };
-pub use framing::Framing;
+pub use framing::{
+    Framing,
+    is_final, //
+};
 pub use memory::{
     Memory,
     OutOfMemory,
--- a/crates/edge/src/reader.rs
+++ b/crates/edge/src/reader.rs
@@ -40,7 +40,10 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::client::CallError;
-use crate::framing::Framing;
+use crate::framing::{
+    Framing,
+    is_final, //
+};
 
 type HttpConnection = http1::Connection<FuturesIo<TcpStream>, Full<Bytes>>;
 
@@ -136,6 +139,9 @@
             let request = request.map(|body| Full::new(Bytes::from(body)));
             let head = async { sender.send_request(request).await.map_err(failed) };
             let response = with_timeout(target.head_timeout, driver.run(head)).await?;
+            if !is_final(response.status().as_u16()) {
+                return Err(CallError::Failed(io::ErrorKind::InvalidData.into()));
+            }
             Ok(Self::new(response, driver, target.head_timeout))
         })
     }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -18,6 +18,7 @@
     Limited, //
 };
 use hyper::body::{
+    Body as _,
     Bytes,
     Incoming, //
 };
@@ -25,7 +26,8 @@
 use hyper::service::service_fn;
 use hyper::{
     Request,
-    Response, //
+    Response,
+    Version, //
 };
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use smol::channel::{
@@ -363,8 +365,10 @@
 ) {
     let client = socket.client();
     let bounded = shared.memory.is_some();
+    let unframed = Cell::new(false);
     let service = service_fn(|mut request: Request<Incoming>| async {
         meter.begin();
+        let version = request.version();
         if bounded {
             request.extensions_mut().insert(client.clone());
         }
@@ -373,6 +377,13 @@
             .as_ref()
             .is_ok_and(|response| response.extensions().get::<Linger>().is_some());
         meter.end(linger);
+        if let Ok(response) = &result
+            && version == Version::HTTP_10
+            && response.body().size_hint().exact().is_none()
+        {
+            unframed.set(true);
+            client.reset_on_close(true);
+        }
         result
     });
     let connection = http1::Builder::new()
@@ -383,17 +394,19 @@
     let mut connection = std::pin::pin!(connection);
     let stop = async {
         let _ = shared.stop.recv().await;
-        false
+        None
     };
-    let run = async {
-        let _ = connection.as_mut().await;
-        true
+    let run = async { Some(connection.as_mut().await) };
+    let result = match run.or(stop).await {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
     };
-    if run.or(stop).await {
-        return;
+    if result.is_ok() && unframed.get() {
+        client.reset_on_close(false);
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
 
 /// Passes complete requests to a handler, which may respond from any thread.
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -15,7 +15,10 @@
 };
 use std::time::Duration;
 
-use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::sockopt::{
+    set_socket_linger,
+    set_socket_recv_buffer_size, //
+};
 use smol::Timer;
 use smol::future::Future;
 use smol::io::{
@@ -59,6 +62,13 @@
 pub struct ClientSocket(TcpStream);
 
 impl ClientSocket {
+    /// Whether the connection is reset when it is closed. Otherwise it ends like a response whose end
+    /// is that of the connection, also if the response was aborted or the process was killed.
+    pub(crate) fn reset_on_close(&self, reset: bool) {
+        // A connection that has failed is reset in any case.
+        let _ = set_socket_linger(&self.0, reset.then_some(Duration::ZERO));
+    }
+
     pub(crate) fn set_receive_buffer(&self, bytes: usize) {
         // A connection that has failed is noticed when it is read.
         let _ = set_socket_recv_buffer_size(&self.0, bytes);
--- a/crates/front/src/attempt.rs
+++ b/crates/front/src/attempt.rs
@@ -10,7 +10,8 @@
     Head,
     Memory,
     OutOfMemory,
-    Payload, //
+    Payload,
+    is_final, //
 };
 use http_body_util::BodyExt;
 use hyper::body::{
@@ -129,7 +130,8 @@
         let head =
             self.adapter
                 .parse_response_head(outgoing.head, parts.status.as_u16(), &parts.headers);
-        if !head.matches_request || parts.headers.contains_key(CONTENT_ENCODING) {
+        let encoded = parts.headers.contains_key(CONTENT_ENCODING);
+        if !is_final(parts.status.as_u16()) || !head.matches_request || encoded {
             return Err(Failure::Garbled);
         }
         self.report_notice(attempt, &head);
--- a/crates/local/tests/unframed.rs
+++ b/crates/local/tests/unframed.rs
@@ -128,8 +128,15 @@
     )
 }
 
-/// Checks what callers receive if the back end responds with `body`, with each kind of head.
-fn each_head(path: &str, content: &str, body: &str, end: End, check: impl Fn(Received)) {
+/// Checks what callers receive if the back end responds with `body`, with each of the heads.
+fn each_head(
+    heads: &[&str],
+    path: &str,
+    content: &str,
+    body: &str,
+    end: End,
+    check: impl Fn(Received),
+) {
     let next = Arc::new(Mutex::new(String::new()));
     let options = Options {
         backend: Some(backend(Arc::clone(&next), end)),
@@ -137,7 +144,7 @@
     };
     let local = LocalSystem::start(&options, &obs::discard()).unwrap();
     let (_, key) = local.new_key("norte").unwrap();
-    for head in HEADS {
+    for head in heads {
         *next.lock().unwrap() = format!("{head}Content-Type: {content}\r\n\r\n{body}");
         check(call(
             local.entry_address(),
@@ -156,11 +163,11 @@
 ];
 
 fn chat(content: &str, body: &str, end: End, check: impl Fn(Received)) {
-    each_head("/v1/chat/completions", content, body, end, check);
+    each_head(&HEADS, "/v1/chat/completions", content, body, end, check);
 }
 
 fn service(content: &str, body: &str, end: End, check: impl Fn(Received)) {
-    each_head("/permits/a", content, body, end, check);
+    each_head(&HEADS, "/permits/a", content, body, end, check);
 }
 
 fn whole(body: &str) -> impl Fn(Received) {
@@ -215,6 +222,14 @@
         assert!(status == 502 && body.contains("endpoint_crashed"), "{status} {body}");
         local.close();
     };
+    // Guards against a number that means nothing, or a switch of protocols, as the status of a response.
+    status_that_is_no_final_one_is_a_failure: {
+        let heads = ["000", "101", "600", "999"].map(|status| format!("HTTP/1.1 {status} X\r\n"));
+        let heads = heads.each_ref().map(String::as_str);
+        for path in ["/v1/chat/completions", "/permits/a"] {
+            each_head(&heads, path, "text/plain", "a", End::Closed, failed);
+        }
+    };
     complete_service_response: service("text/plain", "to the end", End::Closed, whole("to the end"));
     service_response_that_is_reset_is_a_failure: service("text/plain", "to", End::Reset, failed);
     service_stream_that_ends_after_an_event: {
