--- a/crates/relay/src/part_filter.rs
+++ b/crates/relay/src/part_filter.rs
@@ -25,6 +25,8 @@
 /// How long a front repeats that it served a part, since the control process that received the report
 /// may fail before it passes it on.
 const OBJECTION_REPEAT: Duration = Duration::from_secs(10);
+/// How long a front that was out of touch repeats the crashes of that time, for the same reason.
+const CATCH_UP_SPAN: Duration = Duration::from_secs(10);
 /// Interval at which a front repeats its evidence, since the leader that received it may fail.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a front collects observations of a crash before it reports them, if it has reported nothing
@@ -37,6 +39,16 @@
 /// Time after touch is regained in which the front's own decisions still hold: until then the control
 /// group has received the front's observations and decided.
 const REJOIN_SPAN: Duration = Duration::from_secs(3);
+
+/// Reports of crashes that the control group may not have received, since touch with it was lost.
+#[derive(Clone, Copy, Debug)]
+struct CatchUp {
+    /// When touch was lost.
+    since: Tick,
+    /// When these reports end.
+    until: Tick,
+}
+
 /// Rejects requests in quarantine and prompts with parts in quarantine, and collects evidence.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PartFilter {
@@ -51,9 +63,7 @@
     /// When the front's own decisions cease to hold after touch was regained.
     rejoined_until: Tick,
     suspects: Suspects,
-    /// After touch was regained: until when, and since when, crashes are reported that the control
-    /// group may not have received.
-    catch_up: Option<(Tick, Tick)>,
+    catch_up: Option<CatchUp>,
     /// The front's own decisions.
     local: LocalVerdicts,
     /// When to report evidence; none if there is nothing new.
@@ -99,9 +109,11 @@
     /// repeated.
     fn start_catch_up(&mut self, now: Tick) {
         let lost_at = self.renewed_at.unwrap_or_default();
-        let unfinished = self.catch_up.filter(|(until, _)| now < *until);
-        let since = unfinished.map_or(lost_at, |(_, since)| since);
-        self.catch_up = Some((now + OBJECTION_REPEAT, since));
+        let unfinished = self.catch_up.filter(|earlier| now < earlier.until);
+        self.catch_up = Some(CatchUp {
+            since: unfinished.map_or(lost_at, |earlier| earlier.since),
+            until: now + CATCH_UP_SPAN,
+        });
         self.report_at = Some(now);
     }
 
@@ -177,9 +189,9 @@
     /// Returns the evidence to report, if it is due.
     pub(crate) fn due_evidence(&mut self, now: Tick) -> Option<Evidence> {
         self.report_at.take_if(|at| *at <= now)?;
-        self.catch_up.take_if(|(until, _)| *until <= now);
+        self.catch_up.take_if(|catch_up| catch_up.until <= now);
         let evidence = match self.catch_up {
-            Some((_, since)) => self.suspects.evidence_since(now, since),
+            Some(CatchUp { since, .. }) => self.suspects.evidence_since(now, since),
             None => self.suspects.evidence(now),
         };
         if evidence.crashes.is_empty() {
--- a/crates/relay/src/withdraw.rs
+++ b/crates/relay/src/withdraw.rs
@@ -31,7 +31,7 @@
             self.cancel(now, id);
         }
         if held || queued {
-            // Frees the reply channel.
+            // The decision that is still due, so that its reply channel is released.
             let decision = Decision::Reject(Kind::CallerGone, Duration::ZERO);
             out.push(Output::Reply(ticket, decision));
         }
