Front: bodies that stop short leave memory to ordinary requests

Cause: such a body took 176 KiB in the class of ordinary requests and kept it for 5 s. Besides, the part of a body that arrives with the head was charged as a long head until the response; these shares may fill the whole budget, so new connections were closed.

Change: bodies over 4 KiB are a class of their own, with a lower ceiling and a bound on what may wait for it. Any body that stops for 1 s gives way while a request waits. A long head is charged from 8 KiB on, until the request has its own share.

The new case of the budget fails without the bound on what waits.

--- a/crates/budget/src/core.rs
+++ b/crates/budget/src/core.rs
@@ -25,8 +25,11 @@
 pub enum Class {
     /// A response that is buffered. It waits until it is granted or closed.
     Response,
-    /// A request without a large body.
+    /// A request, with a body of a few kilobytes at most.
     Small,
+    /// A body that is larger but not large, while it arrives. Bodies that stop short do not take the
+    /// memory of other requests.
+    Upload,
     /// A large body.
     Large,
     /// An open connection. It never waits. The ceiling applies to connections alone.
@@ -34,7 +37,7 @@
 }
 
 /// Classes whose shares may wait.
-const WAITING: [Class; 3] = [Class::Response, Class::Small, Class::Large];
+const WAITING: [Class; 4] = [Class::Response, Class::Small, Class::Upload, Class::Large];
 
 /// An event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,8 +91,8 @@
     used: usize,
     /// Total of the connections' shares.
     connections: usize,
-    /// Total that the shares in the queue of large bodies hold.
-    waiting: usize,
+    /// Totals that the shares in each queue hold.
+    waiting: [usize; WAITING.len()],
     queues: [VecDeque<ShareKey>; WAITING.len()],
 }
 
@@ -101,7 +104,7 @@
             shares: SlotMap::default(),
             used: 0,
             connections: 0,
-            waiting: 0,
+            waiting: [0; WAITING.len()],
             queues: Default::default(),
         }
     }
@@ -149,7 +152,8 @@
             self.grant(now, key, more, out);
             return;
         }
-        let crowded = class == Class::Large && self.waiting + held > self.limits.waiting();
+        let waiting = &mut self.waiting[class as usize];
+        let crowded = *waiting + held > self.limits.waiting(class);
         let queued = !self.queues[class as usize].is_empty();
         if !queued && self.used + more <= ceiling {
             self.grant(now, key, more, out);
@@ -157,9 +161,7 @@
             out.push(Output::Rejected(key));
         } else {
             share.asked = Some((more, now));
-            if class == Class::Large {
-                self.waiting += held;
-            }
+            *waiting += held;
             self.queues[class as usize].push_back(key);
         }
     }
@@ -180,9 +182,7 @@
     fn dequeue(&mut self, key: ShareKey) -> Option<usize> {
         let share = self.shares.get_mut(key)?;
         let (more, _) = share.asked.take()?;
-        if share.class == Class::Large {
-            self.waiting -= share.bytes;
-        }
+        self.waiting[share.class as usize] -= share.bytes;
         self.queues[share.class as usize].retain(|queued| *queued != key);
         Some(more)
     }
@@ -230,7 +230,7 @@
             let Some(progress) = share.progress.filter(|_| share.asked.is_none()) else {
                 continue;
             };
-            let stall = if short_of_memory && share.class == Class::Large {
+            let stall = if short_of_memory {
                 limits.short_stall
             } else {
                 limits.stall
@@ -276,7 +276,7 @@
     }
 
     fn wake(&mut self, now: Tick, out: &mut Outbox<Output>) {
-        for class in [Class::Small, Class::Large] {
+        for class in [Class::Small, Class::Upload, Class::Large] {
             // The queues are in the order of the times.
             while let Some(key) = self.queues[class as usize].front().copied() {
                 let asked = self.shares.get(key).and_then(|share| share.asked);
--- a/crates/budget/src/limits.rs
+++ b/crates/budget/src/limits.rs
@@ -53,17 +53,23 @@
 
     /// The total of all shares up to which a class is granted memory.
     pub fn ceiling(&self, class: Class) -> usize {
-        let eighths = match class {
-            Class::Connection => 4,
-            Class::Large => 6,
-            Class::Small => 7,
-            Class::Response => 8,
+        let sixteenths = match class {
+            Class::Connection => 8,
+            Class::Large => 12,
+            Class::Upload => 13,
+            Class::Small => 14,
+            Class::Response => 16,
         };
-        self.bytes / 8 * eighths
+        self.bytes / 16 * sixteenths
     }
 
-    /// The total that requests may hold while they wait for memory for a large body.
-    pub(crate) fn waiting(&self) -> usize {
-        self.bytes / 8
+    /// The total that requests may hold while they wait for more memory as this class. Those that wait
+    /// for the memory of an upload must leave some of what only requests without one may use.
+    pub(crate) fn waiting(&self, class: Class) -> usize {
+        match class {
+            Class::Upload => self.bytes / 32,
+            Class::Large => self.bytes / 8,
+            Class::Small | Class::Response | Class::Connection => self.bytes,
+        }
     }
 }
--- a/crates/budget/tests/budget.rs
+++ b/crates/budget/tests/budget.rs
@@ -116,6 +116,46 @@
         env.step(Input::Close(first));
         assert_eq!((env.budget.used(), env.budget.queued()), (0, 0));
     };
+    // Bodies that stop short held all memory of small requests for seconds (review/7).
+    uploads_that_stop_leave_room_for_requests: {
+        let mut env = Env::new();
+        let (mut holding, mut rejected) = (0, 0);
+        for _ in 0..400 {
+            let key = env.granted(Class::Small, 14);
+            match env.step(Input::Ask(key, Class::Upload, 30))[..] {
+                [Output::Granted(_)] => {
+                    env.step(Input::Received(key, 15));
+                    holding += 1;
+                }
+                [Output::Rejected(_)] => {
+                    env.step(Input::Close(key));
+                    rejected += 1;
+                }
+                _ => {}
+            }
+        }
+        assert!(holding > 100 && rejected > 100, "{holding} {rejected}");
+        for _ in 0..10 {
+            let request = env.granted(Class::Small, 14);
+            env.step(Input::Complete(request, 14));
+        }
+    };
+    upload_does_not_wait_behind_large_bodies: {
+        let mut env = Env::new();
+        env.granted(Class::Large, 6 * EIGHTH);
+        env.queued(Class::Large, 1);
+        env.granted(Class::Upload, EIGHTH / 2);
+        env.queued(Class::Upload, 1);
+        env.granted(Class::Small, EIGHTH / 2);
+    };
+    upload_that_stops_is_evicted_sooner_while_another_waits: {
+        let mut env = Env::new();
+        let first = env.granted(Class::Upload, 6 * EIGHTH);
+        env.step(Input::Received(first, 1));
+        assert_eq!(env.after(1500), []);
+        env.queued(Class::Upload, EIGHTH);
+        assert_eq!(env.after(100), [Output::Evicted(first)]);
+    };
     response_waits_without_limit: {
         let mut env = Env::new();
         let first = env.granted(Class::Response, 8 * EIGHTH);
--- a/crates/edge/src/receive.rs
+++ b/crates/edge/src/receive.rs
@@ -33,7 +33,9 @@
 /// Memory of a request without its body: its head, the buffers of its connections, the unread bytes in
 /// their sockets, and the state of the request.
 const REQUEST_BYTES: usize = 48 * 1024;
-/// Largest body of a small request. Its copy in the write buffer is charged too.
+/// Largest body that is covered by the share of its request. Its copy in the write buffer is charged too.
+const COVERED_BYTES: usize = 4 * 1024;
+/// Largest body that is not large. Its copy in the write buffer is charged too.
 const SMALL_BYTES: usize = 64 * 1024;
 /// Memory of a large body in addition to its bytes: the write buffer, and the bytes in the sockets.
 const SENDING_BYTES: usize = 640 * 1024;
@@ -74,19 +76,23 @@
         return Err(Refusal::Rejected(Kind::BodyTooLarge));
     }
     let share = memory.open();
-    let small = length.unwrap_or(SMALL_BYTES).min(SMALL_BYTES);
-    share.ask(Class::Small, REQUEST_BYTES + 2 * small).await?;
+    let covered = length.unwrap_or(COVERED_BYTES).min(COVERED_BYTES);
+    let charged = REQUEST_BYTES + 2 * covered;
+    share.ask(Class::Small, charged).await?;
+    if let Some(client) = &client {
+        client.cover_head();
+    }
     let mut upload = Upload {
         bytes: Vec::new(),
-        capacity: small,
-        charged: REQUEST_BYTES + 2 * small,
+        capacity: covered,
+        charged,
         limit: limits.body_bytes,
         unreported: 0,
         client,
         share,
     };
-    if let Some(length) = length.filter(|length| *length > SMALL_BYTES) {
-        upload.enlarge(length).await?;
+    if let Some(length) = length {
+        upload.reserve(length, length).await?;
     }
     if length == Some(0) {
         return Ok(upload.close());
@@ -113,6 +119,21 @@
 }
 
 impl Upload {
+    /// Asks for the memory of a body of `length` bytes, and of one of `most` bytes if it is large.
+    async fn reserve(&mut self, length: usize, most: usize) -> Result<(), Refusal> {
+        if length > self.capacity && self.capacity < SMALL_BYTES {
+            let capacity = most.min(SMALL_BYTES);
+            let more = 2 * (capacity - self.capacity);
+            self.share.ask(Class::Upload, more).await?;
+            self.charged += more;
+            self.capacity = capacity;
+        }
+        if length > self.capacity {
+            self.enlarge(most).await?;
+        }
+        Ok(())
+    }
+
     /// Asks for the memory of a large body.
     async fn enlarge(&mut self, capacity: usize) -> Result<(), Refusal> {
         let more = capacity + SENDING_BYTES;
@@ -154,10 +175,8 @@
             if length > self.limit {
                 return Err(Refusal::Rejected(Kind::BodyTooLarge));
             }
-            if length > self.capacity {
-                // The length is unknown, so memory for the largest body is needed.
-                self.enlarge(self.limit).await?;
-            }
+            // The length is unknown, so memory for the largest body is needed.
+            self.reserve(length, self.limit).await?;
             // A copy, because the data keeps the whole read buffer of the connection in memory.
             self.bytes.extend_from_slice(&data);
             self.unreported += data.len();
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -8,6 +8,11 @@
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::task::{
     Context,
     Poll,
@@ -42,8 +47,9 @@
 /// Memory of a connection that sends nothing. 16 KB for the buffers of the HTTP library, of which an idle
 /// connection uses a part, and the state of the connection.
 const CONNECTION_BYTES: usize = 16 * 1024;
-/// Bytes of a head that are covered by the connection's share.
-const FREE_HEAD_BYTES: usize = 4096;
+/// Bytes of a head that are covered by the connection's share: as many as the HTTP library reads at first,
+/// which may contain a part of the body.
+const FREE_HEAD_BYTES: usize = 8192;
 /// Memory for a longer head: the read buffer, and the same again while it grows.
 const HEAD_BYTES: usize = 48 * 1024;
 /// How long a connection is kept after a response to a request whose body was not read. Otherwise
@@ -59,19 +65,27 @@
 /// The client's socket of a request, by an extension of the request. It is dropped when the body has been
 /// received.
 #[derive(Clone)]
-pub struct ClientSocket(TcpStream);
+pub struct ClientSocket {
+    stream: TcpStream,
+    covered: Arc<AtomicBool>,
+}
 
 impl ClientSocket {
+    /// States that the share of the request covers its head from now on.
+    pub(crate) fn cover_head(&self) {
+        self.covered.store(true, Ordering::Relaxed);
+    }
+
     /// Whether the connection is reset when it is closed. Otherwise it ends like a response whose end
     /// is that of the connection, also if the response was aborted or the process was killed.
     pub(crate) fn reset_on_close(&self, reset: bool) {
         // A connection that has failed is reset in any case.
-        let _ = set_socket_linger(&self.0, reset.then_some(Duration::ZERO));
+        let _ = set_socket_linger(&self.stream, reset.then_some(Duration::ZERO));
     }
 
     pub(crate) fn set_receive_buffer(&self, bytes: usize) {
         // A connection that has failed is noticed when it is read.
-        let _ = set_socket_recv_buffer_size(&self.0, bytes);
+        let _ = set_socket_recv_buffer_size(&self.stream, bytes);
     }
 }
 
@@ -84,6 +98,8 @@
     read: Cell<usize>,
     /// The share of a long head.
     head: RefCell<Option<Share>>,
+    /// Whether the share of the request covers the head.
+    covered: Arc<AtomicBool>,
     serving: Cell<bool>,
     linger: Cell<bool>,
 }
@@ -100,13 +116,15 @@
             _share: share,
             read: Cell::new(0),
             head: RefCell::default(),
+            covered: Arc::default(),
             serving: Cell::new(false),
             linger: Cell::new(false),
         }))
     }
 
-    /// The head of a request is complete. Its share is kept, since the request may wait for its own.
+    /// The head of a request is complete. Its share is kept until the request has its own.
     pub(crate) fn begin(&self) {
+        self.covered.store(false, Ordering::Relaxed);
         self.serving.set(true);
     }
 
@@ -121,6 +139,9 @@
     /// Counts received bytes.
     fn count(&self, bytes: usize) -> io::Result<()> {
         if self.serving.get() {
+            if self.covered.swap(false, Ordering::Relaxed) {
+                *self.head.borrow_mut() = None;
+            }
             return Ok(());
         }
         self.read.set(self.read.get() + bytes);
@@ -149,7 +170,10 @@
 impl Socket {
     /// The extension of the requests on this connection.
     pub(crate) fn client(&self) -> ClientSocket {
-        ClientSocket(self.stream.clone())
+        ClientSocket {
+            stream: self.stream.clone(),
+            covered: Arc::clone(&self.meter.covered),
+        }
     }
 
     pub(crate) fn new(stream: TcpStream, meter: Rc<Meter>) -> Self {
